Let the drain scenario wait for the state that it plans from

Cause: the scenario planned while tasks were still being placed; by the time of the confirmation more ran on the rack, the plan was refused as it should be, and the scenario read the refusal as an empty rack. Ruled out: a fault in the plan's inventory (8 named, 8 stopped when traced). Change: wait until all attempts run, and require that the confirmation held.

--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from behave import then, when
+from behave import step, then, when
 
 from hornbeampaddle.plans import AddService, Drain
 from hornbeampaddle.records import Needs
@@ -50,6 +50,19 @@
     context.status, context.verdict = context.scene.confirm(name, context.plan)
 
 
+@step("all {attempts:d} attempts run")
+def all_run(context, attempts):
+    scene = context.scene
+    assert scene.until(
+        lambda: sum(len(m.runs) for m in scene.machines.values()) == attempts
+    )
+
+
+@then("the plan is in force")
+def in_force(context):
+    assert context.status == 200, context.verdict
+
+
 @then("no attempt was stopped")
 def none_stopped(context):
     assert context.scene.ledger.attempts_stopped == 0
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -32,13 +32,14 @@
   Scenario: Nothing changes before a plan is confirmed
     Given 3 entry instances and 4 workers
     And a service "checks" that is "exclusive"
-    And a job "archive" of 16 tasks of 6 s is submitted to "e0"
-    When 1 s pass
-    And an operator plans at "e1" to drain the rack "r0"
+    And a job "archive" of 16 tasks of 9 s is submitted to "e0"
+    And all 16 attempts run
+    When an operator plans at "e1" to drain the rack "r0"
     And 2 s pass
     Then no attempt was stopped
     When the operator confirms the plan at "e1"
-    Then the workers "w0 w1" are empty within 5 s
+    Then the plan is in force
+    And the workers "w0 w1" are empty within 5 s
     And exactly the attempts that the plan named were stopped
     And the job "archive" is done within 40 s
     And no promise was broken
