Measure rest, path and takeover; mend what longer walks found

Cause and change, each traced in a walk first: - A record of a task's earlier attempt acknowledged the end of a later one; the worker forgot a result that nobody had written down, and it ran again. Final ends and evictions are now acknowledged by records that name them. - A succession that was void left its author unable to try again; jobs without a live owner stayed so. Read back, an attempt is settled either way. - A late notice of a replaced decider marked an attempt as running. Notices carry the epoch under which they were known. - A replaced decider that had not noticed answered a plan's inventory with an old state. The later epoch counts; a silent peer is asked twice. - The fake network reordered every pair of messages sent within 3 ms; peer sockets are TCP and keep order, so only late messages overtake now.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the product: nothing here passes or fails by time."""
--- a/features/support/network.py
+++ b/features/support/network.py
@@ -13,6 +13,7 @@
 from hornbeampaddle_wire.peers import PeerSockets
 
 CALL_TIMEOUT_S = 1.0
+IN_ORDER_S = 0.005
 
 
 @dataclass
@@ -36,12 +37,23 @@
     peers: dict = field(default_factory=dict)
     # What goes wrong with the next runs of requests, in order.
     run_faults: list = field(default_factory=list)
+    last_arrival_s: dict = field(default_factory=dict)
 
     def delay_s(self):
         if self.faults.late and self.rng.random() < self.faults.late:
             return self.rng.uniform(0.1, self.faults.late_s)
         return self.rng.uniform(0.0005, 0.003)
 
+    def arrival_s(self, source, target):
+        """Return when a message comes in: in order, but for the late ones."""
+        now_s = asyncio.get_running_loop().time()
+        at_s = now_s + self.delay_s()
+        if at_s - now_s > IN_ORDER_S:
+            return at_s
+        last_s = self.last_arrival_s.get((source, target), 0.0)
+        self.last_arrival_s[(source, target)] = max(at_s, last_s + 1e-6)
+        return self.last_arrival_s[(source, target)]
+
     def open(self, source, target):
         return (source, target) not in self.cut
 
@@ -113,7 +125,8 @@
         loop = asyncio.get_running_loop()
         copies = 2 if network.rng.random() < network.faults.repeated else 1
         for _ in range(copies):
-            loop.call_later(network.delay_s(), self._arrive, instance_id, data)
+            at_s = network.arrival_s(self.instance_id, instance_id)
+            loop.call_at(at_s, self._arrive, instance_id, data)
         return True
 
     def _arrive(self, instance_id, data):
--- a/features/support/scene.py
+++ b/features/support/scene.py
@@ -119,8 +119,17 @@
     def close(self):
         for name in list(self.instances):
             self.kill(name)
+        self.run(self._end_calls())
         self.loop.close()
 
+    async def _end_calls(self):
+        """Cancel the calls that nobody will answer any more."""
+        current = asyncio.current_task()
+        calls = [t for t in asyncio.all_tasks() if t is not current]
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
     # Instances
 
     def _settings(self, name):
@@ -189,8 +198,14 @@
         assert self.until(lambda: self.held() >= len(self.machines)), "no deciders"
 
     def held(self):
-        """Return how many workers some instance believes to decide for."""
-        return sum(len(i.control.fleet.held()) for i in self.instances.values())
+        """Return how many workers have a live decider whose epoch is in force."""
+        current = set()
+        for instance in self.instances.values():
+            for decider in instance.control.fleet.held():
+                machine = self.machines[decider.worker.worker_id]
+                if decider.epoch == machine.epoch:
+                    current.add(decider.worker.worker_id)
+        return len(current)
 
     def kill(self, name):
         """End an instance's process at once."""
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/adapters.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/adapters.py
@@ -26,7 +26,7 @@
     order_body,
     report_from,
 )
-from hornbeampaddle_wire.http_client import HttpClient
+from hornbeampaddle_wire.http_client import HttpClient, HttpTraffic
 from hornbeampaddle_wire.http_messages import CutShort, NoResponse, Request, Response
 
 from .ports import AnswerCutShort, Answered, Page, RequestAnswer, WorkerRequest
@@ -40,10 +40,21 @@
 class HttpWorker:
     """One worker, over two pools: control calls never wait behind requests."""
 
-    def __init__(self, address: Address, timing: Timing, limits: Limits) -> None:
-        """Keep the pools; connections are opened when they are needed."""
+    def __init__(
+        self,
+        address: Address,
+        timing: Timing,
+        limits: Limits,
+        traffic: HttpTraffic | None = None,
+    ) -> None:
+        """
+        Keep the pools; connections are opened when they are needed.
+
+        ``traffic`` counts control calls only.
+        """
         self.timing = timing
-        self.control = HttpClient(address, CONTROL_CONNECTIONS)
+        counted = traffic or HttpTraffic()
+        self.control = HttpClient(address, CONTROL_CONNECTIONS, traffic=counted)
         self.requests = HttpClient(address, limits.connections_per_worker)
 
     def close(self) -> None:
@@ -194,10 +205,13 @@
 class HttpLog:
     """The log service over HTTP."""
 
-    def __init__(self, address: Address, timing: Timing) -> None:
+    def __init__(
+        self, address: Address, timing: Timing, traffic: HttpTraffic | None = None
+    ) -> None:
         """Keep a small pool; reads and appends share it."""
         self.timing = timing
-        self.client = HttpClient(address, CONTROL_CONNECTIONS)
+        counted = traffic or HttpTraffic()
+        self.client = HttpClient(address, CONTROL_CONNECTIONS, traffic=counted)
 
     async def append(
         self, stream: str, records: tuple[bytes, ...]
@@ -243,10 +257,13 @@
 class HttpList:
     """The instance list over HTTP; an unchanged list is not sent again."""
 
-    def __init__(self, address: Address, timing: Timing) -> None:
+    def __init__(
+        self, address: Address, timing: Timing, traffic: HttpTraffic | None = None
+    ) -> None:
         """Remember which version of the list was read last."""
         self.timing = timing
-        self.client = HttpClient(address, 1)
+        counted = traffic or HttpTraffic()
+        self.client = HttpClient(address, 1, traffic=counted)
         self.known = ""
 
     async def workers(self, data_centre: str) -> Result[list[Worker] | None, str]:
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/control.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/control.py
@@ -96,6 +96,7 @@
         self.desk = Desk(context, self.fleet, self.slots, traces)
         self.planner = Planner(context, self.fleet, self.jobs, config_link)
         self.beat_due_s = 0.0
+        self.scan_due_s = 0.0
         self._snapshot_offset = -1
 
     async def run(self) -> None:
@@ -148,13 +149,11 @@
                 self._leave(done, now_s)
 
     def _tick(self, now_s: float) -> None:
-        self._tell_owners(self.fleet.tick(now_s), now_s)
-        self.peering.own_rooms(now_s)
-        self.peering.doubt_uncovered(now_s)
-        self.jobs.tick(now_s, self._quotas(now_s))
         self.desk.tick(now_s, self.peering.peer_slots)
         self.planner.tick(now_s)
-        self._inherit(now_s)
+        if now_s >= self.scan_due_s or self.jobs.busy():
+            self.scan_due_s = now_s + self.context.timing.heartbeat_interval_s / 2
+            self._scan(now_s)
         if now_s >= self.beat_due_s:
             self.beat_due_s = now_s + self.context.timing.heartbeat_interval_s
             self.peering.beat(now_s, self.home_link.reachable)
@@ -162,6 +161,14 @@
             self._forget_dead_slots(now_s)
             self._gauges()
 
+    def _scan(self, now_s: float) -> None:
+        """Look over all workers and tasks; at rest, not at every tick."""
+        self._tell_owners(self.fleet.tick(now_s), now_s)
+        self.peering.own_rooms(now_s)
+        self.peering.doubt_uncovered(now_s)
+        self.jobs.tick(now_s, self._quotas(now_s))
+        self._inherit(now_s)
+
     def _forget_dead_slots(self, now_s: float) -> None:
         for peer in list(self.peering.peer_slots):
             if not self.context.membership.is_live(peer, now_s):
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/instance.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/instance.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 import structlog
@@ -20,6 +20,7 @@
     HomeRecord,
     home_stream,
 )
+from hornbeampaddle_wire.http_client import HttpTraffic
 from hornbeampaddle_wire.http_server import HttpLimits, HttpServer
 from hornbeampaddle_wire.peers import PeerSockets, Receiver
 
@@ -48,21 +49,25 @@
     instances: ListPort
     worker: Callable[[Worker], WorkerPort]
     peers: Callable[[str, Receiver], PeerPort]
+    # Control traffic towards the platform, where a port counts it.
+    traffic: HttpTraffic = field(default_factory=HttpTraffic)
 
 
 def http_ports(settings: Settings) -> Ports:
     """Return the ports that speak HTTP, as the settings say."""
     timing, limits = settings.timing.timing(), settings.limits.limits()
+    traffic = HttpTraffic()
     return Ports(
-        log=HttpLog(settings.platform.log.address(), timing),
-        instances=HttpList(settings.platform.instances.address(), timing),
-        worker=lambda worker: HttpWorker(worker.address, timing, limits),
+        log=HttpLog(settings.platform.log.address(), timing, traffic),
+        instances=HttpList(settings.platform.instances.address(), timing, traffic),
+        worker=lambda worker: HttpWorker(worker.address, timing, limits, traffic),
         peers=lambda incarnation, receiver: PeerSockets(
             settings.data_centre,
             incarnation,
             settings.peer_key.get_secret_value().encode(),
             receiver,
         ),
+        traffic=traffic,
     )
 
 
@@ -151,7 +156,7 @@
         self.caller_api = CallerApi(
             self.context, self.post, self.control.jobs, self.traces
         )
-        self.operator_api = OperatorApi(self.control, self.post)
+        self.operator_api = OperatorApi(self.control, self.post, self.traffic)
         bounds = http_limits(limits)
         self.callers = HttpServer("callers", bounds, self.caller_api.handle)
         self.operators = HttpServer("operators", bounds, self.operator_api.handle)
@@ -188,6 +193,16 @@
         if not task.cancelled() and task.exception() is not None:
             log.error("instance: Call failed.", error=repr(task.exception()))
 
+    def traffic(self) -> dict[str, int]:
+        """Return messages and bytes of control since the start, both ways."""
+        platform = self.ports.traffic
+        return {
+            **asdict(self.peers.traffic),
+            "platform_calls": platform.calls,
+            "platform_sent_bytes": platform.sent_bytes,
+            "platform_received_bytes": platform.received_bytes,
+        }
+
     async def start(self) -> Addresses:
         """Start all tasks and listen."""
         self.start_tasks()
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/jobkeeper.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/jobkeeper.py
@@ -8,7 +8,12 @@
 
 from hornbeampaddle.configuration import resources_of
 from hornbeampaddle.decider import Notice
-from hornbeampaddle.identity import AttemptId, instance_of, owner_name
+from hornbeampaddle.identity import (
+    AttemptId,
+    incarnation_of,
+    instance_of,
+    owner_name,
+)
 from hornbeampaddle.jobs import Job, JobTable, TaskEnd
 from hornbeampaddle.messages import (
     AcknowledgeEnd,
@@ -201,13 +206,17 @@
             case TasksEnded():
                 self._do(self.owner.committed(record.ended))
             case TasksAdvanced():
-                self._do(self.owner.committed(record.advanced))
+                self._do(self.owner.recorded(record.advanced))
             case JobCancelled():
                 self._forget(f"cancel/{record.job_id}", JobAnswer(True, "cancelled"))
                 cancelled = self.table.jobs.get(record.job_id)
                 if cancelled is not None and cancelled.owner == self.name:
                     self._do(self.owner.cancel(cancelled, now_s))
             case Succession():
+                # Read back, our own attempt is settled: in force, or void if we
+                # had been succeeded ourselves and may try under our new name.
+                if incarnation_of(record.successor) == self.context.incarnation:
+                    self.attempted.discard(record.dead_owner)
                 self._event(f"{record.successor} succeeds {record.dead_owner}.")
 
     def on_notice(self, notice: Notice, now_s: float) -> None:
@@ -224,6 +233,10 @@
         self._commit()
         self._succeed_lost(now_s)
 
+    def busy(self) -> bool:
+        """Tell whether tasks wait to be placed or ends to be recorded."""
+        return bool(self._ended or self._advanced) or self.owner.has_queued()
+
     def authority_until_s(self) -> float:
         """Return the local time until which this instance may act as owner."""
         members = self.context.membership.members.values()
@@ -334,9 +347,7 @@
 
     def handing_over(self) -> bool:
         """Tell whether a successor was named and the log does not show it yet."""
-        if self.name not in self.attempted:
-            return False
-        return self.name not in self.context.owners.successors
+        return self.name in self.attempted
 
     def _event(self, text: str) -> None:
         now_s = self.context.now_s()
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
@@ -37,8 +37,14 @@
 class OperatorApi:
     """The operators' interface of one entry instance."""
 
-    def __init__(self, control: Control, post: Callable[[Mail], None]) -> None:
+    def __init__(
+        self,
+        control: Control,
+        post: Callable[[Mail], None],
+        traffic: Callable[[], dict[str, int]],
+    ) -> None:
         """Changes go to the control task; reads look at its state."""
+        self.traffic = traffic
         self.control = control
         self.context = control.context
         self.post = post
@@ -148,6 +154,7 @@
             "jobs": len(control.jobs.table.jobs),
             "jobs_over": jobs_over(control.jobs.table),
             "evictions": control.jobs.owner.evictions,
+            "traffic": self.traffic(),
             "outcomes": dict(sorted(control.desk.counts.items())),
             "peers": members,
             "services": services,
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/planner.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/planner.py
@@ -33,7 +33,20 @@
     mail: PlanMail | ConfirmMail
     silent: set[str]
     deadline_s: float
+    asked_again: bool = False
     running: dict[str, list[TaskOrder]] = field(default_factory=dict)
+    epochs: dict[str, int] = field(default_factory=dict)
+
+    def learn(self, worker_id: str, epoch: int, orders: list[TaskOrder]) -> None:
+        """
+        Take in what a decider says runs on a worker.
+
+        One that was replaced and has not noticed may answer too; the later
+        epoch is the one in force.
+        """
+        if epoch > self.epochs.get(worker_id, 0):
+            self.epochs[worker_id] = epoch
+            self.running[worker_id] = orders
 
 
 class Planner:
@@ -91,7 +104,7 @@
         gathering.silent.discard(instance_of(sender))
         for worker in message.workers:
             orders = [order_of(order) for order in worker.orders]
-            gathering.running[worker.worker_id] = orders
+            gathering.learn(worker.worker_id, worker.epoch, orders)
         self._finish_gathering(now_s)
 
     def on_ask(self, sender: str, message: AskInventory) -> None:
@@ -99,6 +112,7 @@
         workers = tuple(
             WorkerInventory(
                 decider.worker.worker_id,
+                decider.epoch,
                 tuple(wire_order(hold.order) for hold in decider.inventory()),
             )
             for decider in self.fleet.held()
@@ -113,6 +127,7 @@
     def _finish_gathering(self, now_s: float) -> None:
         for call_id, gathering in list(self._gathering.items()):
             if gathering.silent and now_s < gathering.deadline_s:
+                self._ask_again(call_id, gathering, now_s)
                 continue
             del self._gathering[call_id]
             world = self._world(gathering)
@@ -122,18 +137,29 @@
                 case ConfirmMail() as mail:
                     self._confirm(mail, world)
 
+    def _ask_again(self, call_id: str, gathering: "_Gathering", now_s: float) -> None:
+        """Repeat the question once: a peer may have lost the first."""
+        half_s = self.context.timing.suspect_after_s / 2
+        if gathering.asked_again or now_s < gathering.deadline_s - half_s:
+            return
+        gathering.asked_again = True
+        for name in gathering.silent:
+            self.context.send(name, AskInventory(call_id))
+
     def _world(self, gathering: "_Gathering") -> World:
-        running = dict(gathering.running)
         free = {}
         for decider in self.fleet.held():
             worker_id = decider.worker.worker_id
-            running[worker_id] = [hold.order for hold in decider.inventory()]
+            orders = [hold.order for hold in decider.inventory()]
+            gathering.learn(worker_id, decider.epoch, orders)
             free[worker_id] = decider.book.room()
         for worker_id, room in self.jobs.rooms.rooms.items():
             free.setdefault(worker_id, room.free)
         workers = list(self.context.workers.values())
         silent = tuple(sorted(gathering.silent))
-        return World(self.context.configuration, workers, running, free, silent)
+        return World(
+            self.context.configuration, workers, gathering.running, free, silent
+        )
 
     def _answer(self, mail: PlanMail, world: World) -> None:
         match make_plan(mail.intent, world):
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/ports.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/ports.py
@@ -23,6 +23,7 @@
 from hornbeampaddle.machines import Address, Worker
 from hornbeampaddle.messages import Message
 from hornbeampaddle.resources import Resources
+from hornbeampaddle_wire.peers import PeerTraffic
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +121,8 @@
 class PeerPort(Protocol):
     """The way to the other entry instances of the data centre."""
 
+    traffic: PeerTraffic
+
     def listen(self, address: Address) -> None:
         """Start to receive."""
 
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_client.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_client.py
@@ -36,6 +36,15 @@
         return now_s - self.idle_since_s < IDLE_MAX_S
 
 
+@dataclass(slots=True)
+class HttpTraffic:
+    """Calls and bytes since the start; several clients may share one count."""
+
+    calls: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
 @dataclass(slots=True)
 class HttpClient:
     """The connections of this process to one server."""
@@ -44,6 +53,7 @@
     connections_max: int
     response_bytes: int = 8 * 1024 * 1024
     clock: Callable[[], float] | None = None
+    traffic: HttpTraffic = field(default_factory=HttpTraffic)
     _idle: deque[_Pooled] = field(default_factory=deque)
     _open: int = 0
     _waiters: deque[asyncio.Future[None]] = field(default_factory=deque)
@@ -60,7 +70,10 @@
             async with asyncio.timeout(timeout_s):
                 pooled = await self._take()
                 sent = True
-                response = await _exchange(pooled, request, self.response_bytes)
+                self.traffic.calls += 1
+                response = await _exchange(
+                    pooled, request, self.response_bytes, self.traffic
+                )
                 whole = isinstance(response, Response)
                 return response
         except TimeoutError:
@@ -126,7 +139,7 @@
 
 
 async def _exchange(
-    pooled: _Pooled, request: Request, response_bytes: int
+    pooled: _Pooled, request: Request, response_bytes: int, traffic: HttpTraffic
 ) -> Response | NoResponse | CutShort:
     state = h11.Connection(h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_BYTES)
     headers = [
@@ -137,10 +150,12 @@
     head = h11.Request(method=request.method, target=request.path, headers=headers)
     chunks = [state.send(head), state.send(h11.Data(data=request.body))]
     chunks.append(state.send(h11.EndOfMessage()))
-    pooled.writer.write(b"".join(chunk or b"" for chunk in chunks))
+    data = b"".join(chunk or b"" for chunk in chunks)
+    traffic.sent_bytes += len(data)
+    pooled.writer.write(data)
     await pooled.writer.drain()
     try:
-        return await _read_response(pooled, state, response_bytes)
+        return await _read_response(pooled, state, response_bytes, traffic)
     except h11.RemoteProtocolError as error:
         if state.their_state is h11.SEND_RESPONSE:
             return NoResponse(str(error))
@@ -148,7 +163,7 @@
 
 
 async def _read_response(
-    pooled: _Pooled, state: h11.Connection, response_bytes: int
+    pooled: _Pooled, state: h11.Connection, response_bytes: int, traffic: HttpTraffic
 ) -> Response | NoResponse | CutShort:
     head: h11.Response | None = None
     parts: list[bytes] = []
@@ -156,7 +171,9 @@
     while True:
         event = state.next_event()
         if event is h11.NEED_DATA:
-            state.receive_data(await pooled.reader.read(READ_BYTES))
+            data = await pooled.reader.read(READ_BYTES)
+            traffic.received_bytes += len(data)
+            state.receive_data(data)
         elif isinstance(event, h11.Response):
             head = event
         elif isinstance(event, h11.Data):
--- a/packages/hornbeampaddle/hornbeampaddle/configuration.py
+++ b/packages/hornbeampaddle/hornbeampaddle/configuration.py
@@ -216,6 +216,8 @@
 
     def is_draining(self, worker: Worker) -> bool:
         """Tell whether the worker, its rack or its data centre is drained."""
+        if not self.drains:
+            return False
         zones = (
             (ZoneKind.WORKER.value, worker.worker_id),
             (ZoneKind.RACK.value, worker.rack),
--- a/packages/hornbeampaddle/hornbeampaddle/decider.py
+++ b/packages/hornbeampaddle/hornbeampaddle/decider.py
@@ -97,10 +97,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptRunning:
-    """An attempt is known to run; repeated until its owner adopts it."""
+    """
+    An attempt is known to run; repeated until its owner adopts it.
+
+    ``epoch`` is the worker's epoch under which that was known.
+    """
 
     order: TaskOrder
     worker_id: str
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +127,7 @@
 
     dead_owner: str
     worker_id: str
+    epoch: int
     running: tuple[AttemptRunning, ...]
     ended: tuple[AttemptEnded, ...]
 
@@ -269,7 +275,7 @@
             case Started():
                 self.clock.observe(answer.clock_s, now_s)
                 hold.state = HoldState.RUNNING
-                return Step(notices=[AttemptRunning(hold.order, self.worker.worker_id)])
+                return Step(notices=[self._running(hold)])
             case Refused() | NotSent():
                 return self._ended(hold, Ending.NEVER_STARTED)
             case Fenced():
@@ -352,9 +358,12 @@
             step.notices.extend(self._unadopted())
         return step
 
+    def _running(self, hold: Hold) -> AttemptRunning:
+        return AttemptRunning(hold.order, self.worker.worker_id, self.epoch)
+
     def _unadopted(self) -> list[AttemptRunning]:
         return [
-            AttemptRunning(hold.order, self.worker.worker_id)
+            self._running(hold)
             for hold in self.book.holds.values()
             if not hold.adopted and hold.state is not HoldState.STARTING
         ]
@@ -501,11 +510,9 @@
         # taken over from another, whose name still stands on its attempts, and
         # this instance need not have read that yet.
         worker_id = self.worker.worker_id
-        running = tuple(
-            AttemptRunning(hold.order, worker_id) for hold in self.book.holds.values()
-        )
+        running = tuple(self._running(hold) for hold in self.book.holds.values())
         ended = tuple(self.unacknowledged.values())
-        return OwnerInventory(dead_owner, worker_id, running, ended)
+        return OwnerInventory(dead_owner, worker_id, self.epoch, running, ended)
 
     def _answer_queries(self, step: Step) -> None:
         for attempt, query in list(self._queries.items()):
@@ -526,7 +533,7 @@
             return ended
         hold = self.book.holds.get(order.attempt)
         if hold is not None:
-            return AttemptRunning(hold.order, worker_id)
+            return self._running(hold)
         # Not listed under our epoch and not started by us: a start still on its
         # way carries an older epoch, which the worker refuses.
         return AttemptEnded(order, worker_id, Ending.LAPSED, order.generation, 0.0)
@@ -545,7 +552,7 @@
         hold.lease_deadline_s = max(hold.lease_deadline_s, seen.lease_deadline_s)
         if hold.state is HoldState.DOUBT:
             hold.state = HoldState.RUNNING
-            step.notices.append(AttemptRunning(hold.order, self.worker.worker_id))
+            step.notices.append(self._running(hold))
 
     def _read_ended(self, seen: Attempt, hold: Hold | None, step: Step) -> None:
         attempt = seen.order.attempt
--- a/packages/hornbeampaddle/hornbeampaddle/membership.py
+++ b/packages/hornbeampaddle/hornbeampaddle/membership.py
@@ -14,6 +14,8 @@
 from .defaults import Timing
 from .identity import incarnation_of
 
+CHOSEN_MAX = 20_000
+
 
 @dataclass(slots=True)
 class Member:
@@ -41,6 +43,9 @@
     members: dict[str, Member] = field(default_factory=dict)
     _ring: RendezvousHash | None = None
     _ring_of: tuple[str, ...] = ()
+    # What the ring chose; cleared with it. Hashing again for each worker at each
+    # tick was most of an idle instance's processor time.
+    _chosen: dict[str, str] = field(default_factory=dict)
 
     def add(self, instance_id: str) -> Member:
         """Start to watch a peer; it counts as live once it is heard."""
@@ -81,5 +86,10 @@
         if live != self._ring_of or self._ring is None:
             self._ring = RendezvousHash(nodes=list(live))
             self._ring_of = live
-        chosen: str = self._ring.find_node(name)
+            self._chosen.clear()
+        chosen = self._chosen.get(name)
+        if chosen is None:
+            chosen = str(self._ring.find_node(name))
+            if len(self._chosen) < CHOSEN_MAX:
+                self._chosen[name] = chosen
         return chosen
--- a/packages/hornbeampaddle/hornbeampaddle/messages.py
+++ b/packages/hornbeampaddle/hornbeampaddle/messages.py
@@ -86,10 +86,11 @@
 
 
 class RunningNotice(Struct, frozen=True, tag=True):
-    """An attempt runs on a worker that the sender decides for."""
+    """An attempt runs on a worker that the sender decides for at ``epoch``."""
 
     order: WireOrder
     worker_id: str
+    epoch: int
 
 
 class DoubtNotice(Struct, frozen=True, tag=True):
@@ -178,6 +179,7 @@
 
     dead_owner: str
     worker_id: str
+    epoch: int
     running: tuple[WireOrder, ...]
     ended: tuple[EndedNotice, ...]
 
@@ -189,9 +191,10 @@
 
 
 class WorkerInventory(Struct, frozen=True, array_like=True):
-    """The attempts that hold room on one worker."""
+    """The attempts that hold room on one worker, as known at ``epoch``."""
 
     worker_id: str
+    epoch: int
     orders: tuple[WireOrder, ...]
 
 
--- a/packages/hornbeampaddle/hornbeampaddle/owner.py
+++ b/packages/hornbeampaddle/hornbeampaddle/owner.py
@@ -107,8 +107,10 @@
     _on_worker: dict[str, set[str]] = field(default_factory=dict)
     _unsettled: set[str] = field(default_factory=set)
     _used_by_team: dict[str, Resources] = field(default_factory=dict)
-    # Ends that become acknowledgements once they are durable.
-    _to_acknowledge: dict[str, Acknowledge] = field(default_factory=dict)
+    # Ends that become acknowledgements once they are durable: final ones by
+    # task, evictions by attempt.
+    _final: dict[str, Acknowledge] = field(default_factory=dict)
+    _evicted: dict[AttemptId, Acknowledge] = field(default_factory=dict)
 
     def adopted(
         self, jobs: Iterable[Job], dead_owner: str, workers: Iterable[str], now_s: float
@@ -157,6 +159,10 @@
         queue = self._urgent if job.spec.urgent else self._batch
         queue.append(task.task_id)
 
+    def has_queued(self) -> bool:
+        """Tell whether tasks wait to be placed."""
+        return bool(self._urgent or self._batch)
+
     def disowned(self) -> tuple[AttemptId, ...]:
         """Return the attempts that no decider may renew for us any more."""
         attempts = []
@@ -186,6 +192,10 @@
             self._on_stray(notice, work)
             return work
         match notice:
+            case AttemptRunning() if notice.epoch < self.rooms.epoch(notice.worker_id):
+                # Guards against a task that hangs: a notice of a decider that
+                # has been replaced came late, and what it says may be over.
+                pass
             case AttemptRunning():
                 self._on_running(job, task, notice, work)
             case AttemptEnded():
@@ -252,10 +262,12 @@
             end = TaskEnd.FAILED
         acknowledge = Acknowledge(task.attempt(), notice.worker_id)
         self._settle(job, task, end, now_s, work)
-        if end is None and notice.ending is not Ending.EVICTED:
+        if end is not None:
+            self._final[task.task_id] = acknowledge
+        elif notice.ending is Ending.EVICTED:
+            self._evicted[acknowledge.attempt] = acknowledge
+        else:
             work.commands.append(acknowledge)
-            return
-        self._to_acknowledge[task.task_id] = acknowledge
 
     def _learn(self, task: Task, notice: AttemptEnded, now_s: float) -> None:
         match notice.ending:
@@ -288,12 +300,23 @@
         work.ended[task.task_id] = end
 
     def committed(self, task_ids: Iterable[str]) -> Work:
-        """Acknowledge ends that the log now holds."""
+        """Acknowledge final ends that the log now holds."""
+        found = (self._final.pop(task_id, None) for task_id in task_ids)
+        return Work(commands=[each for each in found if each is not None])
+
+    def recorded(self, advanced: dict[str, tuple[int, int]]) -> Work:
+        """
+        Acknowledge evictions whose checkpoints the log now holds.
+
+        The record names the attempt. One of an earlier attempt says nothing of
+        how a later one ended: acknowledging that would let the worker forget a
+        result that nobody has written down.
+        """
         work = Work()
-        for task_id in task_ids:
-            acknowledge = self._to_acknowledge.pop(task_id, None)
-            if acknowledge is not None:
-                work.commands.append(acknowledge)
+        for attempt in list(self._evicted):
+            number, _ = advanced.get(attempt.task_id, (0, 0))
+            if attempt.number == number:
+                work.commands.append(self._evicted.pop(attempt))
         return work
 
     def refused(self, attempt: AttemptId, worker_id: str, now_s: float) -> Work:
--- a/packages/hornbeampaddle/hornbeampaddle/placement.py
+++ b/packages/hornbeampaddle/hornbeampaddle/placement.py
@@ -93,6 +93,11 @@
         room.heard_s = now_s
         return changed
 
+    def epoch(self, worker_id: str) -> int:
+        """Return the latest epoch of a worker that was heard of."""
+        room = self.rooms.get(worker_id)
+        return room.epoch if room is not None else 0
+
     def choose(self, needs: Resources, avoid: set[str], now_s: float) -> Choice:
         """Choose a worker for ``needs``: the emptiest of a random sample."""
         names = list(self.rooms)
--- a/packages/hornbeampaddle/hornbeampaddle/wiring.py
+++ b/packages/hornbeampaddle/hornbeampaddle/wiring.py
@@ -70,13 +70,14 @@
         return Owned(
             notice.dead_owner,
             notice.worker_id,
+            notice.epoch,
             tuple(wire_order(running.order) for running in notice.running),
             tuple(_wire_ended(ended) for ended in notice.ended),
         )
     order = wire_order(notice.order)
     match notice:
         case AttemptRunning():
-            return RunningNotice(order, notice.worker_id)
+            return RunningNotice(order, notice.worker_id, notice.epoch)
         case AttemptInDoubt():
             return DoubtNotice(order, notice.worker_id)
         case AttemptEnded():
@@ -99,8 +100,9 @@
         return OwnerInventory(
             message.dead_owner,
             message.worker_id,
+            message.epoch,
             tuple(
-                AttemptRunning(order_of(order), message.worker_id)
+                AttemptRunning(order_of(order), message.worker_id, message.epoch)
                 for order in message.running
             ),
             tuple(_ended_of(ended) for ended in message.ended),
@@ -108,7 +110,7 @@
     order = order_of(message.order)
     match message:
         case RunningNotice():
-            return AttemptRunning(order, message.worker_id)
+            return AttemptRunning(order, message.worker_id, message.epoch)
         case DoubtNotice():
             return AttemptInDoubt(order, message.worker_id)
         case EndedNotice():
