--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,17 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy packages model
+	$(BIN)/mypy packages model bench
+
+bench: $(STAMP)
+	$(BIN)/python -m bench.rest
+	$(BIN)/python -m bench.path
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.takeover
+
+# Measure all slopes (about 6 minutes), then write the tables and the plot.
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+	$(BIN)/python -m bench.report
 
 # Check the specifications, print each guard's shortest counterexample.
 model: $(STAMP)
--- a/features/model.feature
+++ b/features/model.feature
@@ -27,6 +27,7 @@
       | takeover      | inventory_after_wait      |
       | takeover      | renewal_needs_authority   |
       | takeover      | acknowledge_when_durable  |
+      | takeover      | log_read_before_start     |
       | takeover      | authority_needs_clear_log |
       | takeover      | no_promise_once_succeeded |
       | takeover      | promises_only_prolong     |
--- a/model/takeover.py
+++ b/model/takeover.py
@@ -57,6 +57,7 @@
     inventory_after_wait: bool = True
     renewal_needs_authority: bool = True
     acknowledge_when_durable: bool = True
+    log_read_before_start: bool = True
     authority_needs_clear_log: bool = True
     no_promise_once_succeeded: bool = True
     promises_only_prolong: bool = True
@@ -217,7 +218,9 @@
         steps.append(("successor settles", replace(s, phase=SETTLED)))
     if s.phase == WAITING and s.durable:
         steps.append(("successor reads the end", replace(s, phase=SETTLED)))
-    certain = s.wait_left == 0 and s.over_left == 0 and not s.durable
+    # What the log holds is read anew once all else is certain.
+    recorded = s.durable and guards.log_read_before_start
+    certain = s.wait_left == 0 and s.over_left == 0 and not recorded
     answered = s.inventory == 1 or not s.listed or not guards.inventory_before_start
     if s.phase == WAITING and certain and answered:
         # A worker that left the list keeps the result of what it finished; the
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/jobkeeper.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/jobkeeper.py
@@ -180,6 +180,7 @@
         if mail.reached_end:
             self.caught_up = True
             self.authority.log_was_clear(mail.asked_s)
+            self.owner.log_read(mail.asked_s)
 
     def _adopt(self, jobs: list[Job], record: HomeRecord, now_s: float) -> None:
         if not jobs:
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
@@ -155,6 +155,7 @@
             "jobs_over": jobs_over(control.jobs.table),
             "evictions": control.jobs.owner.evictions,
             "traffic": self.traffic(),
+            "appends": control.home_link.appends + control.config_link.appends,
             "outcomes": dict(sorted(control.desk.counts.items())),
             "peers": members,
             "services": services,
--- a/packages/hornbeampaddle/hornbeampaddle/jobs.py
+++ b/packages/hornbeampaddle/hornbeampaddle/jobs.py
@@ -53,9 +53,10 @@
     """
     One task of a job this instance owns.
 
-    In state DOUBT, ``over_by_s`` is the local time by which the last attempt
-    is certainly over even if nobody can be asked. In state INHERITED,
-    ``takeover`` says when that is certain.
+    ``gone_s`` is the local time since which the last attempt is known to be gone
+    with its end unknown. In state DOUBT, ``over_by_s`` is the local time by which
+    the last attempt is certainly over even if nobody can be asked. In state
+    INHERITED, ``takeover`` says when that is certain.
     """
 
     task_id: str
@@ -71,6 +72,8 @@
     end: TaskEnd | None = None
     not_before_s: float = 0.0
     takeover: Takeover | None = None
+    # When the last attempt was found to be gone without saying how it ended.
+    gone_s: float | None = None
 
     def attempt(self) -> AttemptId:
         """Return the id of the last attempt."""
--- a/packages/hornbeampaddle/hornbeampaddle/owner.py
+++ b/packages/hornbeampaddle/hornbeampaddle/owner.py
@@ -109,6 +109,7 @@
     _used_by_team: dict[str, Resources] = field(default_factory=dict)
     # Ends that become acknowledgements once they are durable: final ones by
     # task, evictions by attempt.
+    _log_read_s: float = float("-inf")
     _final: dict[str, Acknowledge] = field(default_factory=dict)
     _evicted: dict[AttemptId, Acknowledge] = field(default_factory=dict)
 
@@ -238,6 +239,7 @@
             # own; the takeover's time says nothing about leases renewed since.
             task.takeover = None
         task.state = TaskState.RUNNING
+        task.gone_s = None
         self._unsettled.discard(task.task_id)
         work.commands.append(Adopt(task.attempt(), notice.worker_id))
 
@@ -248,6 +250,8 @@
             return
         task.generation = max(task.generation, notice.generation)
         end = next_state(job, task, notice.ending)
+        if task.gone_s is not None and notice.ending is Ending.LAPSED:
+            return
         if task.state is TaskState.INHERITED:
             # Guards against two runs after a takeover: the old owner may have
             # seen this end and started a later attempt whose decider we have
@@ -255,12 +259,16 @@
             # settles an inherited task before its time.
             if end not in (TaskEnd.DONE, TaskEnd.CANCELLED):
                 return
-        else:
+        elif notice.ending is not Ending.LAPSED:
             self._count_use(job, -1)
         self._learn(task, notice, now_s)
         if task.failures >= self.limits.task_failures_max:
             end = TaskEnd.FAILED
         acknowledge = Acknowledge(task.attempt(), notice.worker_id)
+        if notice.ending is Ending.LAPSED:
+            work.commands.append(acknowledge)
+            self._gone(task, now_s)
+            return
         self._settle(job, task, end, now_s, work)
         if end is not None:
             self._final[task.task_id] = acknowledge
@@ -269,6 +277,18 @@
         else:
             work.commands.append(acknowledge)
 
+    def _gone(self, task: Task, now_s: float) -> None:
+        # Guards against finished work that runs again: a worker also forgets an
+        # attempt whose end another owner of the task has recorded. The record
+        # came first, so a read of the log begun from now on shows it.
+        if task.gone_s is None:
+            task.gone_s = now_s
+        self._unsettled.add(task.task_id)
+
+    def log_read(self, asked_s: float) -> None:
+        """Note a read through the log's end that was asked for at a local time."""
+        self._log_read_s = max(self._log_read_s, asked_s)
+
     def _learn(self, task: Task, notice: AttemptEnded, now_s: float) -> None:
         match notice.ending:
             case Ending.FAILED:
@@ -292,6 +312,7 @@
         self._untrack(task)
         self._unsettled.discard(task.task_id)
         task.takeover = None
+        task.gone_s = None
         if end is None:
             work.advanced[task.task_id] = (task.number, task.generation)
             self._queue(job, task)
@@ -427,6 +448,10 @@
             self._unsettled.discard(task_id)
             return
         job, task = found
+        if task.gone_s is not None:
+            if self._log_read_s > task.gone_s:
+                self._over(job, task, now_s, work)
+            return
         if task.state is TaskState.PLACED:
             if now_s - task.asked_s > self.timing.call_timeout_s:
                 task.asked_s = now_s
@@ -434,7 +459,7 @@
                 work.commands.append(Ask(order, task.worker_id))
             return
         if self._certainly_over(task, now_s, listed):
-            self._over(job, task, now_s, work)
+            self._gone(task, now_s)
         elif task.worker_id and now_s - task.asked_s > self.timing.renew_interval_s:
             task.asked_s = now_s
             order = order_for(job, task, self.name)
@@ -448,11 +473,9 @@
         return now_s > task.over_by_s and task.worker_id not in listed
 
     def _over(self, job: Job, task: Task, now_s: float, work: Work) -> None:
-        may_have_run = task.state is TaskState.DOUBT or job.spec.at_most_once
         if task.state is not TaskState.INHERITED:
             self._count_use(job, -1)
-        ending = Ending.LAPSED if may_have_run else Ending.NEVER_STARTED
-        end = next_state(job, task, ending)
+        end = next_state(job, task, Ending.LAPSED)
         self._settle(job, task, end, now_s, work)
 
     def _place_some(
