--- a/bench/processes.py
+++ b/bench/processes.py
@@ -16,7 +16,7 @@
 
 import psutil
 
-from hornbeampaddle_cli.testbed import free_port
+from hornbeampaddle_cli.testbed import free_ports
 
 TOKEN = "operators-of-the-bench"
 PEER_KEY = "peers-of-the-bench-only"
@@ -115,14 +115,18 @@
 
 
 def _settings(
-    name: str, peers: dict[str, int], platform: dict[str, Any], timing: dict[str, float]
+    name: str,
+    ports: tuple[int, int],
+    peers: dict[str, int],
+    platform: dict[str, Any],
+    timing: dict[str, float],
 ) -> dict[str, Any]:
     return {
         "instance_id": name,
         "data_centre": "brno",
         "listen": {
-            "callers": {"host": LOOPBACK, "port": free_port()},
-            "operators": {"host": LOOPBACK, "port": free_port()},
+            "callers": {"host": LOOPBACK, "port": ports[0]},
+            "operators": {"host": LOOPBACK, "port": ports[1]},
             "peers": {"host": LOOPBACK, "port": peers[name]},
         },
         "platform": {"log": platform, "instances": platform},
@@ -144,12 +148,14 @@
     count: int, platform: dict[str, Any], timing: dict[str, float] | None = None
 ) -> Iterator[list[Entry]]:
     """Run entry instances of one data centre, each as a process."""
-    peers = {f"e{number}": free_port() for number in range(count)}
+    ports = free_ports(3 * count)
+    peers = {f"e{number}": ports[number] for number in range(count)}
     started: list[Entry] = []
     with tempfile.TemporaryDirectory() as folder:
         try:
-            for name in peers:
-                raw = _settings(name, peers, platform, timing or {})
+            for number, name in enumerate(peers):
+                own = (ports[count + number], ports[2 * count + number])
+                raw = _settings(name, own, peers, platform, timing or {})
                 path = Path(folder) / f"{name}.json"
                 path.write_text(json.dumps(raw))
                 process = subprocess.Popen([BINARY, "--settings", path])
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/commands/tasks.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/commands/tasks.py
@@ -7,7 +7,7 @@
 from ..client import OperatorOptions, operator_call
 from ..tables import show
 
-COLUMNS = ("attempt", "worker_id", "state", "progress_ratio", "owner")
+COLUMNS = ("attempt", "worker_id", "state", "work_done_s", "owner")
 
 
 @cappa.command(help="List attempts on the workers that the instance decides for.")
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/testbed.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/testbed.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import socket
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -43,12 +44,13 @@
 }
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        port: int = probe.getsockname()[1]
-        return port
+def free_ports(count: int) -> list[int]:
+    """Return different ports that were free a moment ago."""
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((LOOPBACK, 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +119,7 @@
 
     def _settle_settings(self, plan: DataCentrePlan) -> None:
         names = [f"{plan.name}-e{number}" for number in range(plan.instances)]
-        ports = {name: free_port() for name in names}
+        ports = dict(zip(names, free_ports(len(names)), strict=True))
         for name in names:
             peers = [
                 {"instance_id": other, "host": LOOPBACK, "port": ports[other]}
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/fleet.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/fleet.py
@@ -91,7 +91,7 @@
                 notices.extend(self._do(decider, decider.want(now_s)))
             notices.extend(self._do(decider, decider.tick(now_s)))
             if decider.holding:
-                notices.extend(self._evict(decider))
+                notices.extend(self._evict(decider, now_s))
         return notices
 
     def _may_claim(self, now_s: float) -> bool:
@@ -106,12 +106,12 @@
             return True
         return now_s >= context.started_s + context.timing.suspect_after_s
 
-    def _evict(self, decider: Decider) -> list[Notice]:
+    def _evict(self, decider: Decider, now_s: float) -> list[Notice]:
         drained = not self.context.usable(decider.worker)
         if not drained and not decider.book.overdrawn():
             return []
         notices: list[Notice] = []
-        for attempt in decider.evictions(drained):
+        for attempt in decider.evictions(drained, now_s):
             self._event(f"Evict {attempt} from {decider.worker.worker_id}.")
             notices.extend(self._do(decider, decider.stop(attempt, checkpoint=True)))
         return notices
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
@@ -185,6 +185,7 @@
         return {"workers": rows}
 
     def _tasks(self) -> dict[str, object]:
+        now_s = self.context.now_s()
         rows = []
         for decider in self.control.fleet.held():
             for hold in decider.inventory():
@@ -194,7 +195,7 @@
                         "worker_id": decider.worker.worker_id,
                         "state": hold.state.value,
                         "owner": hold.order.owner,
-                        "progress_ratio": round(hold.progress_ratio, 3),
+                        "work_done_s": round(hold.work_done_s(now_s), 1),
                     }
                 )
         return {"tasks": rows}
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/worker.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/worker.py
@@ -1,6 +1,6 @@
 """Stand in for a worker: leases, epochs, slots, checkpoints, late reports."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hornbeampaddle.contracts import (
     Attempt,
@@ -115,7 +115,13 @@
                 run.lease_deadline_s = max(run.lease_deadline_s, lease_deadline_s)
         for attempt in acknowledged:
             self.ended.pop(attempt, None)
-        return self._report(now_s)
+        absent = tuple(
+            a for a in attempts if a not in self.runs and a not in self.ended
+        )
+        whole = self._report(now_s)
+        named = set(attempts) & set(self.runs)
+        told = tuple(a for a in whole.attempts if a.order.attempt not in named)
+        return replace(whole, attempts=told, delta=True, absent=absent)
 
     def stop(
         self, epoch: int, attempt: AttemptId, checkpoint: bool, now_s: float
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/bodies.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/bodies.py
@@ -84,6 +84,8 @@
         report.slots_used,
         report.cpu_used_millis,
         report.memory_used_bytes,
+        report.delta,
+        tuple(str(attempt) for attempt in report.absent),
     )
 
 
@@ -97,6 +99,8 @@
         body.slots_used,
         body.cpu_used_millis,
         body.memory_used_bytes,
+        body.delta,
+        tuple(AttemptId.parse(attempt) for attempt in body.absent),
     )
 
 
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/platform.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/platform.py
@@ -83,6 +83,8 @@
     slots_used: dict[str, int] = {}
     cpu_used_millis: int = 0
     memory_used_bytes: int = 0
+    delta: bool = False
+    absent: tuple[str, ...] = ()
 
 
 class StartedBody(Struct, frozen=True):
--- a/packages/hornbeampaddle/hornbeampaddle/book.py
+++ b/packages/hornbeampaddle/hornbeampaddle/book.py
@@ -40,6 +40,13 @@
     adopted: bool = False
     progress_ratio: float = 0.0
     generation: int = 0
+    # Local time at which ``progress_ratio`` was heard.
+    progress_at_s: float = 0.0
+
+    def work_done_s(self, now_s: float) -> float:
+        """Estimate the work that a stop without a checkpoint would lose."""
+        before_s = self.progress_ratio * self.order.run_s
+        return before_s + max(0.0, now_s - self.progress_at_s)
 
 
 @dataclass(slots=True)
--- a/packages/hornbeampaddle/hornbeampaddle/contracts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/contracts.py
@@ -65,7 +65,9 @@
     A worker's answer to a claim or a renewal.
 
     ``clock_s`` is the worker's clock when it answered. ``slots_used`` counts
-    requests in flight by service.
+    requests in flight by service. A claim's answer lists every attempt. A
+    renewal's is a ``delta``: an attempt that the renewal named and that goes on
+    is not listed, one that it named and that is not there is in ``absent``.
     """
 
     worker_id: str
@@ -75,6 +77,8 @@
     slots_used: dict[str, int] = field(default_factory=dict)
     cpu_used_millis: int = 0
     memory_used_bytes: int = 0
+    delta: bool = False
+    absent: tuple[AttemptId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hornbeampaddle/hornbeampaddle/decider.py
+++ b/packages/hornbeampaddle/hornbeampaddle/decider.py
@@ -176,6 +176,8 @@
     # Local time at which the call that brought the last report was made.
     report_asked_s: float = NEVER_S
     _asked_s: float = NEVER_S
+    # The attempts that the last renewal named.
+    _named: frozenset[AttemptId] = frozenset()
     # Attempts whose owners ask what became of them, and since when.
     _queries: dict[AttemptId, Query] = field(default_factory=dict)
     # Dead owners whose successors ask for an inventory, and since when.
@@ -255,7 +257,9 @@
         if ended is not None:
             return Step(notices=[ended])
         lease_s = self.clock.deadline_there(now_s + self.timing.lease_s)
-        hold = Hold(order, HoldState.STARTING, lease_s, adopted=True)
+        hold = Hold(
+            order, HoldState.STARTING, lease_s, adopted=True, progress_at_s=now_s
+        )
         if not self.book.take(hold):
             return Refused("no room")
         call = StartAttempt(self.worker.worker_id, self.epoch, order, lease_s)
@@ -384,6 +388,7 @@
             for hold in self.book.holds.values()
             if hold.state is not HoldState.STOPPING and self._wanted(hold, now_s)
         )
+        self._named = frozenset(wanted)
         lease_s = self.clock.deadline_there(now_s + self.timing.lease_s)
         for attempt in wanted:
             hold = self.book.holds[attempt]
@@ -449,7 +454,7 @@
         """Set what the services on the worker hold back."""
         self.book.reserved = needs
 
-    def evictions(self, drained: bool) -> list[AttemptId]:
+    def evictions(self, drained: bool, now_s: float) -> list[AttemptId]:
         """
         Choose attempts to stop so that the reservations fit again.
 
@@ -467,7 +472,7 @@
             if hold.state is HoldState.STOPPING:
                 room = room + hold.order.needs
         chosen: list[AttemptId] = []
-        for hold in sorted(candidates, key=_eviction_cost):
+        for hold in sorted(candidates, key=lambda h: _eviction_cost(h, now_s)):
             if Resources().fits_in(room):
                 break
             room = room + hold.order.needs
@@ -479,9 +484,11 @@
         self.slots_reported = dict(report.slots_used)
         self.report_asked_s = self._asked_s
         listed = {a.order.attempt for a in report.attempts}
+        if report.delta:
+            self._read_unlisted(report, listed, step)
         self._forgettable &= listed
         for attempt in report.attempts:
-            self._read_attempt(attempt, step)
+            self._read_attempt(attempt, now_s, step)
         self._read_missing(listed, report.clock_s, step)
         self._answer_queries(step)
         self._answer_inventories(step)
@@ -538,7 +545,22 @@
         # way carries an older epoch, which the worker refuses.
         return AttemptEnded(order, worker_id, Ending.LAPSED, order.generation, 0.0)
 
-    def _read_attempt(self, seen: Attempt, step: Step) -> None:
+    def _read_unlisted(
+        self, report: WorkerReport, listed: set[AttemptId], step: Step
+    ) -> None:
+        """Take the silence about attempts that the renewal named: they go on."""
+        for attempt in self._named - set(report.absent) - listed:
+            listed.add(attempt)
+            hold = self.book.holds.get(attempt)
+            if hold is not None:
+                self._confirm(hold, step)
+
+    def _confirm(self, hold: Hold, step: Step) -> None:
+        if hold.state is HoldState.DOUBT:
+            hold.state = HoldState.RUNNING
+            step.notices.append(self._running(hold))
+
+    def _read_attempt(self, seen: Attempt, now_s: float, step: Step) -> None:
         hold = self.book.holds.get(seen.order.attempt)
         if seen.state is RunState.ENDED:
             self._read_ended(seen, hold, step)
@@ -548,11 +570,10 @@
             hold = Hold(seen.order, state, seen.lease_deadline_s)
             self.book.adopt(hold)
         hold.progress_ratio = seen.progress_ratio
+        hold.progress_at_s = now_s
         hold.generation = seen.generation
         hold.lease_deadline_s = max(hold.lease_deadline_s, seen.lease_deadline_s)
-        if hold.state is HoldState.DOUBT:
-            hold.state = HoldState.RUNNING
-            step.notices.append(self._running(hold))
+        self._confirm(hold, step)
 
     def _read_ended(self, seen: Attempt, hold: Hold | None, step: Step) -> None:
         attempt = seen.order.attempt
@@ -596,7 +617,7 @@
         return Step(notices=[ended])
 
 
-def _eviction_cost(hold: Hold) -> tuple[bool, bool, float, int]:
+def _eviction_cost(hold: Hold, now_s: float) -> tuple[bool, bool, float, int]:
     order = hold.order
-    lost_s = hold.progress_ratio * order.run_s
+    lost_s = hold.work_done_s(now_s)
     return (order.urgent, order.costly_to_evict, lost_s, -order.needs.cpu_millis)
--- a/packages/hornbeampaddle/hornbeampaddle/owner.py
+++ b/packages/hornbeampaddle/hornbeampaddle/owner.py
@@ -248,6 +248,10 @@
     ) -> None:
         if task.state is TaskState.ENDING:
             return
+        if task.state is TaskState.PENDING:
+            # Settled already; the decider repeats what was not acknowledged.
+            self._on_stray(notice, work)
+            return
         task.generation = max(task.generation, notice.generation)
         end = next_state(job, task, notice.ending)
         if task.gone_s is not None and notice.ending is Ending.LAPSED:
@@ -283,6 +287,8 @@
         # came first, so a read of the log begun from now on shows it.
         if task.gone_s is None:
             task.gone_s = now_s
+        if task.state is not TaskState.INHERITED:
+            task.state = TaskState.DOUBT
         self._unsettled.add(task.task_id)
 
     def log_read(self, asked_s: float) -> None:
