Run the whole path as separate processes in the tests

Cause: all tests so far ran in one process; the binaries, their exit codes and a killed process were tried by hand only. Change: a scenario that drives both binaries: plans, confirmations, requests, a job, a drain, refusals with their exit codes, SIGKILL of one instance, SIGTERM of the other.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -101,10 +101,13 @@
 
 
 @contextmanager
-def standins(workers: int, service_ms: float = 10.0) -> Iterator[dict[str, Any]]:
+def standins(
+    workers: int, service_ms: float = 10.0, rack_size: int = 10
+) -> Iterator[dict[str, Any]]:
     """Run the stand-ins as one process; yield where they are."""
     command = [sys.executable, "-m", "hornbeampaddle_standins"]
     command += ["--workers", str(workers), "--service-ms", str(service_ms)]
+    command += ["--rack-size", str(rack_size)]
     process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
     try:
         assert process.stdout is not None
--- /dev/null
+++ b/features/processes.feature
@@ -0,0 +1,40 @@
+Feature: The whole path as separate processes
+  Stand-ins in one process, two entry instances in two more, and the command line,
+  over loopback sockets.
+
+  Scenario: Operators and callers use the command line, and an instance is killed
+    Given the stand-ins with 4 workers, and 2 entry instances as processes
+    When the command "plan add-service checks --team dispatch --out service.json" is run
+    Then it exits with 0 and prints "Nothing has changed"
+    When the command "confirm service.json" is run
+    Then it exits with 0 and prints "In force at offset 0"
+    When the command "request checks" is run
+    Then it exits with 0 and prints "digest"
+    When the command "submit archive --tasks 3 --run-s 0.2" is run
+    Then it exits with 0 and prints "Accepted archive"
+    When the command "plan drain rack brno-r0 --out drain.json" is run
+    Then it exits with 0 and prints "gets no new work"
+    When the command "confirm drain.json" is run
+    Then it exits with 0 and prints "In force at offset 1"
+    When the command "config history" is run
+    Then it exits with 0 and prints "applied"
+    When the command "plan drain rack nowhere --out none.json" is run
+    Then it exits with 3 and prints "names no worker"
+    When the command "explain nothing/0" is run
+    Then it exits with 3 and prints "no task"
+    When the second entry instance is killed
+    Then the first decides for all 4 workers
+    When the command "request checks" is run
+    Then it exits with 0 and prints "digest"
+    When the first entry instance gets SIGTERM
+    Then it exits with 0 by itself
+    When the command "status" is run
+    Then it exits with 5 and prints "cannot reach"
+
+  Scenario: The daemon checks and shows its settings
+    When the daemon is run with "check-settings" on settings with two faults
+    Then it exits with 2 and prints "instance_id"
+    And it prints "spare"
+    When the daemon is run with "show-settings" on good settings
+    Then it exits with 0 and prints "authority_s"
+    And it does not print the operators' token
