Bound the memory of jobs, outlive the log's retention, open new services' slots

Cause and change: - Ended jobs stayed in memory for ever; they shrink to what answers a caller and keeps a job id from being accepted twice (50,000 at most). - A job longer than the log's retention vanished for instances that started later. Live jobs are written anew before the older half of the log expires; a greater term tells the present owner from one that was succeeded. - A service added to full workers never opened its slots: they were looked at again only at the next change. Found by the scenario that evicts for it; now a worker that makes room is looked at until the lanes are open.

--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -151,6 +151,21 @@
 
   # What a user sees: after a month a new instance knows only the last changes.
   # Order: more changes than the log keeps; then an instance starts.
+  # What a user sees: a long archive job that vanishes after a month.
+  # Order: a long job is accepted; more records follow than the log keeps; then
+  # every instance is replaced.
+  Scenario: A long job outlives the log's memory of its acceptance
+    Given 3 entry instances and 4 workers
+    And the log keeps only 30 records of each stream
+    And a job "archive" of 3 tasks of 60 s is submitted to "e0"
+    When 60 short jobs are submitted in turn
+    Then the log has forgotten that "archive" was accepted
+    When all instances die
+    And 2 s pass
+    And all instances start anew
+    Then the job "archive" of 3 tasks is done within 200 s
+    And no promise was broken
+
   Scenario: A new instance reads the snapshot when old records have expired
     Given entry instances that sum up each 10 records, and a log that keeps 25
     And a service "checks" that is "exclusive"
--- /dev/null
+++ b/features/jobs.feature
@@ -0,0 +1,76 @@
+Feature: Batch work under pressure
+  Cancellations, quotas, sick workers, tasks that fail, evictions.
+
+  Scenario: A wave of cancellations frees everything and starves nobody
+    Given 3 entry instances and 4 workers
+    And 30 jobs of 4 tasks of 60 s are submitted
+    And a job "archive" of 8 tasks of 1 s is submitted to "e0"
+    When the 30 jobs are cancelled at once
+    Then no attempt of the 30 jobs runs within 10 s
+    And the job "archive" of 8 tasks is done within 20 s
+    And no promise was broken
+
+  Scenario: A team's tasks never hold more than its quota
+    Given 3 entry instances and 4 workers
+    And a quota of 6000 millis of processor for the team "archive"
+    When a job "archive" of 20 tasks of 1 s is submitted to "e0"
+    Then at no moment do more than 6 of its tasks run
+    And the job "archive" is done within 60 s
+
+  # What a user sees: a worker that fails everything at once draws all the work.
+  Scenario: A worker that fails whatever it starts stops getting work
+    Given 3 entry instances and 4 workers
+    And the worker "w1" fails whatever it starts
+    When a job "archive" of 40 tasks of 1 s is submitted to "e0"
+    Then the job "archive" is done within 90 s
+    And at most 16 attempts failed on "w1"
+
+  Scenario: A task that fails everywhere ends as failed after three attempts
+    Given 2 entry instances and 4 workers
+    And every worker fails whatever it starts
+    When a job "broken" of 2 tasks of 1 s is submitted to "e0"
+    Then the job "broken" is over with 2 tasks "failed" within 60 s
+    And at most 6 attempts began
+
+  # What a user sees: a service that was added and confirmed answers nothing.
+  # Order: its workers are full of batch tasks; those are evicted.
+  # Cause it had: its slots were looked at again only at the next change.
+  Scenario: Room for a service is made by evicting the cheapest tasks first
+    Given 2 entry instances and 2 workers
+    And 1 s pass
+    And a job "watchers" of 6 costly tasks of 30 s is submitted to "e0"
+    And all 6 attempts run
+    And 10 more tasks of 30 s that are cheap to evict fill the workers
+    When an operator adds a service that needs half of each worker
+    Then its slots open within 10 s
+    And none of the costly tasks was stopped
+    And no promise was broken
+
+  Scenario: An evicted task resumes from its checkpoint and finishes once
+    Given 2 entry instances and 4 workers
+    And a job "archive" of 2 tasks of 20 s is submitted to "e0"
+    When 15 s pass
+    And an operator plans at "e1" to drain the data centre
+    And the operator confirms the plan at "e1"
+    And 5 s pass
+    And an operator ends the drain of the data centre at "e0"
+    Then the job "archive" is done within 12 s
+    And no promise was broken
+
+  Scenario: A job id is accepted once, also after its job is over
+    Given 3 entry instances and 4 workers
+    And a job "archive" of 4 tasks of 0.5 s is submitted to "e0"
+    Then the job "archive" is recorded as over within 20 s
+    When a job "archive" of 4 tasks of 0.5 s is submitted to "e1"
+    And 5 s pass
+    Then no promise was broken
+    And at most 4 attempts began
+
+  Scenario: An at-most-once task whose worker is lost ends as unknown
+    Given 2 entry instances and 2 workers
+    And an at-most-once job "sync" of 2 tasks of 30 s is submitted to "e0"
+    And all 2 attempts run
+    When the worker "w0" dies and leaves the list
+    And the worker "w1" dies and leaves the list
+    Then the job "sync" is over with 2 tasks "unknown" within 60 s
+    And at most 2 attempts began
--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -2,10 +2,12 @@
 
 import json
 
+import msgspec
 from behave import given, step, then, when
 from support.scene import HOME, Scene
 
 from hornbeampaddle.plans import ChangeLimit
+from hornbeampaddle.records import HomeRecord, JobAccepted
 
 
 @given(
@@ -105,7 +107,7 @@
 def recorded(context, job_id, within_s):
     scene = context.scene
     tables = [i.control.jobs.table for i in scene.instances.values()]
-    assert scene.until(lambda: all(t.jobs[job_id].over for t in tables), within_s)
+    assert scene.until(lambda: all(job_id in t.finished for t in tables), within_s)
 
 
 @then("at most {appends:d} appends were made since")
@@ -132,6 +134,33 @@
         assert ("rack", rack) in instance.context.configuration.drains
 
 
+@step("the log keeps only {kept:d} records of each stream")
+def forgetful_log(context, kept):
+    context.scene.log.kept = kept
+
+
+@when("{jobs:d} short jobs are submitted in turn")
+def short_jobs(context, jobs):
+    scene = context.scene
+    names = sorted(scene.instances)
+    for number in range(jobs):
+        name = names[number % len(names)]
+        response = scene.submit(name, f"short-{number}", tasks=1, run_s=0.1)
+        assert response.status == 201, response.body
+        scene.pass_s(0.2)
+
+
+@then('the log has forgotten that "{job_id}" was accepted')
+def forgotten(context, job_id):
+    stream = context.scene.log.streams[f"home.{HOME}"]
+    records = [
+        msgspec.msgpack.decode(entry.record, type=HomeRecord)
+        for entry in stream.entries
+    ]
+    accepted = [r for r in records if isinstance(r, JobAccepted)]
+    assert job_id not in {record.spec.job_id for record in accepted}
+
+
 @step("a limit is changed {times:d} times")
 def change_limit(context, times):
     scene = context.scene
@@ -140,4 +169,3 @@
         status, verdict = scene.confirm("e0", plan)
         assert status == 200, verdict
     assert scene.log.streams["config"].oldest_offset > 0
-    assert HOME
--- /dev/null
+++ b/features/steps/job_steps.py
@@ -0,0 +1,177 @@
+"""Steps for batch work under pressure."""
+
+from behave import step, then, when
+from support.scene import GIB, HOME
+
+from hornbeampaddle.plans import AddService, ChangeQuota, Drain
+from hornbeampaddle.records import Needs
+from hornbeampaddle_wire.http_messages import Request
+
+WATCH_STEP_S = 0.05
+
+
+def _runs(context):
+    return [
+        run.order
+        for machine in context.scene.machines.values()
+        for run in machine.runs.values()
+    ]
+
+
+def _costly(context):
+    return {order.attempt for order in _runs(context) if order.costly_to_evict}
+
+
+@step("{jobs:d} jobs of {tasks:d} tasks of {run_s:g} s are submitted")
+def submit_many(context, jobs, tasks, run_s):
+    scene = context.scene
+    names = sorted(scene.instances)
+    context.wave = [f"wave-{number}" for number in range(jobs)]
+    for number, job_id in enumerate(context.wave):
+        name = names[number % len(names)]
+        assert scene.submit(name, job_id, tasks, run_s).status == 201
+    scene.pass_s(2.0)
+
+
+@when("the {jobs:d} jobs are cancelled at once")
+def cancel_all(context, jobs):
+    scene = context.scene
+    names = sorted(scene.instances)
+    for number, job_id in enumerate(context.wave):
+        request = Request("DELETE", f"/v1/jobs/{job_id}")
+        response = scene.call(names[number % len(names)], request)
+        assert response.status == 200, response.body
+
+
+@then("no attempt of the {jobs:d} jobs runs within {within_s:g} s")
+def none_runs(context, jobs, within_s):
+    def clear():
+        return not [o for o in _runs(context) if o.attempt.task_id[:4] == "wave"]
+
+    assert context.scene.until(clear, within_s)
+
+
+@step('a quota of {cpu_millis:d} millis of processor for the team "{team}"')
+def quota(context, cpu_millis, team):
+    scene = context.scene
+    plan = scene.plan("e0", ChangeQuota(team, Needs(cpu_millis, 100 * GIB, 0)))
+    assert scene.confirm("e0", plan)[0] == 200
+    assert scene.until(lambda: scene.config_everywhere(f"quota:{team}"))
+
+
+@then("at no moment do more than {most:d} of its tasks run")
+def never_more(context, most):
+    seen = 0
+    for _ in range(200):
+        context.scene.pass_s(WATCH_STEP_S)
+        seen = max(seen, len(_runs(context)))
+        assert seen <= most, seen
+    assert seen > 0
+
+
+@step('the worker "{worker_id}" fails whatever it starts')
+def fails(context, worker_id):
+    context.scene.machines[worker_id].fails_everything = True
+
+
+@step("every worker fails whatever it starts")
+def all_fail(context):
+    for machine in context.scene.machines.values():
+        machine.fails_everything = True
+
+
+@then('at most {most:d} attempts failed on "{worker_id}"')
+def few_failed(context, most, worker_id):
+    failures = context.scene.ledger.attempts_begun - context.tasks
+    assert 0 < failures <= most, failures
+
+
+@then('the job "{job_id}" is over with {tasks:d} tasks "{end}" within {within_s:g} s')
+def over_with(context, job_id, tasks, end, within_s):
+    scene = context.scene
+
+    def over():
+        tables = [i.control.jobs.table for i in scene.instances.values()]
+        return all(
+            job_id in t.finished and t.finished[job_id].ends == {end: tasks}
+            for t in tables
+        )
+
+    assert scene.until(over, within_s)
+
+
+@then("at most {most:d} attempts began")
+def few_began(context, most):
+    begun = context.scene.ledger.attempts_begun
+    assert 0 < begun <= most, begun
+
+
+@step(
+    'a job "{job_id}" of {tasks:d} costly tasks of {run_s:g} s is submitted to "{name}"'
+)
+def submit_costly(context, job_id, tasks, run_s, name):
+    response = context.scene.submit(name, job_id, tasks, run_s, costly_to_evict=True)
+    assert response.status == 201
+
+
+@step("{tasks:d} more tasks of {run_s:g} s that are cheap to evict fill the workers")
+def submit_cheap(context, tasks, run_s):
+    context.scene.submit("e1", "cheap", tasks, run_s)
+    scene = context.scene
+    assert scene.until(lambda: len(_runs(context)) == tasks + 6)
+    context.costly = _costly(context)
+
+
+@when("an operator adds a service that needs half of each worker")
+def add_half(context):
+    scene = context.scene
+    needs = Needs(1000, GIB, 0)
+    intent = AddService("checks", "exclusive", needs, "dispatch", 4)
+    context.plan = scene.plan("e0", intent)
+    status, verdict = scene.confirm("e0", context.plan)
+    assert status == 200, verdict
+
+
+@then("its slots open within {within_s:g} s")
+def slots_open(context, within_s):
+    scene = context.scene
+
+    def opened():
+        lanes = [
+            lane
+            for instance in scene.instances.values()
+            for lane in instance.control.slots.lanes.values()
+        ]
+        return len(lanes) == len(scene.machines) and all(lane.open for lane in lanes)
+
+    assert scene.until(opened, within_s)
+
+
+@then("none of the costly tasks was stopped")
+def costly_stay(context):
+    assert len(context.costly) == 6
+    assert _costly(context) == context.costly
+    assert context.scene.ledger.attempts_stopped > 0
+
+
+@when('an operator plans at "{name}" to drain the data centre')
+def plan_drain_all(context, name):
+    context.plan = context.scene.plan(name, Drain("data_centre", HOME))
+
+
+@when('an operator ends the drain of the data centre at "{name}"')
+def undrain(context, name):
+    scene = context.scene
+    assert scene.ledger.attempts_stopped > 0
+    plan = scene.plan(name, Drain("data_centre", HOME, False))
+    assert scene.confirm(name, plan)[0] == 200
+
+
+@step(
+    'an at-most-once job "{job_id}" of {tasks:d} tasks of {run_s:g} s '
+    'is submitted to "{name}"'
+)
+def submit_once(context, job_id, tasks, run_s, name):
+    response = context.scene.submit(name, job_id, tasks, run_s, at_most_once=True)
+    assert response.status == 201
+    context.tasks = tasks
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/callers.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/callers.py
@@ -42,6 +42,7 @@
 STATUS_OF_REFUSAL = {
     "job_id_reused": 409,
     "unknown_job": 404,
+    "already_over": 409,
     "unknown": 502,
     "log_unavailable": 503,
     "instance_stopping": 503,
@@ -190,18 +191,16 @@
         return _job_answer(job_id, answer, 200)
 
     def _list_jobs(self) -> Response:
-        table = self.jobs.table
-        listed = [describe_job(job) for job in list(table.jobs.values())[-JOBS_LISTED:]]
+        listed = list_jobs(self.jobs.table, JOBS_LISTED)
         return Response(200, msgspec.json.encode({"jobs": listed}))
 
     def _show_job(self, job_id: str) -> Response:
-        job = self.jobs.table.jobs.get(job_id)
-        if job is None:
-            detail = (
-                f"no job {job_id} in data centre {self.context.settings.data_centre}"
-            )
+        shown = show_job(self.jobs.table, job_id)
+        if shown is None:
+            data_centre = self.context.settings.data_centre
+            detail = f"no job {job_id} in data centre {data_centre}"
             return error_response(404, "unknown_job", detail)
-        return Response(200, msgspec.json.encode(describe_job(job)))
+        return Response(200, msgspec.json.encode(shown))
 
     def _health(self) -> Response:
         ready = self.context.configuration.known and not self.context.leaving
@@ -209,33 +208,49 @@
         return Response(200 if ready else 503, msgspec.json.encode(body))
 
 
-def describe_job(job: Job) -> dict[str, object]:
+def show_job(table: JobTable, job_id: str) -> dict[str, object] | None:
     """Return what callers and operators are shown of a job."""
+    job = table.jobs.get(job_id)
+    if job is not None:
+        return _live_job(job)
+    finished = table.finished.get(job_id)
+    if finished is not None:
+        return _described(finished.spec, finished.owner, finished.ends, "over")
+    return None
+
+
+def list_jobs(table: JobTable, most: int) -> list[dict[str, object]]:
+    """Return the live jobs and the newest finished ones."""
+    live = [_live_job(job) for job in table.jobs.values()]
+    finished = [
+        _described(job.spec, job.owner, job.ends, "over")
+        for job in list(table.finished.values())[-most:]
+    ]
+    return (live + finished)[:most]
+
+
+def _live_job(job: Job) -> dict[str, object]:
     ends: dict[str, int] = {}
     for end in job.ended.values():
         ends[end.value] = ends.get(end.value, 0) + 1
-    if job.over:
-        state = "over"
-    elif job.cancelled:
-        state = "cancelling"
-    else:
-        state = "accepted"
+    state = "cancelling" if job.cancelled else "accepted"
+    return _described(job.spec, job.owner, ends, state)
+
+
+def _described(
+    spec: JobSpec, owner: str, ends: dict[str, int], state: str
+) -> dict[str, object]:
     return {
-        "job_id": job.spec.job_id,
-        "team": job.spec.team,
-        "kind": job.spec.kind,
-        "tasks": job.spec.tasks,
+        "job_id": spec.job_id,
+        "team": spec.team,
+        "kind": spec.kind,
+        "tasks": spec.tasks,
         "ended": ends,
         "state": state,
-        "owner": job.owner,
+        "owner": owner,
     }
 
 
-def jobs_over(table: JobTable) -> int:
-    """Return how many jobs have all their results."""
-    return sum(1 for job in table.jobs.values() if job.over)
-
-
 def _job_answer(job_id: str, answer: JobAnswer, status: int) -> Response:
     if answer.accepted:
         body = {"outcome": "done", "job_id": job_id, "owner": answer.owner}
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/fleet.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/fleet.py
@@ -42,6 +42,8 @@
         self._summaries: dict[str, WorkerSummary] = {}
         self._changed: set[str] = set()
         self._released: set[str] = set()
+        # Workers with lanes that wait for batch attempts to leave.
+        self._making_room: set[str] = set()
         self._turn = 0
 
     def set_workers(self, workers: Iterable[Worker]) -> None:
@@ -92,6 +94,8 @@
             notices.extend(self._do(decider, decider.tick(now_s)))
             if decider.holding:
                 notices.extend(self._evict(decider, now_s))
+                if worker_id in self._making_room:
+                    self.open_lanes(decider, claimed=False)
         return notices
 
     def _may_claim(self, now_s: float) -> bool:
@@ -232,6 +236,10 @@
         for name in wanted:
             lane = self.slots.lanes[(decider.worker.worker_id, name)]
             lane.open = usable and (lane.open or fits)
+        if usable and not fits:
+            self._making_room.add(decider.worker.worker_id)
+        else:
+            self._making_room.discard(decider.worker.worker_id)
 
     def _do(self, decider: Decider, step: Step) -> list[Notice]:
         for call in step.calls:
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/jobkeeper.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/jobkeeper.py
@@ -14,7 +14,7 @@
     instance_of,
     owner_name,
 )
-from hornbeampaddle.jobs import Job, JobTable, TaskEnd
+from hornbeampaddle.jobs import FinishedJob, Job, JobTable, TaskEnd
 from hornbeampaddle.messages import (
     AcknowledgeEnd,
     AdoptOrder,
@@ -39,6 +39,7 @@
     HomeRecord,
     JobAccepted,
     JobCancelled,
+    JobSnapshot,
     JobSpec,
     Succession,
     TasksAdvanced,
@@ -111,7 +112,7 @@
     def submit(self, mail: JobMail) -> None:
         """Accept a job once it is durable, or refuse it at once."""
         spec = mail.spec
-        known = self.table.jobs.get(spec.job_id)
+        known = self.table.jobs.get(spec.job_id) or self.table.finished.get(spec.job_id)
         if known is not None:
             self._answer_known(known, mail)
             return
@@ -124,7 +125,7 @@
         if not self.link.append(record):
             self._forget(spec.job_id, JobAnswer(False, "log_unavailable"))
 
-    def _answer_known(self, known: Job, mail: JobMail) -> None:
+    def _answer_known(self, known: Job | FinishedJob, mail: JobMail) -> None:
         if known.spec == mail.spec:
             mail.done.set_result(JobAnswer(True, "already_accepted", known.owner))
         else:
@@ -158,6 +159,9 @@
     def cancel(self, mail: CancelMail) -> None:
         """Cancel a job: durable first, then its owner stops the tasks."""
         job = self.table.jobs.get(mail.job_id)
+        if mail.job_id in self.table.finished:
+            mail.done.set_result(JobAnswer(False, "already_over"))
+            return
         if job is None:
             mail.done.set_result(JobAnswer(False, "unknown_job"))
             return
@@ -181,6 +185,22 @@
             self.caught_up = True
             self.authority.log_was_clear(mail.asked_s)
             self.owner.log_read(mail.asked_s)
+            self._tell_again(mail, now_s)
+
+    def _tell_again(self, mail: StreamMail, now_s: float) -> None:
+        """
+        Write live jobs anew before the records that tell of them expire.
+
+        Rendezvous hashing picks who writes; if two do, the second changes
+        nothing. Half of what the log keeps is left as time to do it in.
+        """
+        if mail.oldest_offset == 0:
+            return
+        middle = (mail.oldest_offset + mail.next_offset) // 2
+        live = self.context.membership.live(now_s)
+        for job in self.table.to_tell_again(middle):
+            if self.context.membership.choose(job.spec.job_id, live) == self._me():
+                self.link.append(_snapshot_of(job))
 
     def _adopt(self, jobs: list[Job], record: HomeRecord, now_s: float) -> None:
         if not jobs:
@@ -199,7 +219,8 @@
     def _after(self, record: HomeRecord, now_s: float) -> None:
         match record:
             case JobAccepted():
-                job = self.table.jobs[record.spec.job_id]
+                job_id = record.spec.job_id
+                job = self.table.jobs.get(job_id) or self.table.finished[job_id]
                 accepted = job.spec == record.spec
                 reason = "accepted" if accepted else "job_id_reused"
                 answer = JobAnswer(accepted, reason, job.owner)
@@ -354,3 +375,15 @@
         now_s = self.context.now_s()
         self.context.events.add(now_s - self.context.started_s, "jobs", text)
         log.info(f"jobs: {text}", instance=instance_of(self.context.incarnation))
+
+
+def _snapshot_of(job: Job) -> JobSnapshot:
+    return JobSnapshot(
+        record_id=f"told/{job.spec.job_id}/{job.told_at}",
+        spec=job.spec,
+        owner=job.owner,
+        term=job.term,
+        ended={task_id: end.value for task_id, end in job.ended.items()},
+        advanced=dict(job.advanced),
+        cancelled=job.cancelled,
+    )
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/mail.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/mail.py
@@ -58,6 +58,8 @@
     asked_s: float
     reached_end: bool
     gap: bool
+    oldest_offset: int = 0
+    next_offset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
@@ -7,14 +7,14 @@
 
 import msgspec
 
-from hornbeampaddle.jobs import TaskState
+from hornbeampaddle.jobs import TaskState, job_of
 from hornbeampaddle.plans import Intent, Plan
 from hornbeampaddle.records import Needs
 from hornbeampaddle.resources import Resources
 from hornbeampaddle_wire.http_messages import Request, Response
 from hornbeampaddle_wire.http_server import error_response
 
-from .callers import describe_job, jobs_over
+from .callers import JOBS_LISTED, list_jobs
 from .control import Control
 from .mail import ConfirmAnswer, ConfirmMail, Mail, PlanAnswer, PlanMail
 
@@ -71,8 +71,8 @@
             case ("GET", ["tasks"]):
                 return _json(self._tasks())
             case ("GET", ["jobs"]):
-                jobs = self.control.jobs.table.jobs.values()
-                return _json({"jobs": [describe_job(job) for job in jobs]})
+                table = self.control.jobs.table
+                return _json({"jobs": list_jobs(table, JOBS_LISTED)})
             case ("GET", ["explain", task_id]):
                 return self._explain(task_id)
             case ("GET", ["config"]):
@@ -152,7 +152,7 @@
             "workers_held": len(control.fleet.held()),
             "workers_listed": len(context.workers),
             "jobs": len(control.jobs.table.jobs),
-            "jobs_over": jobs_over(control.jobs.table),
+            "jobs_over": len(control.jobs.table.finished),
             "evictions": control.jobs.owner.evictions,
             "traffic": self.traffic(),
             "appends": control.home_link.appends + control.config_link.appends,
@@ -204,7 +204,9 @@
         table = self.control.jobs.table
         found = table.find(task_id)
         if found is None:
-            job = table.jobs.get(task_id.rpartition("/")[0])
+            job = table.jobs.get(job_of(task_id))
+            if table.is_finished(task_id):
+                return _json({"task_id": task_id, "why": "its whole job is over"})
             if job is None:
                 return error_response(404, "unknown_task", f"no task {task_id}")
             detail = f"ask its owner, {job.owner}, which alone starts its attempts"
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/streams.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/streams.py
@@ -130,7 +130,15 @@
         if reached_end:
             self._read_to_end_s = asked_s
             self._read_done.set()
-        mail = StreamMail(self.stream, tuple(records), asked_s, reached_end, gap)
+        mail = StreamMail(
+            self.stream,
+            tuple(records),
+            asked_s,
+            reached_end,
+            gap,
+            page.oldest_offset,
+            page.next_offset,
+        )
         self.post(mail)
         return not reached_end
 
--- a/packages/hornbeampaddle/hornbeampaddle/jobs.py
+++ b/packages/hornbeampaddle/hornbeampaddle/jobs.py
@@ -19,6 +19,7 @@
     HomeRecord,
     JobAccepted,
     JobCancelled,
+    JobSnapshot,
     JobSpec,
     Succession,
     TasksAdvanced,
@@ -26,6 +27,8 @@
 )
 from .takeover import Takeover
 
+FINISHED_KEPT = 50_000
+
 
 class TaskState(Enum):
     """Where a task stands, as its owner knows it."""
@@ -87,6 +90,8 @@
     spec: JobSpec
     owner: str
     term: int
+    # Offset of the last record that tells all of the job.
+    told_at: int = -1
     ended: dict[str, TaskEnd] = field(default_factory=dict)
     advanced: dict[str, tuple[int, int]] = field(default_factory=dict)
     cancelled: bool = False
@@ -107,13 +112,28 @@
     return task_id.rpartition("/")[0]
 
 
+@dataclass(frozen=True, slots=True)
+class FinishedJob:
+    """What is remembered of a job whose tasks have all ended."""
+
+    spec: JobSpec
+    owner: str
+    ends: dict[str, int]
+
+
 @dataclass(slots=True)
 class JobTable:
-    """All live jobs of one data centre, as its home stream tells them."""
+    """
+    All jobs of one data centre, as its home stream tells them.
+
+    Finished jobs shrink to what answers a caller and keeps a job id from being
+    accepted twice; the oldest of them are forgotten.
+    """
 
     owner: str
     owners: Owners
     jobs: dict[str, Job] = field(default_factory=dict)
+    finished: dict[str, FinishedJob] = field(default_factory=dict)
     offset: int = -1
     # Owners whose succession the stream has shown; peers may know it earlier.
     _succeeded: set[str] = field(default_factory=set)
@@ -126,6 +146,8 @@
         match record:
             case JobAccepted():
                 return self._accept(offset, record)
+            case JobSnapshot():
+                return self._restore(offset, record)
             case TasksEnded():
                 self._end(record)
             case TasksAdvanced():
@@ -141,13 +163,55 @@
     def _accept(self, offset: int, record: JobAccepted) -> list[Job]:
         # The first record of a job id wins: a second is a repeat, or a race
         # between two instances that were asked to accept the same job.
-        if record.spec.job_id in self.jobs:
+        if self.knows(record.spec.job_id):
             return []
         owner = self.owners.current(record.owner)
-        job = Job(record.spec, owner, offset)
+        job = Job(record.spec, owner, offset, offset)
         self.jobs[record.spec.job_id] = job
         return self._adopt(job, inherited=owner != record.owner)
 
+    def _restore(self, offset: int, record: JobSnapshot) -> list[Job]:
+        job_id = record.spec.job_id
+        job = self.jobs.get(job_id)
+        if job is None and self.knows(job_id):
+            return []
+        if job is None:
+            job = Job(record.spec, record.owner, record.term)
+            self.jobs[job_id] = job
+        job.told_at = offset
+        # Guards against an old owner that is taken for the present one: the
+        # record of its succession may have expired, the greater term has not.
+        if record.term > job.term or job.owner == record.owner:
+            job.owner, job.term = self.owners.current(record.owner), record.term
+        job.cancelled = job.cancelled or record.cancelled
+        for task_id, end in record.ended.items():
+            job.ended.setdefault(task_id, TaskEnd(end))
+        for task_id, advanced in record.advanced.items():
+            job.advanced[task_id] = max(advanced, job.advanced.get(task_id, (0, 0)))
+        return []
+
+    def knows(self, job_id: str) -> bool:
+        """Tell whether a job id has been accepted before."""
+        return job_id in self.jobs or job_id in self.finished
+
+    def is_finished(self, task_id: str) -> bool:
+        """Tell whether a task belongs to a finished job."""
+        return job_of(task_id) in self.finished
+
+    def shrink(self, job: Job) -> None:
+        """Keep of a finished job only what is still asked for."""
+        ends: dict[str, int] = {}
+        for end in job.ended.values():
+            ends[end.value] = ends.get(end.value, 0) + 1
+        del self.jobs[job.spec.job_id]
+        self.finished[job.spec.job_id] = FinishedJob(job.spec, job.owner, ends)
+        if len(self.finished) > FINISHED_KEPT:
+            self.finished.pop(next(iter(self.finished)))
+
+    def to_tell_again(self, before: int) -> list[Job]:
+        """Return the live jobs whose last whole record is before an offset."""
+        return [job for job in self.jobs.values() if job.told_at < before]
+
     def _adopt(self, job: Job, inherited: bool) -> list[Job]:
         if job.owner != self.owner:
             return []
@@ -191,6 +255,8 @@
             if task is not None:
                 task.state = TaskState.ENDED
                 task.end = job.ended[task_id]
+            if job.over:
+                self.shrink(job)
 
     def _advance(self, record: TasksAdvanced) -> None:
         for task_id, (number, generation) in record.advanced.items():
--- a/packages/hornbeampaddle/hornbeampaddle/owner.py
+++ b/packages/hornbeampaddle/hornbeampaddle/owner.py
@@ -181,7 +181,10 @@
         attempt = notice.order.attempt
         found = self.table.find(attempt.task_id)
         if found is None:
-            # Not ours, or not yet: only an owner may acknowledge or stop.
+            # Not ours, or not yet: only an owner may acknowledge or stop. What
+            # a finished job left on a worker is anybody's to clear away.
+            if self.table.is_finished(attempt.task_id):
+                self._on_stray(notice, work)
             return work
         job, task = found
         if task.state is TaskState.ENDED:
--- a/packages/hornbeampaddle/hornbeampaddle/records.py
+++ b/packages/hornbeampaddle/hornbeampaddle/records.py
@@ -164,4 +164,22 @@
     successor: str
 
 
-HomeRecord = JobAccepted | TasksEnded | TasksAdvanced | JobCancelled | Succession
+class JobSnapshot(Struct, frozen=True, tag=True):
+    """
+    All that matters of a live job, written anew before older records expire.
+
+    ``term`` is the offset that made ``owner`` its owner.
+    """
+
+    record_id: str
+    spec: JobSpec
+    owner: str
+    term: int
+    ended: dict[str, str]
+    advanced: dict[str, tuple[int, int]]
+    cancelled: bool = False
+
+
+HomeRecord = (
+    JobAccepted | JobSnapshot | TasksEnded | TasksAdvanced | JobCancelled | Succession
+)
