--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/desk.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/desk.py
@@ -186,7 +186,7 @@
         return lines
 
     def _dispatch(self, ticket: Ticket, now_s: float) -> None:
-        slot = self.slots.take(ticket.service, now_s)
+        slot = self.slots.take(ticket.service, now_s, ticket.barred_on)
         if slot is not None:
             self._run(ticket, slot)
             return
@@ -279,6 +279,7 @@
         ticket, slot = mail.ticket, mail.slot
         if mail.barred:
             # The worker itself said that the key never ran and never will.
+            ticket.barred_on.add(slot.worker_id)
             self._put(slot, None)
             self._again(ticket, NotRun(Reason.WORKER_REFUSED, RETRY_AFTER_S), now_s)
             return
@@ -339,6 +340,10 @@
             ticket = waiting.ticket
             assert isinstance(ticket, Ticket)
             self._waiting.pop(ticket.key, None)
+            if slot.worker_id in ticket.barred_on:
+                self._put(slot, None)
+                self._dispatch(ticket, now_s)
+                return
             # Guards against answers that come too late: a run that cannot end
             # in time would take a slot and leave its caller not knowing.
             if now_s + lines.latency_s >= ticket.deadline_s:
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/mail.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/mail.py
@@ -92,6 +92,8 @@
     done: asyncio.Future[Outcome]
     key: str = ""
     runs: int = 0
+    # Workers that have barred the key; each would refuse it.
+    barred_on: set[str] = field(default_factory=set)
     waiters: list[asyncio.Future[Outcome]] = field(default_factory=list)
 
 
--- a/packages/hornbeampaddle/hornbeampaddle/slots.py
+++ b/packages/hornbeampaddle/hornbeampaddle/slots.py
@@ -6,6 +6,7 @@
 or a report of the worker, asked after the deadline, shows that it is free.
 """
 
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 # Share of a new latency in a lane's running estimate.
@@ -134,19 +135,22 @@
     lanes: dict[tuple[str, str], Lane] = field(default_factory=dict)
     borrowed: dict[str, Borrowed] = field(default_factory=dict)
 
-    def take(self, service: str, now_s: float) -> Slot | None:
+    def take(
+        self, service: str, now_s: float, avoid: Container[str] = ()
+    ) -> Slot | None:
         """
         Take the best free slot of a service, or None if there is none.
 
-        Own slots come first. Among them the least expected wait wins: the
-        worker's recent latency times the share of its slots in use.
+        ``avoid`` holds workers that must not be used. Own slots come first.
+        Among them the least expected wait wins: the worker's recent latency
+        times the share of its slots in use.
         """
         best: Lane | None = None
         best_cost = 0.0
         for lane in self.lanes.values():
             if lane.service != service or lane.free() == 0:
                 continue
-            if lane.rest_until_s > now_s:
+            if lane.rest_until_s > now_s or lane.worker_id in avoid:
                 continue
             cost = (lane.latency_s + 1e-4) * (lane.in_use() + 1) / lane.total
             if best is None or cost < best_cost:
@@ -154,10 +158,14 @@
         if best is not None:
             best.used += 1
             return Slot(best.worker_id, service, best.epoch)
-        return self._take_borrowed(service, now_s)
+        return self._take_borrowed(service, now_s, avoid)
 
-    def _take_borrowed(self, service: str, now_s: float) -> Slot | None:
+    def _take_borrowed(
+        self, service: str, now_s: float, avoid: Container[str]
+    ) -> Slot | None:
         for loan in self.borrowed.values():
+            if loan.worker_id in avoid:
+                continue
             if loan.service == service and loan.free(now_s) > 0:
                 loan.used += 1
                 return Slot(loan.worker_id, service, loan.epoch, loan.grant_id)
