--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/control.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/control.py
@@ -159,7 +159,7 @@
         if now_s >= self.beat_due_s:
             self.beat_due_s = now_s + self.context.timing.heartbeat_interval_s
             self.peering.beat(now_s, self.home_link.reachable)
-            self.desk.forget_borrowing()
+            self.desk.loans.forget_unanswered()
             self._forget_dead_slots(now_s)
             self._gauges()
 
@@ -238,11 +238,11 @@
                 self.peering.heard(sender, message, now_s)
                 self._pump(now_s)
             case BorrowSlots():
-                self.desk.on_borrow(sender, message, now_s)
+                self.desk.loans.on_borrow(sender, message, now_s)
             case LendSlots():
-                self.desk.on_lend(sender, message, now_s)
+                self.desk.loans.on_lend(sender, message, now_s)
             case ReturnSlots():
-                self.desk.on_return(message, now_s)
+                self.desk.loans.on_return(message, now_s)
             case AskOwned(dead_owner=dead_owner, successor=successor):
                 self._succeeded(dead_owner, successor)
                 self._ask_inventories(dead_owner, now_s)
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/desk.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/desk.py
@@ -22,26 +22,23 @@
     parse_key,
 )
 from hornbeampaddle.messages import (
-    BorrowSlots,
     ForwardAnswer,
     ForwardRequest,
-    LendSlots,
-    ReturnSlots,
 )
 from hornbeampaddle.outcomes import Done, NotRun, Outcome, Reason, Unknown
 from hornbeampaddle.queueing import RequestQueue, Urgency, Waiting
 from hornbeampaddle.records import SetService
-from hornbeampaddle.slots import LATENCY_WEIGHT, Borrowed, Return, Slot, SlotPool
+from hornbeampaddle.slots import LATENCY_WEIGHT, Slot, SlotPool
 from hornbeampaddle.wiring import outcome_of, wire_outcome
 
 from .context import Context
 from .fleet import Fleet
+from .loans import Loans, PeerSlots
 from .mail import RunMail, Ticket
 from .ports import AnswerCutShort, Answered, WorkerPort, WorkerRequest
 from .telemetry import Traces
 
 RUNS_MAX = 3
-BORROW_MAX = 4
 RETRY_AFTER_S = 0.5
 RETRY_TOKENS_MAX = 20.0
 RETRY_TOKENS_PER_REQUEST = 0.1
@@ -49,9 +46,6 @@
 
 log = structlog.get_logger()
 
-# Free slots by peer, worker and service.
-PeerSlots = dict[str, dict[str, dict[str, int]]]
-
 
 @dataclass(slots=True)
 class RetryBudget:
@@ -113,8 +107,7 @@
         self._running: dict[str, Ticket] = {}
         self._waiting: dict[str, Waiting] = {}
         self._forwards: dict[str, Ticket] = {}
-        self._borrowing: dict[tuple[str, str], str] = {}
-        self._peer_slots: PeerSlots = {}
+        self.loans = Loans(context, slots, self.pump)
         self._numbers = itertools.count(1)
 
     def mint(self, count: int, deadline_s: float) -> list[str]:
@@ -203,7 +196,7 @@
             self._finish(ticket, NotRun(Reason.QUEUE_FULL, RETRY_AFTER_S))
             return
         self._waiting[ticket.key] = waiting
-        self._borrow(ticket.service, len(queue))
+        self.loans.borrow(ticket.service, len(queue))
 
     def _run(self, ticket: Ticket, slot: Slot) -> None:
         service = self.context.configuration.services.get(ticket.service)
@@ -316,13 +309,7 @@
     def _put(self, slot: Slot, latency_s: float | None) -> None:
         returned = self.slots.put(slot, self.context.now_s(), latency_s)
         if returned is not None:
-            self._return(returned)
-
-    def _return(self, returned: Return) -> None:
-        message = ReturnSlots(
-            returned.grant_id, returned.worker_id, returned.service, returned.count
-        )
-        self.context.send(returned.lender, message)
+            self.loans.give_back(returned)
 
     def pump(self, service: str, now_s: float) -> None:
         """Run waiting requests while there are slots."""
@@ -331,7 +318,7 @@
         while len(queue):
             slot = self.slots.take(service, now_s)
             if slot is None:
-                self._borrow(service, len(queue))
+                self.loans.borrow(service, len(queue))
                 return
             waiting = queue.pop()
             if waiting is None:
@@ -355,7 +342,7 @@
 
     def tick(self, now_s: float, peer_slots: PeerSlots) -> None:
         """Drop what is late, return idle loans and serve who waits."""
-        self._peer_slots = peer_slots
+        self.loans.peer_slots = peer_slots
         for service, lines in self.lines.items():
             for waiting in lines.queue.expired(now_s):
                 ticket = waiting.ticket
@@ -364,82 +351,12 @@
                 # It never had a slot, so no worker has seen it.
                 self._finish(ticket, NotRun(Reason.DEADLINE_PASSED))
             self.pump(service, now_s)
-        for returned in self.slots.give_back_idle(now_s):
-            self._return(returned)
+        self.loans.give_back_idle(now_s)
         for call_id, ticket in list(self._forwards.items()):
             if now_s >= ticket.deadline_s:
                 del self._forwards[call_id]
                 self._answer(ticket, Unknown(Reason.KEEPER_UNREACHABLE))
 
-    def _borrow(self, service: str, wanted: int) -> None:
-        """Ask the peer with the most free slots for some of them."""
-        best, most = "", 0
-        for peer, workers in self._peer_slots.items():
-            if (peer, service) in self._borrowing:
-                continue
-            free = sum(slots.get(service, 0) for slots in workers.values())
-            if free > most:
-                best, most = peer, free
-        if not best:
-            return
-        grant_id = f"{self.context.incarnation}/{next(self._numbers)}"
-        count = min(wanted, BORROW_MAX)
-        if self.context.send(best, BorrowSlots(grant_id, service, count)):
-            self._borrowing[(best, service)] = grant_id
-
-    def forget_borrowing(self) -> None:
-        """Allow borrowing again where an answer was lost."""
-        self._borrowing.clear()
-
-    def on_borrow(self, sender: str, message: BorrowSlots, now_s: float) -> None:
-        """Lend slots, or say that there are none."""
-        peer = instance_of(sender)
-        member = self.context.membership.members.get(peer)
-        refusal = LendSlots(message.grant_id, message.service, "", 0, 0, 0.0)
-        if member is None or not member.clock.known or self.context.leaving:
-            self.context.send(peer, refusal)
-            return
-        deadline_s = now_s + self.context.timing.grant_s
-        lent = self.slots.lend(
-            message.service, message.count, sender, message.grant_id, deadline_s
-        )
-        if lent is None:
-            self.context.send(peer, refusal)
-            return
-        lane, loan = lent
-        there_s = member.clock.deadline_there(deadline_s)
-        lend = LendSlots(
-            loan.grant_id, lane.service, lane.worker_id, lane.epoch, loan.count, there_s
-        )
-        self.context.send(peer, lend)
-
-    def on_lend(self, sender: str, message: LendSlots, now_s: float) -> None:
-        """Take borrowed slots and use them."""
-        peer = instance_of(sender)
-        self._borrowing.pop((peer, message.service), None)
-        if message.count == 0:
-            for slots in self._peer_slots.get(peer, {}).values():
-                slots.pop(message.service, None)
-            self.pump(message.service, now_s)
-            return
-        self.slots.borrowed[message.grant_id] = Borrowed(
-            message.grant_id,
-            peer,
-            message.worker_id,
-            message.service,
-            message.epoch,
-            message.count,
-            message.deadline_s,
-        )
-        self.pump(message.service, now_s)
-
-    def on_return(self, message: ReturnSlots, now_s: float) -> None:
-        """Take lent slots back."""
-        lane = self.slots.lanes.get((message.worker_id, message.service))
-        if lane is not None:
-            lane.give_back(message.grant_id, message.count)
-            self.pump(message.service, now_s)
-
     def _forward(self, ticket: Ticket, key: RequestKey, now_s: float) -> None:
         """Send a request to the one incarnation that may run its key."""
         if key.data_centre != self.context.settings.data_centre:
--- a/packages/hornbeampaddle/hornbeampaddle/identity.py
+++ b/packages/hornbeampaddle/hornbeampaddle/identity.py
@@ -5,6 +5,7 @@
 
 SEPARATOR = "~"
 ATTEMPT_MARK = "#"
+NUMBERS_CHARACTERS_MAX = 40
 OWNER_MARK = "/"
 
 
@@ -54,6 +55,8 @@
         """Read the form that ``str`` writes; raise ValueError for another."""
         task_id, mark, rest = text.rpartition(ATTEMPT_MARK)
         term, dot, number = rest.partition(".")
-        if not mark or not dot or not term.isdigit() or not number.isdigit():
+        numbers = (term, number)
+        plain = all(n.isascii() and n.isdigit() for n in numbers)
+        if not mark or not dot or not plain or len(rest) > NUMBERS_CHARACTERS_MAX:
             raise ValueError(f"not an attempt id: {text!r}")
         return cls(task_id, int(term), int(number))
--- a/packages/hornbeampaddle/hornbeampaddle/keys.py
+++ b/packages/hornbeampaddle/hornbeampaddle/keys.py
@@ -20,6 +20,7 @@
 TAG_CHARACTERS = 16
 FIELD_MARK = "!"
 FIELDS = 6
+TIME_DIGITS_MAX = 15
 ANSWER_BYTES_MAX = 4 * 1024 * 1024
 
 
@@ -47,15 +48,24 @@
     return key.deadline_ms + (key.deadline_ms - key.issued_ms)
 
 
+def _is_time(text: str) -> bool:
+    """
+    Tell whether a text is a plausible number of milliseconds.
+
+    The length matters: Python refuses to read numbers of thousands of digits.
+    """
+    return text.isascii() and text.isdigit() and len(text) <= TIME_DIGITS_MAX
+
+
 def parse_key(text: str) -> Result[RequestKey, str]:
     """Read a key's text form; say what is wrong with one that is not a key."""
     parts = text.split(FIELD_MARK)
     if len(parts) != FIELDS:
         return Err("a request key has six fields; get one from POST /v1/keys")
     data_centre, keeper, issued, deadline, nonce, tag = parts
-    if not (issued.isascii() and issued.isdigit()):
+    if not _is_time(issued):
         return Err("the issue time in the request key is not a number")
-    if not (deadline.isascii() and deadline.isdigit()):
+    if not _is_time(deadline):
         return Err("the deadline in the request key is not a number")
     key = RequestKey(data_centre, keeper, int(issued), int(deadline), nonce, tag)
     return Ok(key)
