Hold the client against answers that are late, stray or cut

Found: a garbled first answer was called cut short instead of unanswered, and a connection that the worker had closed while it was idle was used once more, which leaves a request that may not be repeated as unknown.

--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_client.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_client.py
@@ -96,10 +96,9 @@
         now_s = self._now_s()
         while self._idle:
             pooled = self._idle.pop()
-            if pooled.usable(now_s):
+            if await self._still_usable(pooled, now_s):
                 return pooled
-            self._open -= 1
-            pooled.writer.transport.abort()
+            self._discard(pooled)
         self._open += 1
         try:
             reader, writer = await asyncio.open_connection(
@@ -111,6 +110,21 @@
             raise
         return _Pooled(reader, writer, now_s)
 
+    async def _still_usable(self, pooled: _Pooled, now_s: float) -> bool:
+        # Guards against a request sent into a connection that the other end has
+        # closed: its fate would be unknown. One turn of the loop lets an end that
+        # has already come in show.
+        try:
+            await asyncio.sleep(0)
+        except asyncio.CancelledError:
+            self._discard(pooled)
+            raise
+        return pooled.usable(now_s)
+
+    def _discard(self, pooled: _Pooled) -> None:
+        self._open -= 1
+        pooled.writer.transport.abort()
+
     def _put(self, pooled: _Pooled | None, whole: bool) -> None:
         if pooled is None:
             return
@@ -120,8 +134,7 @@
         else:
             # Guards against an answer that reaches the wrong caller: whatever
             # is still on its way on this connection must never be read.
-            self._open -= 1
-            pooled.writer.transport.abort()
+            self._discard(pooled)
         self._wake()
 
     def _wake(self) -> None:
@@ -134,8 +147,7 @@
     def close(self) -> None:
         """Drop all idle connections."""
         while self._idle:
-            self._idle.pop().writer.transport.abort()
-            self._open -= 1
+            self._discard(self._idle.pop())
 
 
 async def _exchange(
@@ -154,12 +166,7 @@
     traffic.sent_bytes += len(data)
     pooled.writer.write(data)
     await pooled.writer.drain()
-    try:
-        return await _read_response(pooled, state, response_bytes, traffic)
-    except h11.RemoteProtocolError as error:
-        if state.their_state is h11.SEND_RESPONSE:
-            return NoResponse(str(error))
-        return CutShort(str(error))
+    return await _read_response(pooled, state, response_bytes, traffic)
 
 
 async def _read_response(
@@ -169,7 +176,12 @@
     parts: list[bytes] = []
     size_bytes = 0
     while True:
-        event = state.next_event()
+        try:
+            event = state.next_event()
+        except h11.RemoteProtocolError as error:
+            if head is None:
+                return NoResponse(str(error))
+            return CutShort(str(error))
         if event is h11.NEED_DATA:
             data = await pooled.reader.read(READ_BYTES)
             traffic.received_bytes += len(data)
