--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
+	$(BIN)/python -m bench.report --check
 	$(BIN)/mypy packages model bench
 
 bench: $(STAMP)
--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,36 @@
+Feature: The configuration goes forward only
+  The pure part, driven record by record.
+
+  # What a user sees: a drained rack fills again by itself.
+  # Order: a lagging peer or a repeated read delivers an old record once more.
+  Scenario Outline: An old record that comes again <when> changes nothing
+    Given a configuration with a rack drained at 0, filled at 1 and drained at 2
+    When the record of offset <offset> comes again
+    Then it is stale, and the rack is drained at offset 2
+
+    Examples:
+      | when           | offset |
+      | as the newest  | 2      |
+      | as an older    | 1      |
+      | as the oldest  | 0      |
+
+  Scenario: A record appended twice takes effect once
+    Given a configuration with a rack drained at 0, filled at 1 and drained at 2
+    When the record of offset 1 is appended again at offset 3
+    Then it is void for "repeated", and the rack is drained at offset 3
+
+  Scenario: A record computed from an older state is void
+    Given a configuration with a rack drained at 0, filled at 1 and drained at 2
+    When a record computed at offset 1 is appended at offset 3
+    Then it is void for "changed", and the rack is drained at offset 3
+
+  Scenario Outline: A snapshot through offset <through> reaches a reader at offset 2
+    Given a configuration with a rack drained at 0, filled at 1 and drained at 2
+    When a snapshot through offset <through> with the rack filled is restored
+    Then the rack is <state> at offset <offset>
+
+    Examples:
+      | through | state   | offset |
+      | 1       | drained | 2      |
+      | 2       | drained | 2      |
+      | 3       | filled  | 3      |
--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -96,6 +96,21 @@
     Then the job "archive" is done within 60 s
     And no promise was broken
 
+  # What a user sees: reports of a finished job that are made a second time.
+  # Order: tasks finish while the log is down; their owner dies before their ends
+  # are recorded.
+  # Cause it would have: the workers were told to forget the ends too early.
+  Scenario: An owner dies with ends that nobody has recorded
+    Given 3 entry instances and 4 workers
+    And a job "archive" of 12 tasks of 1 s is submitted to "e0"
+    When 0.5 s pass
+    And the log service is down
+    And 6 s pass
+    And instance "e0" dies
+    And the log service is well again
+    Then the job "archive" is recorded as over within 60 s
+    And no promise was broken
+
   Scenario: A job submitted while answers of the log are lost is accepted once
     Given 3 entry instances and 4 workers
     When the log service loses its answers
--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,77 @@
+"""Steps that drive the configuration record by record."""
+
+from behave import given, then, when
+
+from hornbeampaddle.configuration import Configuration, Stale, Void
+from hornbeampaddle.records import ConfigChange, ConfigSnapshot, SetDrain
+
+RACK = "rack:r0"
+
+
+def _record(record_id, based_on, draining):
+    change = SetDrain("rack", "r0", draining)
+    return ConfigChange(record_id, {RACK: based_on}, (change,))
+
+
+@given("a configuration with a rack drained at 0, filled at 1 and drained at 2")
+def configuration(context):
+    context.records = [
+        _record("first", -1, True),
+        _record("second", 0, False),
+        _record("third", 1, True),
+    ]
+    context.configuration = Configuration()
+    for offset, record in enumerate(context.records):
+        context.configuration.apply(offset, record)
+
+
+@when("the record of offset {offset:d} comes again")
+def again(context, offset):
+    record = context.records[offset]
+    context.verdict = context.configuration.apply(offset, record)
+
+
+@when("the record of offset {old:d} is appended again at offset {offset:d}")
+def appended_again(context, old, offset):
+    record = context.records[old]
+    context.verdict = context.configuration.apply(offset, record)
+
+
+@when("a record computed at offset {based_on:d} is appended at offset {offset:d}")
+def computed_earlier(context, based_on, offset):
+    record = _record("late", based_on, False)
+    context.verdict = context.configuration.apply(offset, record)
+
+
+@when("a snapshot through offset {through:d} with the rack filled is restored")
+def restore(context, through):
+    snapshot = ConfigSnapshot("snapshot", through, versions={RACK: through})
+    context.configuration.restore(snapshot)
+
+
+def _check(context, drained, offset):
+    assert context.configuration.offset == offset
+    assert (("rack", "r0") in context.configuration.drains) is drained
+
+
+@then("it is stale, and the rack is drained at offset {offset:d}")
+def stale(context, offset):
+    assert isinstance(context.verdict, Stale), context.verdict
+    _check(context, True, offset)
+
+
+@then('it is void for "{reason}", and the rack is drained at offset {offset:d}')
+def void(context, reason, offset):
+    assert isinstance(context.verdict, Void), context.verdict
+    assert reason in context.verdict.reason
+    _check(context, True, offset)
+
+
+@then("the rack is drained at offset {offset:d}")
+def drained_at(context, offset):
+    _check(context, True, offset)
+
+
+@then("the rack is filled at offset {offset:d}")
+def filled_at(context, offset):
+    _check(context, False, offset)
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -63,6 +63,12 @@
     assert context.status == 200, context.verdict
 
 
+@then('the plan is refused because "{reason}"')
+def plan_refused(context, reason):
+    assert context.status == 409, context.verdict
+    assert reason in context.verdict["reason"], context.verdict
+
+
 @then("no attempt was stopped")
 def none_stopped(context):
     assert context.scene.ledger.attempts_stopped == 0
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -44,6 +44,19 @@
     And the job "archive" is done within 40 s
     And no promise was broken
 
+  # What a user sees: a confirmed drain stops work that its plan never named.
+  # Order: a plan is made; more tasks start in the rack; the plan is confirmed.
+  Scenario: A plan that would by now stop more than it said is refused
+    Given 3 entry instances and 4 workers
+    And a job "archive" of 4 tasks of 30 s is submitted to "e0"
+    And all 4 attempts run
+    When an operator plans at "e1" to drain the rack "r0"
+    And a job "more" of 20 tasks of 30 s is submitted to "e2"
+    And all 24 attempts run
+    And the operator confirms the plan at "e1"
+    Then the plan is refused because "it would now also stop"
+    And no attempt was stopped
+
   # What a user sees: of two operators one is told that the other came first.
   # Order: both plan from the same configuration, then both confirm.
   Scenario: Of two operators who race, exactly one wins
