Leave a span for each hop, and test what two SIGTERMs do

Cause: a forwarded request showed two spans, not the hop between the instances; nothing held the promise that a second SIGTERM says what it abandons. Change: entry.forward at the keeper, as the child of the caller's span and the parent of the worker's; two scenarios with processes.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -148,9 +148,16 @@
 
 @contextmanager
 def entries(
-    count: int, platform: dict[str, Any], timing: dict[str, float] | None = None
+    count: int,
+    platform: dict[str, Any],
+    timing: dict[str, float] | None = None,
+    traces: Path | None = None,
 ) -> Iterator[list[Entry]]:
-    """Run entry instances of one data centre, each as a process."""
+    """
+    Run entry instances of one data centre, each as a process.
+
+    With ``traces``, each writes its spans to a file of its name in that folder.
+    """
     ports = free_ports(3 * count)
     peers = {f"e{number}": ports[number] for number in range(count)}
     started: list[Entry] = []
@@ -159,6 +166,8 @@
             for number, name in enumerate(peers):
                 own = (ports[count + number], ports[2 * count + number])
                 raw = _settings(name, own, peers, platform, timing or {})
+                if traces is not None:
+                    raw["telemetry"]["traces_file"] = str(traces / name)
                 path = Path(folder) / f"{name}.json"
                 path.write_text(json.dumps(raw))
                 process = subprocess.Popen([BINARY, "--settings", path])
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -31,6 +31,21 @@
     When the command "status" is run
     Then it exits with 5 and prints "cannot reach"
 
+  # What a user sees: an instance that is told to stop twice, and what it cut off.
+  Scenario: A second SIGTERM abandons what is in flight and says so
+    Given the stand-ins with 1 workers whose requests take 60 s, and one instance
+    When a request is on its way
+    And the first entry instance gets SIGTERM
+    And it still runs
+    And the first entry instance gets SIGTERM
+    Then it exits with 3 by itself
+
+  Scenario: A forwarded request leaves a span for each hop
+    Given the stand-ins with 2 workers, and 2 entry instances that write traces
+    When a request under a key of the first is sent to the second with a trace of its own
+    And both instances are stopped
+    Then the spans are caller.request, entry.forward and worker.run, each in the last
+
   Scenario: The daemon checks and shows its settings
     When the daemon is run with "check-settings" on settings with two faults
     Then it exits with 2 and prints "instance_id"
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -1,5 +1,6 @@
 """Steps that run the binaries as processes."""
 
+import http.client
 import json
 import os
 import signal
@@ -28,6 +29,15 @@
     "log_poll_interval_s": 0.1,
     "drain_timeout_s": 5.0,
 }
+TRACEPARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+ASKED_MAX = 5000
+SERVICE = {
+    "type": "AddService",
+    "service": "checks",
+    "repeat": "exclusive",
+    "needs": {"cpu_millis": 1000, "memory_bytes": 0, "accelerators": 0},
+    "team": "dispatch",
+}
 SECRET = "never to be printed"
 
 
@@ -45,6 +55,97 @@
     wait_for_workers(context.entries, workers)
 
 
+@given(
+    "the stand-ins with {workers:d} workers whose requests take {run_s:g} s, "
+    "and one instance"
+)
+def start_slow(context, workers, run_s):
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    described = stack.enter_context(standins(workers, service_ms=1000 * run_s))
+    timing = {**TIMING, "drain_timeout_s": 60.0}
+    context.entries = stack.enter_context(entries(1, described["platform"], timing))
+    wait_for_workers(context.entries, workers)
+    context.entries[0].confirm(SERVICE)
+
+
+@when("a request is on its way")
+def request_on_its_way(context):
+    entry = context.entries[0]
+    connection = http.client.HTTPConnection(LOOPBACK, entry.callers, timeout=WAIT_S)
+    context.add_cleanup(connection.close)
+    headers = {"request-timeout-s": "60"}
+    connection.request("POST", "/v1/requests/checks", b"card", headers)
+    assert _until(lambda: entry.look("status")["services"][0]["in_flight"] == 1)
+
+
+@when("it still runs")
+def still_runs(context):
+    """Drain has begun, and the request keeps the instance from ending."""
+    entry = context.entries[0]
+    assert _until(lambda: entry.look("status")["leaving"])
+    assert entry.process.poll() is None
+
+
+@given(
+    "the stand-ins with {workers:d} workers, and {count:d} entry instances "
+    "that write traces"
+)
+def start_traced(context, workers, count):
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    described = stack.enter_context(standins(workers))
+    context.folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+    context.entries = stack.enter_context(
+        entries(count, described["platform"], TIMING, context.folder)
+    )
+    wait_for_workers(context.entries, workers)
+    context.entries[0].confirm(SERVICE)
+
+
+@when(
+    "a request under a key of the first is sent to the second with a trace of its own"
+)
+def forwarded(context):
+    first, second = context.entries
+    assert _until(lambda: all(p["live"] for p in second.look("status")["peers"]))
+    key = first.post(first.callers, "keys", {"count": 1})["keys"][0]
+    connection = http.client.HTTPConnection(LOOPBACK, second.callers, timeout=WAIT_S)
+    headers = {"request-key": key, "traceparent": TRACEPARENT}
+    connection.request("POST", "/v1/requests/checks", b"card", headers)
+    response = connection.getresponse()
+    assert response.status == 200, response.read()
+    connection.close()
+
+
+@when("both instances are stopped")
+def stop_both(context):
+    for entry in context.entries:
+        entry.process.send_signal(signal.SIGTERM)
+    for entry in context.entries:
+        entry.process.wait(WAIT_S)
+
+
+@then("the spans are caller.request, entry.forward and worker.run, each in the last")
+def spans(context):
+    lines = [
+        json.loads(line)
+        for entry in context.entries
+        for line in (context.folder / entry.name).read_text().splitlines()
+    ]
+    trace = TRACEPARENT.split("-")[1]
+    found = {s["name"]: s for s in lines if s["trace"] == trace}
+    assert set(found) == {"caller.request", "entry.forward", "worker.run"}, found
+    assert found["caller.request"]["parent"] == TRACEPARENT.split("-")[2]
+    assert found["entry.forward"]["parent"] == found["caller.request"]["span"]
+    assert found["worker.run"]["parent"] == found["entry.forward"]["span"]
+
+
+def _until(condition):
+    """Ask again and again until a condition holds, a bounded number of times."""
+    return any(condition() for _ in range(ASKED_MAX))
+
+
 @when('the command "{line}" is run')
 def run_command(context, line):
     first = context.entries[0]
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/desk.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/desk.py
@@ -385,6 +385,7 @@
     def on_forward(self, sender: str, message: ForwardRequest, now_s: float) -> None:
         """Serve a request whose key we keep, for a peer's caller."""
         done: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        span = self.traces.begin("entry.forward", message.traceparent)
         ticket = Ticket(
             service=message.service,
             urgency=Urgency(message.urgency),
@@ -392,12 +393,14 @@
             content_type=message.content_type,
             body=message.body,
             key_text=message.key,
-            traceparent=message.traceparent,
+            traceparent=self.traces.traceparent_of(span, message.traceparent),
             done=done,
         )
         peer = instance_of(sender)
 
         def _send_back(future: asyncio.Future[Outcome]) -> None:
+            if span is not None:
+                span.end()
             if not future.cancelled():
                 answer = wire_outcome(message.call_id, future.result())
                 self.context.send(peer, answer)
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/telemetry.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/telemetry.py
@@ -19,7 +19,7 @@
     SpanExportResult,
 )
 from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
-from opentelemetry.trace import Span, SpanKind
+from opentelemetry.trace import Span, SpanKind, set_span_in_context
 
 from .settings import TelemetrySettings
 
@@ -115,6 +115,21 @@
         kind = SpanKind.SERVER if server else SpanKind.CLIENT
         return self._tracer.start_as_current_span(name, context=context, kind=kind)
 
+    def begin(self, name: str, traceparent: str) -> Span | None:
+        """Start a span that ends elsewhere, as a child of ``traceparent``."""
+        if self._provider is None:
+            return None
+        context = extract({"traceparent": traceparent})
+        return self._tracer.start_span(name, context=context, kind=SpanKind.SERVER)
+
+    def traceparent_of(self, span: Span | None, outer: str) -> str:
+        """Return the header that continues a span elsewhere."""
+        if span is None:
+            return outer
+        carrier: dict[str, str] = {}
+        inject(carrier, context=set_span_in_context(span))
+        return carrier.get("traceparent", outer)
+
     def traceparent(self, outer: str = "") -> str:
         """Return the header that continues the current span elsewhere."""
         if self._provider is None:
