--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	$(BIN)/python -m bench.rest
 	$(BIN)/python -m bench.path
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.takeover
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.spread
 
 # Measure all slopes (about 6 minutes), then write the tables and the plot.
 capacity: $(STAMP)
--- a/features/support/scene.py
+++ b/features/support/scene.py
@@ -63,11 +63,14 @@
 class Scene:
     """One data centre in virtual time; ``run`` drives coroutines to their end."""
 
-    def __init__(self, instances=3, workers=4, seed=1, run_s=0.05, cores=8):
+    def __init__(
+        self, instances=3, workers=4, seed=1, run_s=0.05, cores=8, timing=None
+    ):
         BROKEN.clear()
         self.loop = VirtualLoop()
         self.rng = random.Random(seed)
         self.limits = {}
+        self.timing = TIMING if timing is None else timing
         self.network = Network(self.rng)
         self.log = LogMachine()
         self.listed = InstanceList()
@@ -147,7 +150,7 @@
             "peers": peers,
             "peer_key": "peers-of-the-scene",
             "operator_token": TOKEN,
-            "timing": TIMING,
+            "timing": self.timing,
             "limits": self.limits,
         }
         return Settings.model_validate_json(json.dumps(raw))
