Keep a removed service's room until its last request has ended

Cause: found by reading the code: the room of a service that was removed, or moved off a worker, was free at once, while its requests still ran there. Workers that refuse what does not fit hid it, so the walks could not see it either. Change: a lane keeps the size of its slots while they are in use; a decider that claims a worker with requests of a service nobody knows adds nothing there until they have ended. The fake workers no longer refuse for want of room: the ledger counts every overrun, in all scenarios and walks.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -46,6 +46,25 @@
     And none of the costly tasks was stopped
     And no promise was broken
 
+  # What a user sees: a worker that runs out of memory after a service was removed.
+  # Order: requests of a service are in flight; the service is removed; batch work
+  # is waiting for its room. The worker itself does not check.
+  # Cause it had: the room of a removed service was free at once.
+  Scenario Outline: A removed service keeps its room while requests are in flight
+    Given 2 entry instances and 2 workers
+    And a service "checks" that fills its workers
+    And 8 requests to "checks" that take 6 s are in flight
+    When an operator removes the service "checks"
+    And <event>
+    And a job "archive" of 16 tasks of 1 s is submitted to "e0"
+    Then the job "archive" is done within 30 s
+    And no promise was broken
+
+    Examples:
+      | event               |
+      | 1 s pass            |
+      | instance "e1" dies  |
+
   # What a user sees: an urgent job that waits behind a wave of batch work.
   Scenario: An urgent job starts within 2.4 s on a full data centre
     Given 3 entry instances and 4 workers
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -3,7 +3,7 @@
 from behave import step, then, when
 from support.scene import GIB, HOME
 
-from hornbeampaddle.intents import AddService, ChangeQuota, Drain
+from hornbeampaddle.intents import AddService, ChangeQuota, Drain, DropService
 from hornbeampaddle.records import Needs
 from hornbeampaddle_wire.http_messages import Request
 
@@ -200,3 +200,37 @@
 @then("at most {most:d} attempts were stopped")
 def few_stopped(context, most):
     assert 0 < context.scene.ledger.attempts_stopped <= most
+
+
+@step('a service "{service}" that fills its workers')
+def add_filling(context, service):
+    scene = context.scene
+    intent = AddService(service, "exclusive", Needs(2000, GIB, 0), "dispatch", 4)
+    status, verdict = scene.confirm("e0", scene.plan("e0", intent))
+    assert status == 200, verdict
+    assert scene.until(lambda: scene.config_everywhere(f"service:{service}"))
+
+
+@step('{count:d} requests to "{service}" that take {run_s:g} s are in flight')
+def requests_in_flight(context, count, service, run_s):
+    scene = context.scene
+    scene.run_s = run_s
+    names = sorted(scene.instances)
+    for number in range(count):
+        request = scene.request(service, timeout_s=20.0)
+        scene.call_later(names[number % len(names)], request, number)
+    machines = scene.machines.values()
+    assert scene.until(lambda: sum(len(m.requests) for m in machines) == count)
+
+
+@when('an operator removes the service "{service}"')
+def remove_service(context, service):
+    scene = context.scene
+    plan = scene.plan("e0", DropService(service))
+    assert scene.confirm("e0", plan)[0] == 200
+    assert scene.until(
+        lambda: all(
+            service not in i.context.configuration.services
+            for i in scene.instances.values()
+        )
+    )
--- a/features/support/scene.py
+++ b/features/support/scene.py
@@ -91,7 +91,11 @@
         name = f"w{number}"
         address = Address("127.0.0.1", 9000 + number)
         worker = Worker(name, address, HOME, f"r{number // 2}", capacity)
-        machine = WorkerMachine(worker, self.ledger, checkpoints=checkpoints)
+        # The workers take whatever they are given, and the ledger counts it: no
+        # promise may rest on a worker's own refusal of what does not fit.
+        machine = WorkerMachine(
+            worker, self.ledger, checks_room=False, checkpoints=checkpoints
+        )
         rate = 1 + self.rng.uniform(-RATE_ERROR, RATE_ERROR) / 2
         offset_s = self.rng.uniform(0, 100_000)
         self.machines[name] = machine
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/fleet.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/fleet.py
@@ -1,6 +1,6 @@
 """Decide for this instance's share of the workers of its data centre."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import structlog
 
@@ -178,10 +178,14 @@
 
     def _read_slots(self, decider: Decider) -> None:
         worker_id = decider.worker.worker_id
-        for (lane_worker, service), lane in self.slots.lanes.items():
-            if lane_worker == worker_id:
-                in_flight = decider.slots_reported.get(service, 0)
-                lane.reported(in_flight, decider.report_asked_s)
+        for lane in self.slots.lanes_of(worker_id):
+            in_flight = decider.slots_reported.get(lane.service, 0)
+            lane.reported(in_flight, decider.report_asked_s)
+        if decider.book.blocked or self._has_leaving_lane(worker_id):
+            self.open_lanes(decider, claimed=False)
+
+    def _has_leaving_lane(self, worker_id: str) -> bool:
+        return any(lane.total == 0 for lane in self.slots.lanes_of(worker_id))
 
     def configure(self) -> None:
         """Follow a change of the configuration or the instance list."""
@@ -195,37 +199,60 @@
         services = self.context.configuration.services_on(worker_id)
         wanted = {service.service: service for service in services}
         for name, service in wanted.items():
-            lane = self.slots.lanes.get((worker_id, name))
-            if lane is None:
-                lane = Lane(worker_id, name, 0, decider.epoch, open=False)
-                if claimed:
-                    lane.foreign = decider.slots_reported.get(name, 0)
-                self.slots.lanes[(worker_id, name)] = lane
-            lane.total = service.slots_per_worker
+            lane = self._lane(decider, name, claimed)
+            lane.resize(service.slots_per_worker, resources_of(service.needs))
+        decider.book.blocked = self._block_unknown(decider, wanted, claimed)
         reserved = NOTHING
-        for (lane_worker, name), lane in list(self.slots.lanes.items()):
-            if lane_worker != worker_id:
-                continue
-            if name not in wanted:
+        for lane in self.slots.lanes_of(worker_id):
+            if lane.service not in wanted:
+                # Guards against room given twice when a service leaves a worker:
+                # its requests in flight hold it until the last one has ended.
                 lane.open = False
                 lane.total = 0
                 if lane.in_use() == 0:
-                    del self.slots.lanes[(lane_worker, name)]
+                    del self.slots.lanes[(worker_id, lane.service)]
                     continue
-            known = self.context.configuration.services.get(name)
-            if known is not None:
-                count = max(lane.total, lane.in_use())
-                reserved = reserved + resources_of(known.needs).times(count)
+            reserved = reserved + lane.held()
         decider.reserve(reserved)
         self._open_what_fits(decider, wanted, usable)
         self._changed.add(worker_id)
 
+    def _lane(self, decider: Decider, service: str, claimed: bool) -> Lane:
+        worker_id = decider.worker.worker_id
+        lane = self.slots.lanes.get((worker_id, service))
+        if lane is None:
+            lane = Lane(worker_id, service, 0, decider.epoch, open=False)
+            if claimed:
+                lane.foreign = decider.slots_reported.get(service, 0)
+            self.slots.lanes[(worker_id, service)] = lane
+        return lane
+
+    def _block_unknown(
+        self, decider: Decider, wanted: Container[str], claimed: bool
+    ) -> bool:
+        """
+        Take in requests in flight of services that are placed here no more.
+
+        Return whether some are of a service whose size is not known any more.
+        """
+        unknown = False
+        for service, in_flight in decider.slots_reported.items():
+            if service in wanted or not in_flight:
+                continue
+            known = self.context.configuration.services.get(service)
+            if known is not None and claimed:
+                lane = self._lane(decider, service, claimed)
+                lane.resize(0, resources_of(known.needs))
+            lane_key = (decider.worker.worker_id, service)
+            unknown = unknown or lane_key not in self.slots.lanes
+        return unknown
+
     def _open_what_fits(
         self, decider: Decider, wanted: Iterable[str], usable: bool
     ) -> None:
         # Guards against a worker overrun by a new service: its slots open only
         # once the batch attempts in its room are known to be over.
-        fits = not decider.book.overdrawn()
+        fits = not decider.book.overdrawn() and not decider.book.blocked
         for name in wanted:
             lane = self.slots.lanes[(decider.worker.worker_id, name)]
             lane.open = usable and (lane.open or fits)
@@ -285,11 +312,8 @@
 
     def _summary(self, decider: Decider) -> WorkerSummary:
         worker_id = decider.worker.worker_id
-        free_slots = {
-            service: lane.free()
-            for (lane_worker, service), lane in self.slots.lanes.items()
-            if lane_worker == worker_id
-        }
+        lanes = self.slots.lanes_of(worker_id)
+        free_slots = {lane.service: lane.free() for lane in lanes}
         usable = self.context.usable(decider.worker)
         room = wire_needs(decider.book.open_room())
         return WorkerSummary(worker_id, decider.epoch, room, usable, free_slots)
--- a/packages/hornbeampaddle/hornbeampaddle/book.py
+++ b/packages/hornbeampaddle/hornbeampaddle/book.py
@@ -57,6 +57,8 @@
     reserved: Resources = NOTHING
     # Room that is being made for urgent tasks; batch attempts may not take it.
     promised: Resources = NOTHING
+    # Something runs there whose size nobody knows; nothing is added until it ends.
+    blocked: bool = False
     holds: dict[AttemptId, Hold] = field(default_factory=dict)
     _held: Resources = NOTHING
 
@@ -70,7 +72,7 @@
 
     def take(self, hold: Hold) -> bool:
         """Take room for an attempt; return False, changing nothing, if full."""
-        if hold.order.attempt in self.holds:
+        if self.blocked or hold.order.attempt in self.holds:
             return False
         room = self.room() if hold.order.urgent else self.open_room()
         if not hold.order.needs.fits_in(room):
--- a/packages/hornbeampaddle/hornbeampaddle/decider.py
+++ b/packages/hornbeampaddle/hornbeampaddle/decider.py
@@ -191,7 +191,7 @@
 
     def _make_room(self, order: TaskOrder, now_s: float) -> Step | Refused:
         """Evict batch attempts for an urgent one, which is to ask again soon."""
-        if not order.urgent:
+        if not order.urgent or self.book.blocked:
             return Refused("no room")
         leaving = self._displaced_by(order, now_s)
         if leaving is None:
--- a/packages/hornbeampaddle/hornbeampaddle/resources.py
+++ b/packages/hornbeampaddle/hornbeampaddle/resources.py
@@ -25,6 +25,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def largest(self, other: "Resources") -> "Resources":
+        """Return the larger of both in each dimension."""
+        return Resources(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_bytes, other.memory_bytes),
+            max(self.accelerators, other.accelerators),
+        )
+
     def times(self, count: int) -> "Resources":
         """Return the need of ``count`` pieces of this size."""
         return Resources(
--- a/packages/hornbeampaddle/hornbeampaddle/slots.py
+++ b/packages/hornbeampaddle/hornbeampaddle/slots.py
@@ -9,6 +9,8 @@
 from collections.abc import Container
 from dataclasses import dataclass, field
 
+from .resources import NOTHING, Resources
+
 # Share of a new latency in a lane's running estimate.
 LATENCY_WEIGHT = 0.2
 REST_FIRST_S = 0.25
@@ -38,6 +40,8 @@
     service: str
     total: int
     epoch: int
+    # What one slot holds; while slots are in use, the most that one may hold.
+    needs: Resources = NOTHING
     foreign: int = 0
     used: int = 0
     open: bool = True
@@ -61,6 +65,15 @@
             return 0
         return max(0, self.total - self.in_use())
 
+    def resize(self, total: int, needs: Resources) -> None:
+        """Take over a changed service; requests in flight keep what they hold."""
+        self.total = total
+        self.needs = needs.largest(self.needs) if self.in_use() else needs
+
+    def held(self) -> Resources:
+        """Return what the lane reserves: its slots, or more that are in use."""
+        return self.needs.times(max(self.total, self.in_use()))
+
     def lend(self, loan: Loan) -> None:
         """Lend free slots; the caller has checked that they are free."""
         self.loans[loan.grant_id] = loan
@@ -244,6 +257,10 @@
         lanes = self.lanes.values()
         return sum(lane.free() for lane in lanes if lane.service == service)
 
+    def lanes_of(self, worker_id: str) -> list[Lane]:
+        """Return the lanes of one worker."""
+        return [lane for lane in self.lanes.values() if lane.worker_id == worker_id]
+
     def drop_worker(self, worker_id: str) -> None:
         """Forget the lanes of a worker that is no longer ours to decide."""
         for key in [key for key in self.lanes if key[0] == worker_id]:
