Settle a start whose answer was lost soon, and only by what is certain

Change: what settles an attempt that the worker does not have is the deadline of its start, or, once it was seen, a report asked for after that; starts without an answer are repeated, since they are idempotent; an inventory waits while a start is unsure.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -65,6 +65,58 @@
       | 1 s pass            |
       | instance "e1" dies  |
 
+  # What a user sees: a task that is said to run and never ends.
+  # Order: the start, or its answer, is lost; renewals go on.
+  # Cause it had: each renewal put off the moment at which a lost start is settled,
+  # and a successor was told that the attempt ran.
+  Scenario Outline: A start that is <fault> is settled soon and runs once
+    Given 2 entry instances and 2 workers
+    And 1 s pass
+    When the next start is <fault>
+    And a job "archive" of 1 tasks of 1 s is submitted to "e0"
+    Then the job "archive" is done within 5 s
+    And at most 1 attempts began
+    And no promise was broken
+
+    Examples:
+      | fault           |
+      | lost on the way |
+      | answer lost     |
+
+  # What a user sees: a task that runs on two workers.
+  # Order: the answer to a start is lost; the start is repeated, and the repeat is
+  # turned down or cannot be sent.
+  # Cause it had: the answer to the repeat was taken for one to the first start.
+  Scenario Outline: A repeated start that is <repeat> says nothing of the first
+    Given 2 entry instances and 2 workers
+    And 1 s pass
+    When the next start is answer lost
+    And the start after it is <repeat>
+    And a job "archive" of 1 tasks of 3 s is submitted to "e0"
+    Then the job "archive" is done within 10 s
+    And at most 1 attempts began
+    And no promise was broken
+
+    Examples:
+      | repeat   |
+      | not sent |
+      | refused  |
+
+  # What a user sees: a finished task that runs again on the same worker.
+  # Order: a start's answer is lost and the start repeated; the task ends and its
+  # end is acknowledged; the repeat comes in.
+  # Cause it had: the worker had been told to forget the attempt.
+  Scenario: A repeated start that comes in after the end starts nothing
+    Given 2 entry instances and 2 workers
+    And 1 s pass
+    When the next start is answer lost
+    And the start after it is late
+    And a job "archive" of 1 tasks of 0.6 s is submitted to "e0"
+    And 6 s pass
+    Then the job "archive" is done within 1 s
+    And at most 1 attempts began
+    And no promise was broken
+
   # What a user sees: an urgent job that waits behind a wave of batch work.
   Scenario: An urgent job starts within 2.4 s on a full data centre
     Given 3 entry instances and 4 workers
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -234,3 +234,13 @@
             for i in scene.instances.values()
         )
     )
+
+
+@when("the next start is {fault}")
+def start_fault(context, fault):
+    context.scene.network.start_faults = [fault]
+
+
+@when("the start after it is {fault}")
+def second_start_fault(context, fault):
+    context.scene.network.start_faults.append(fault)
--- a/features/support/network.py
+++ b/features/support/network.py
@@ -14,6 +14,7 @@
 
 CALL_TIMEOUT_S = 1.0
 IN_ORDER_S = 0.005
+LATE_S = 1.5
 
 
 @dataclass
@@ -37,6 +38,8 @@
     peers: dict = field(default_factory=dict)
     # What goes wrong with the next runs of requests, in order.
     run_faults: list = field(default_factory=list)
+    # The same for the next starts of attempts.
+    start_faults: list = field(default_factory=list)
     last_arrival_s: dict = field(default_factory=dict)
 
     def delay_s(self):
@@ -157,11 +160,26 @@
         return await self._call(lambda: self.machine.claim(decider, self.clock()))
 
     async def start(self, call):
-        return await self._call(
-            lambda: self.machine.start(
+        faults = self.network.start_faults
+        fault = faults.pop(0) if faults else ""
+        match fault:
+            case "lost on the way":
+                return NoAnswer("no answer")
+            case "not sent":
+                return NotSent("cut")
+            case "refused":
+                return Refused("lease deadline has passed")
+
+        def effect():
+            return self.machine.start(
                 call.epoch, call.order, call.lease_deadline_s, self.clock()
             )
-        )
+
+        if fault == "late":
+            asyncio.get_running_loop().call_later(LATE_S, effect)
+            return NoAnswer("no answer")
+        answer = await self._call(effect)
+        return NoAnswer("no answer") if fault == "answer lost" else answer
 
     async def stop(self, call):
         return await self._call(
--- a/packages/hornbeampaddle/hornbeampaddle/book.py
+++ b/packages/hornbeampaddle/hornbeampaddle/book.py
@@ -40,6 +40,12 @@
     adopted: bool = False
     progress_ratio: float = 0.0
     generation: int = 0
+    # The lease deadline of the start itself: past it the worker refuses a start
+    # that is still on its way. Renewals do not move it.
+    start_deadline_s: float = 0.0
+    start_repeated: bool = False
+    # Local time since which the attempt is known to have started.
+    confirmed_s: float | None = None
     # Local time at which ``progress_ratio`` was heard.
     progress_at_s: float = 0.0
 
--- a/packages/hornbeampaddle/hornbeampaddle/decider.py
+++ b/packages/hornbeampaddle/hornbeampaddle/decider.py
@@ -90,6 +90,8 @@
     # Ended attempts that their owners have not acknowledged yet.
     unacknowledged: dict[AttemptId, AttemptEnded] = field(default_factory=dict)
     _forgettable: set[AttemptId] = field(default_factory=set)
+    # Deadlines, on the worker's clock, of repeated starts that may still come in.
+    _starts_until_s: dict[AttemptId, float] = field(default_factory=dict)
     claim_failures: int = 0
     losses: int = 0
     renew_failures: int = 0
@@ -158,6 +160,7 @@
         self.renewing = False
         self.unacknowledged.clear()
         self._forgettable.clear()
+        self._starts_until_s.clear()
         self._queries.clear()
         self._inventories.clear()
         self.slots_reported = {}
@@ -181,7 +184,12 @@
             return Step(notices=[ended])
         lease_s = self.clock.deadline_there(now_s + self.timing.lease_s)
         hold = Hold(
-            order, HoldState.STARTING, lease_s, adopted=True, progress_at_s=now_s
+            order,
+            HoldState.STARTING,
+            lease_s,
+            adopted=True,
+            start_deadline_s=lease_s,
+            progress_at_s=now_s,
         )
         if not self.book.take(hold):
             return self._make_room(order, now_s)
@@ -254,7 +262,13 @@
             case Started():
                 self.clock.observe(answer.clock_s, now_s)
                 hold.state = HoldState.RUNNING
+                hold.confirmed_s = now_s
                 return Step(notices=[self._running(hold)])
+            case Refused() | NotSent() if hold.start_repeated:
+                # It speaks of the repeat only; the first may have taken effect,
+                # or may still be on its way.
+                hold.state = HoldState.DOUBT
+                return Step()
             case Refused() | NotSent():
                 return self._ended(hold, Ending.NEVER_STARTED)
             case Fenced():
@@ -334,6 +348,7 @@
             self._keep_promises(now_s)
         if now_s >= self.renew_due_s and not self.renewing:
             self.renew_due_s = now_s + self.timing.renew_interval_s
+            step.calls.extend(self._lost_starts())
             step.calls.append(self._renewal(now_s))
             step.notices.extend(self.unacknowledged.values())
             step.notices.extend(self._unadopted())
@@ -342,11 +357,29 @@
     def _running(self, hold: Hold) -> AttemptRunning:
         return AttemptRunning(hold.order, self.worker.worker_id, self.epoch)
 
+    def _lost_starts(self) -> list[Call]:
+        """
+        Repeat starts whose answer was lost.
+
+        A start is idempotent, and it keeps its first deadline, so asking again
+        says sooner what waiting for that deadline would say.
+        """
+        calls: list[Call] = []
+        for hold in self.book.holds.values():
+            unsure = hold.state is HoldState.DOUBT and hold.confirmed_s is None
+            if not unsure or not hold.adopted:
+                continue
+            hold.state = HoldState.STARTING
+            hold.start_repeated = True
+            worker_id, deadline_s = self.worker.worker_id, hold.start_deadline_s
+            calls.append(StartAttempt(worker_id, self.epoch, hold.order, deadline_s))
+        return calls
+
     def _unadopted(self) -> list[AttemptRunning]:
         return [
             self._running(hold)
             for hold in self.book.holds.values()
-            if not hold.adopted and hold.state is not HoldState.STARTING
+            if not hold.adopted and hold.state not in UNCERTAIN
         ]
 
     def _doubts(self) -> list[AttemptInDoubt]:
@@ -375,9 +408,15 @@
             self.epoch,
             wanted,
             lease_s,
-            tuple(self._forgettable),
+            tuple(a for a in self._forgettable if self._may_forget(a)),
         )
 
+    def _may_forget(self, attempt: AttemptId) -> bool:
+        # Guards against a repeated start that comes in late: a worker that has
+        # forgotten the attempt would run it again. Past the start's deadline it
+        # refuses; until then it has to remember.
+        return self.clock.stamp_s > self._starts_until_s.get(attempt, NEVER_S)
+
     def _wanted(self, hold: Hold, now_s: float) -> bool:
         # Guards against an attempt that outlives what its owner can know: an
         # owner that gave up on a silent worker starts the next attempt after
@@ -462,8 +501,11 @@
         self.report_asked_s = self._asked_s
         listed = {a.order.attempt for a in report.attempts}
         if report.delta:
-            self._read_unlisted(report, listed, step)
+            self._read_unlisted(report, listed, now_s, step)
         self._forgettable &= listed
+        for known in self._starts_until_s.keys() - listed:
+            if report.clock_s > self._starts_until_s[known]:
+                del self._starts_until_s[known]
         for attempt in report.attempts:
             self._read_attempt(attempt, now_s, step)
         self._read_missing(listed, report.clock_s, step)
@@ -486,6 +528,9 @@
         for dead_owner, asked_s in list(self._inventories.items()):
             if asked_s > self.report_asked_s:
                 continue
+            # An attempt whose start is unsure is neither there nor absent yet.
+            if any(h.state in UNCERTAIN for h in self.book.holds.values()):
+                continue
             del self._inventories[dead_owner]
             step.notices.append(self._inventory_of(dead_owner))
 
@@ -523,16 +568,22 @@
         return AttemptEnded(order, worker_id, Ending.LAPSED, order.generation, 0.0)
 
     def _read_unlisted(
-        self, report: WorkerReport, listed: set[AttemptId], step: Step
+        self,
+        report: WorkerReport,
+        listed: set[AttemptId],
+        now_s: float,
+        step: Step,
     ) -> None:
         """Take the silence about attempts that the renewal named: they go on."""
         for attempt in self._named - set(report.absent) - listed:
             listed.add(attempt)
             hold = self.book.holds.get(attempt)
             if hold is not None:
-                self._confirm(hold, step)
+                self._confirm(hold, now_s, step)
 
-    def _confirm(self, hold: Hold, step: Step) -> None:
+    def _confirm(self, hold: Hold, now_s: float, step: Step) -> None:
+        if hold.confirmed_s is None:
+            hold.confirmed_s = now_s
         if hold.state is HoldState.DOUBT:
             hold.state = HoldState.RUNNING
             step.notices.append(self._running(hold))
@@ -550,7 +601,7 @@
         hold.progress_at_s = now_s
         hold.generation = seen.generation
         hold.lease_deadline_s = max(hold.lease_deadline_s, seen.lease_deadline_s)
-        self._confirm(hold, step)
+        self._confirm(hold, now_s, step)
 
     def _read_ended(self, seen: Attempt, hold: Hold | None, step: Step) -> None:
         attempt = seen.order.attempt
@@ -563,17 +614,21 @@
         step.notices.extend(self._ended(known, ending).notices)
 
     def _read_missing(self, listed: set[AttemptId], clock_s: float, step: Step) -> None:
-        """
-        Settle holds that the worker does not list.
-
-        A start in flight may arrive after the report was written, so an
-        unlisted attempt is over only once the worker's own clock has passed
-        its lease deadline: a start that arrives later is refused by the worker.
-        """
+        """Settle holds that the worker does not have."""
         for attempt, hold in list(self.book.holds.items()):
-            if attempt not in listed and clock_s > hold.lease_deadline_s:
+            if attempt not in listed and self._is_gone(hold, clock_s):
                 step.notices.extend(self._ended(hold, Ending.LAPSED).notices)
 
+    def _is_gone(self, hold: Hold, clock_s: float) -> bool:
+        # Guards against two errors. A start in flight may arrive after the report
+        # was written: an attempt never seen is gone only once the worker refuses
+        # its start as late. And a report may have been asked for before an attempt
+        # began: one that was seen is gone if the question came after that. Leases
+        # do not enter; renewals would prolong the wait for a lost start for ever.
+        if hold.confirmed_s is not None:
+            return hold.confirmed_s <= self.report_asked_s
+        return clock_s > hold.start_deadline_s
+
     def _lapse(self, now_s: float) -> None:
         # The room is free again, but nothing is said of the attempt: if we were
         # replaced without noticing, the new decider may have renewed its lease.
@@ -583,6 +638,8 @@
 
     def _ended(self, hold: Hold, ending: Ending) -> Step:
         self.book.release(hold.order.attempt)
+        if hold.start_repeated:
+            self._starts_until_s[hold.order.attempt] = hold.start_deadline_s
         ended = AttemptEnded(
             hold.order,
             self.worker.worker_id,
