Choose leavers in one place; a refused stop confirms no run

Evictions for reservations and for urgent tasks chose victims in two copies of the same loop; a stop that was refused made an attempt with a lost start count as running; HoldState.THROTTLED was never set. Change: one function chooses; a refused stop leaves an unsure start unsure, and it is not repeated once a stop was asked for. Not shown: the new scenario (a job cancelled while its start is unsure) passes without the two guards as well; it holds the outcome, not the guards.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -117,6 +117,17 @@
     And at most 1 attempts began
     And no promise was broken
 
+  # What a user would see: a cancelled task that runs after all.
+  # Order: a start is lost; the job is cancelled; the worker refuses the stop.
+  Scenario: A job that is cancelled while its start is unsure never runs
+    Given 2 entry instances and 2 workers
+    And 1 s pass
+    When the next start is lost on the way
+    And a job "archive" of 1 tasks of 1 s is submitted to "e0"
+    And the job "archive" is cancelled at "e0"
+    Then the job "archive" is over with 1 tasks "cancelled" within 10 s
+    And no attempt began
+
   # What a user sees: an urgent job that waits behind a wave of batch work.
   Scenario: An urgent job starts within 2.4 s on a full data centre
     Given 3 entry instances and 4 workers
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -244,3 +244,14 @@
 @when("the start after it is {fault}")
 def second_start_fault(context, fault):
     context.scene.network.start_faults.append(fault)
+
+
+@when('the job "{job_id}" is cancelled at "{name}"')
+def cancel_one(context, job_id, name):
+    response = context.scene.call(name, Request("DELETE", f"/v1/jobs/{job_id}"))
+    assert response.status == 200, response.body
+
+
+@then("no attempt began")
+def none_began(context):
+    assert context.scene.ledger.attempts_begun == 0
--- a/packages/hornbeampaddle/hornbeampaddle/book.py
+++ b/packages/hornbeampaddle/hornbeampaddle/book.py
@@ -19,7 +19,6 @@
 
     STARTING = "starting"
     RUNNING = "running"
-    THROTTLED = "throttled"
     STOPPING = "stopping"
     DOUBT = "doubt"
 
@@ -44,6 +43,8 @@
     # that is still on its way. Renewals do not move it.
     start_deadline_s: float = 0.0
     start_repeated: bool = False
+    # A start whose answer was lost is not repeated once a stop was asked for.
+    stop_asked: bool = False
     # Local time since which the attempt is known to have started.
     confirmed_s: float | None = None
     # Local time at which ``progress_ratio`` was heard.
--- a/packages/hornbeampaddle/hornbeampaddle/decider.py
+++ b/packages/hornbeampaddle/hornbeampaddle/decider.py
@@ -222,19 +222,30 @@
 
         None if even all of them would not make enough room.
         """
-        room = self.book.room()
         batch = [h for h in self.book.holds.values() if not h.order.urgent]
-        for hold in batch:
+        return self._leavers(batch, order.needs, now_s)
+
+    def _leavers(
+        self, candidates: list[Hold], needs: Resources, now_s: float
+    ) -> list[AttemptId] | None:
+        """
+        Choose the cheapest running candidates whose leaving lets ``needs`` fit.
+
+        What is being stopped already counts as room to come. None if even all
+        of them would not do.
+        """
+        room = self.book.room()
+        for hold in self.book.holds.values():
             if hold.state is HoldState.STOPPING:
                 room = room + hold.order.needs
-        running = [h for h in batch if h.state is HoldState.RUNNING]
+        running = [h for h in candidates if h.state is HoldState.RUNNING]
         leaving: list[AttemptId] = []
         for hold in sorted(running, key=lambda h: _eviction_cost(h, now_s)):
-            if order.needs.fits_in(room):
+            if needs.fits_in(room):
                 break
             room = room + hold.order.needs
             leaving.append(hold.order.attempt)
-        return leaving if order.needs.fits_in(room) else None
+        return leaving if needs.fits_in(room) else None
 
     def _keep_promises(self, now_s: float, kept: str = "") -> None:
         # Guards against room that is made for an urgent task and taken by the
@@ -283,6 +294,7 @@
         if hold is None or hold.state is HoldState.STOPPING or not self.holding:
             return Step()
         hold.state = HoldState.STOPPING
+        hold.stop_asked = True
         call = StopAttempt(self.worker.worker_id, self.epoch, attempt, checkpoint)
         return Step(calls=[call])
 
@@ -304,7 +316,10 @@
             case Fenced():
                 return self.on_fenced(answer, now_s)
             case Refused() | NotSent():
-                hold.state = HoldState.RUNNING
+                # Guards against a lost start that counts as running because its
+                # stop was turned down: only a worker's word confirms a run.
+                confirmed = hold.confirmed_s is not None
+                hold.state = HoldState.RUNNING if confirmed else HoldState.DOUBT
                 return Step()
             case NoAnswer():
                 hold.state = HoldState.DOUBT
@@ -367,7 +382,7 @@
         calls: list[Call] = []
         for hold in self.book.holds.values():
             unsure = hold.state is HoldState.DOUBT and hold.confirmed_s is None
-            if not unsure or not hold.adopted:
+            if not unsure or not hold.adopted or hold.stop_asked:
                 continue
             hold.state = HoldState.STARTING
             hold.start_repeated = True
@@ -476,24 +491,12 @@
 
         Cheapest first: not costly, then least progress, then the largest.
         """
-        candidates = [
-            h
-            for h in self.book.holds.values()
-            if h.state in (HoldState.RUNNING, HoldState.THROTTLED)
-        ]
+        holds = self.inventory()
+        running = [h.order.attempt for h in holds if h.state is HoldState.RUNNING]
         if drained:
-            return [h.order.attempt for h in candidates]
-        room = self.book.room()
-        for hold in self.book.holds.values():
-            if hold.state is HoldState.STOPPING:
-                room = room + hold.order.needs
-        chosen: list[AttemptId] = []
-        for hold in sorted(candidates, key=lambda h: _eviction_cost(h, now_s)):
-            if Resources().fits_in(room):
-                break
-            room = room + hold.order.needs
-            chosen.append(hold.order.attempt)
-        return chosen
+            return running
+        leaving = self._leavers(holds, Resources(), now_s)
+        return running if leaving is None else leaving
 
     def _read(self, report: WorkerReport, now_s: float, step: Step) -> None:
         self.clock.observe(report.clock_s, now_s)
