--- /dev/null
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
@@ -0,0 +1,148 @@
+"""
+Answer callers: submit, query, cancel, count.
+
+Any instance answers from its own view of the log. What it cannot know it says:
+a refusal means that the job is certain not to run.
+"""
+
+from dataclasses import dataclass, replace
+
+import structlog
+
+from hornbeampaddle.cell.jobs import Job
+from hornbeampaddle.cell.progress import JobStatus
+
+from .appender import Appender, Stored
+from .follower import Follower
+from .ledger import Ledger, cancel_record, job_record
+from .ports import Clock
+from .settings import InstanceSettings
+
+log = structlog.get_logger()
+
+# How long a query for an unknown job waits for a fresh read of the log: ten
+# times a usual read.
+FRESH_READ_S = 0.4
+# A caller that is refused for want of the store: it reaches another instance.
+RETRY_STORE_S = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The job is stored, now or before."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotAccepted:
+    """The job is not stored and never runs from this request."""
+
+    reason: str
+    retry_after_s: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """Nobody can say yet; the same request may be repeated."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """No such job exists."""
+
+
+Submitted = Accepted | NotAccepted | Unknown
+Queried = JobStatus | Gone | NotAccepted
+Cancelled = Accepted | Gone | NotAccepted | Unknown
+
+
+class Callers:
+    """The part of an instance that callers speak to."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        clock: Clock,
+        ledger: Ledger,
+        jobs: Follower,
+        progress: Follower,
+        appender: Appender,
+    ) -> None:
+        """Keep the parts that answers are made of."""
+        self.settings = settings
+        self.clock = clock
+        self.ledger = ledger
+        self.jobs = jobs
+        self.progress = progress
+        self.appender = appender
+
+    def fresh(self) -> bool:
+        """Tell whether this instance's view of the log is recent."""
+        age_s = max(self.jobs.age_s(), self.progress.age_s())
+        return age_s < self.settings.stale_s
+
+    async def submit(self, job: Job, deadline_s: float) -> Submitted:
+        """Store a job, once for each id."""
+        if job.job_id in self.ledger.jobs:
+            log.info("submit: repeated", job=job.job_id)
+            return Accepted()
+        job = replace(job, accepted_at_s=self.clock.wall_s())
+        begun_s = self.clock.now_s()
+        stored = await self.appender.put(job_record(job), deadline_s)
+        took_s = round(self.clock.now_s() - begun_s, 4)
+        log.info(
+            "submit: answered",
+            job=job.job_id,
+            queue=job.queue.name,
+            stored=stored.value,
+            took_s=took_s,
+        )
+        match stored:
+            case Stored.YES:
+                return Accepted()
+            case Stored.NO:
+                return NotAccepted("store_unavailable", RETRY_STORE_S)
+            case Stored.UNKNOWN:
+                return Unknown("store_gave_no_answer")
+
+    async def _known(self, job_id: str) -> bool | None:
+        """Tell whether a job exists; nothing if that cannot be known now."""
+        if job_id in self.ledger.jobs:
+            return True
+        if not await self.jobs.catch_up(FRESH_READ_S):
+            return None
+        return job_id in self.ledger.jobs
+
+    async def query(self, job_id: str) -> Queried:
+        """Return a job's status."""
+        known = await self._known(job_id)
+        if known is None:
+            log.warning("query: view too old", job=job_id, age_s=self.jobs.age_s())
+            return NotAccepted("view_too_old", RETRY_STORE_S)
+        status = self.ledger.status(job_id)
+        return status if status is not None else Gone()
+
+    async def cancel(self, job_id: str, deadline_s: float) -> Cancelled:
+        """Store a cancellation; the holder ends what runs."""
+        known = await self._known(job_id)
+        if known is None:
+            return NotAccepted("view_too_old", RETRY_STORE_S)
+        if not known:
+            return Gone()
+        status = self.ledger.status(job_id)
+        if status is not None and status.final:
+            return Accepted()
+        stored = await self.appender.put(cancel_record(job_id), deadline_s)
+        log.info("cancel: answered", job=job_id, stored=stored.value)
+        match stored:
+            case Stored.YES:
+                return Accepted()
+            case Stored.NO:
+                return NotAccepted("store_unavailable", RETRY_STORE_S)
+            case Stored.UNKNOWN:
+                return Unknown("store_gave_no_answer")
+
+    def pending(self, queue_name: str) -> int | None:
+        """Count the jobs that wait; nothing if the view is too old."""
+        return self.ledger.pending(queue_name) if self.fresh() else None
--- /dev/null
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
@@ -0,0 +1,138 @@
+"""
+Follow one compacted log: the newest record of each key, then all that comes.
+
+A follower survives everything that the store does: it begins again from the
+newest records when its place in the log has expired, and retries for ever with
+a pause that grows.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+
+import structlog
+
+from hornbeampaddle.cell.reports import NoAnswer
+
+from .ports import Batch, Clock, Expired, Keyed, Newest, StorePort, Topic, Unavailable
+
+log = structlog.get_logger()
+
+# Pauses between failed reads: short at first, for most refusals are over soon,
+# and bounded so that a store that is back is noticed in half a second.
+RETRY_BASE_S = 0.05
+RETRY_MAX_S = 0.4
+
+Handler = Callable[[Sequence[Keyed]], None]
+
+
+class Follower:
+    """One log as this instance sees it."""
+
+    def __init__(
+        self, store: StorePort, topic: Topic, clock: Clock, handler: Handler
+    ) -> None:
+        """Keep what is needed; ``handler`` gets the records in their order."""
+        self.store = store
+        self.topic = topic
+        self.clock = clock
+        self.handler = handler
+        self.pause_s = 0.0
+        self.wait_s = 1.0
+        self.offset: int | None = None
+        self.complete_at_s = float("-inf")
+        self.on_reload: Callable[[set[str]], None] | None = None
+        self._poked = asyncio.Event()
+        self._complete = asyncio.Event()
+        self._failures = 0
+        self._lost_at_s: float | None = None
+        self._random = Random()
+
+    def age_s(self) -> float:
+        """Return how long ago this view was complete."""
+        return self.clock.now_s() - self.complete_at_s
+
+    async def run(self) -> None:
+        """Follow the log until cancelled."""
+        while True:
+            done = await self._load() if self.offset is None else await self._step()
+            if not done:
+                await asyncio.sleep(self._backoff_s())
+            elif self.pause_s:
+                await self._pause()
+
+    async def _pause(self) -> None:
+        try:
+            async with asyncio.timeout(self.pause_s):
+                await self._poked.wait()
+        except TimeoutError:
+            pass
+
+    async def catch_up(self, timeout_s: float) -> bool:
+        """Read now; return whether the view was complete after this call."""
+        begun_s = self.clock.now_s()
+        self._complete.clear()
+        self._poked.set()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.complete_at_s <= begun_s:
+                    await self._complete.wait()
+                    self._complete.clear()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _load(self) -> bool:
+        outcome = await self.store.newest(self.topic)
+        match outcome:
+            case Newest(records, end_offset):
+                self.handler(records)
+                if self.on_reload is not None:
+                    self.on_reload({record.key for record in records})
+                self.offset = end_offset
+                self._good()
+                return True
+            case Unavailable(detail) | NoAnswer(detail):
+                self._bad(detail)
+        return False
+
+    async def _step(self) -> bool:
+        assert self.offset is not None
+        wait_s = 0.0 if self._poked.is_set() else self.wait_s
+        self._poked.clear()
+        sent_at_s = self.clock.now_s()
+        outcome = await self.store.read(self.topic, self.offset, wait_s)
+        match outcome:
+            case Batch(records, next_offset, end_offset):
+                self.offset = next_offset
+                if records:
+                    self.handler(records)
+                if next_offset >= end_offset:
+                    self._good(sent_at_s)
+                return True
+            case Expired():
+                self.offset = None
+                return True
+            case Unavailable(detail) | NoAnswer(detail):
+                self._bad(detail)
+        return False
+
+    def _good(self, at_s: float | None = None) -> None:
+        now_s = self.clock.now_s()
+        if self._lost_at_s is not None:
+            gone_s = round(now_s - self._lost_at_s, 3)
+            log.info("store: regained", topic=self.topic.value, gone_s=gone_s)
+            self._lost_at_s = None
+        self._failures = 0
+        self.complete_at_s = now_s
+        self._complete.set()
+
+    def _bad(self, detail: str) -> None:
+        self._failures += 1
+        if self._lost_at_s is None:
+            self._lost_at_s = self.clock.now_s()
+            log.warning("store: lost", topic=self.topic.value, detail=detail)
+
+    def _backoff_s(self) -> float:
+        limit_s = min(RETRY_MAX_S, RETRY_BASE_S * 2**self._failures)
+        return limit_s * self._random.uniform(0.5, 1.0)
--- /dev/null
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -0,0 +1,361 @@
+"""
+Hold a cell: decide, store what was decided, then tell the workers.
+
+Each turn of the loop takes one decision, stores its records in one append
+under the holder's epoch, and only then acknowledges ends and sends starts. So
+a holder that follows finds in the log every order that may have been given,
+and never an end that was forgotten.
+"""
+
+import asyncio
+from collections.abc import Coroutine, Sequence
+from dataclasses import asdict
+
+import structlog
+
+from hornbeampaddle.cell.dispatch import Allowance
+from hornbeampaddle.cell.effects import AdviceQuestion, Decision, Note
+from hornbeampaddle.cell.progress import RunPhase
+from hornbeampaddle.cell.reports import NoAnswer, Report
+from hornbeampaddle.cell.scheduler import Scheduler
+from hornbeampaddle.cell.workers import WorkerListing
+
+from .leadership import HOLDER_KEY, HolderRecord, encode_holder
+from .ledger import CANCEL_MARK, Change, Ledger
+from .ports import (
+    AdvicePort,
+    Appended,
+    Clock,
+    Configuration,
+    Keyed,
+    OutOfSequence,
+    Producer,
+    StorePort,
+    Superseded,
+    Topic,
+    Unavailable,
+    WorkerFactory,
+)
+from .session import Session
+from .settings import InstanceSettings
+
+log = structlog.get_logger()
+
+# The name under which every holder appends; the epoch tells them apart.
+PRODUCER_NAME = "holder"
+# A turn without any event: leases and due times are looked at this often.
+IDLE_TURN_S = 0.1
+# Between tries of an append that the store refused.
+RETRY_S = 0.05
+# Finished jobs are looked for this often, and dropped so many at a time.
+FORGET_EVERY_S = 5.0
+FORGET_COUNT = 100
+
+
+class Holder:
+    """One instance's time as the holder of a cell."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        clock: Clock,
+        store: StorePort,
+        ledger: Ledger,
+        make_worker: WorkerFactory,
+        advice: AdvicePort | None,
+        epoch: int,
+        claimed_at_s: float,
+    ) -> None:
+        """Begin with what the log says; ``claimed_at_s`` is when it was asked."""
+        self.settings = settings
+        self.clock = clock
+        self.store = store
+        self.ledger = ledger
+        self.make_worker = make_worker
+        self.advice = advice
+        self.epoch = epoch
+        self.cell = Scheduler(settings.cell, self._log_note)
+        self.lost = asyncio.Event()
+        self._sequence = 0
+        self._stored_at_s = claimed_at_s
+        self._sessions: dict[str, Session] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._woken = asyncio.Event()
+        self._forget_at_s = claimed_at_s + FORGET_EVERY_S
+        self._releasing = False
+
+    def _log_note(self, note: Note) -> None:
+        log.info(note.event, job=note.job_id, epoch=self.epoch, **note.detail)
+
+    # What the instance tells the holder
+
+    def begin(self) -> None:
+        """Take in all jobs of the ledger."""
+        now_s = self.clock.now_s()
+        for job_id in self.ledger.jobs:
+            self._add_job(job_id, now_s)
+        for job_id in list(self.ledger.cancelled):
+            self.cell.cancel(job_id, now_s)
+
+    def _add_job(self, job_id: str, now_s: float) -> None:
+        job = self.ledger.jobs[job_id]
+        # Both clocks may be off by seconds; an age below zero or beyond a
+        # minute would only make nonsense of the order in which jobs are due.
+        age_s = min(60.0, max(0.0, self.clock.wall_s() - job.accepted_at_s))
+        progress = self.ledger.progress.get(job_id)
+        self.cell.add_job(job, progress, now_s - age_s)
+
+    def job_changed(self, change: Change, job_id: str) -> None:
+        """Take in a record of the log of jobs."""
+        now_s = self.clock.now_s()
+        match change:
+            case Change.ACCEPTED:
+                self._add_job(job_id, now_s)
+            case Change.CANCELLED:
+                self.cell.cancel(job_id, now_s)
+            case Change.FORGOTTEN:
+                self.cell.forget(job_id)
+            case Change.REPEATED:
+                return
+        self.wake()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take in which service runs each queue."""
+        for route in configuration.routes:
+            self.cell.services[route.queue.name] = route.queue.service
+        self.wake()
+
+    def list_workers(
+        self, listed: Sequence[WorkerListing], gone: Sequence[str], whole: bool
+    ) -> None:
+        """Take in changes of the list of workers, or the whole list."""
+        now_s = self.clock.now_s()
+        for listing in listed:
+            self.cell.list_worker(listing, now_s)
+            if listing.worker_id not in self._sessions:
+                self._open(listing)
+        for worker_id in gone:
+            self.cell.unlist_worker(worker_id)
+        if whole:
+            names = {listing.worker_id for listing in listed}
+            for worker_id in set(self.cell.workers) - names:
+                self.cell.unlist_worker(worker_id)
+        self.wake()
+
+    def _open(self, listing: WorkerListing) -> None:
+        port = self.make_worker(listing, self.epoch)
+        session = Session(self, listing.worker_id, port)
+        self._sessions[listing.worker_id] = session
+        self._spawn(self._run_session(session))
+
+    async def _run_session(self, session: Session) -> None:
+        try:
+            await session.run()
+        finally:
+            session.port.close()
+            self._sessions.pop(session.worker_id, None)
+
+    # What sessions tell the holder
+
+    def may_order(self) -> bool:
+        """
+        Tell whether this instance certainly still holds the cell.
+
+        The clock counts while the machine is suspended, so a holder that wakes
+        up after its successor began finds that its time is over.
+        """
+        age_s = self.clock.now_s() - self._stored_at_s
+        return age_s < self.settings.cell.holder_lapse_s and not self.lost.is_set()
+
+    def report_wait_s(self) -> float:
+        """Return how long a report waits for an end."""
+        return self.settings.cell.report_wait_s
+
+    def take_report(self, worker_id: str, report: Report) -> None:
+        """Take in a report, and turn the loop."""
+        self.cell.report(worker_id, report)
+        self.wake()
+
+    def lose(self, why: str) -> None:
+        """Stop holding the cell: another one does."""
+        if not self.lost.is_set():
+            log.warning("holder: lost", epoch=self.epoch, why=why)
+        self.lost.set()
+        self.wake()
+
+    def wake(self) -> None:
+        """Turn the loop soon."""
+        self._woken.set()
+
+    # The loop
+
+    async def run(self) -> None:
+        """Decide and store until the cell is lost or released."""
+        log.info("holder: began", epoch=self.epoch, jobs=len(self.ledger.jobs))
+        try:
+            while not self.lost.is_set() and not self._releasing:
+                await self._turn()
+            if self._releasing and not self.lost.is_set():
+                await self._release()
+        finally:
+            await self._close()
+
+    def release(self) -> None:
+        """Let the cell go after the current turn."""
+        self._releasing = True
+        self.wake()
+
+    async def _release(self) -> None:
+        value = encode_holder(HolderRecord("", self.epoch, self.settings.name))
+        await self._store([Keyed(HOLDER_KEY, value)])
+        self.lost.set()
+        log.info("holder: released", epoch=self.epoch)
+
+    async def _close(self) -> None:
+        self.lost.set()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _turn(self) -> None:
+        try:
+            async with asyncio.timeout(IDLE_TURN_S):
+                await self._woken.wait()
+        except TimeoutError:
+            pass
+        self._woken.clear()
+        now_s = self.clock.now_s()
+        decision = self.cell.decide(now_s, self.clock.wall_s())
+        self._give_urgent(decision)
+        ends = [(worker, end) for worker, end in self.cell.acknowledgements()]
+        records = [Keyed(key, value) for key, value in decision.records.items()]
+        records += self._forgotten(now_s)
+        unacked = any(worker.acked_end < end for worker, end in ends)
+        if records or unacked or self._heartbeat_due(now_s):
+            if not records:
+                records.append(self._heartbeat())
+            if not await self._store(records):
+                return
+        for worker, end in ends:
+            self._acknowledge(worker.worker_id, end)
+        self._send_starts(decision)
+
+    def _give_urgent(self, decision: Decision) -> None:
+        for stop in decision.stops:
+            session = self._sessions.get(stop.worker_id)
+            if session is not None:
+                self._spawn(session.stop(stop))
+        for pace in decision.paces:
+            session = self._sessions.get(pace.worker_id)
+            if session is not None:
+                self._spawn(session.pace(pace))
+        for question in decision.questions:
+            self._spawn(self._ask(question))
+
+    def _send_starts(self, decision: Decision) -> None:
+        for run in decision.starts:
+            session = self._sessions.get(run.worker_id)
+            # A run that was stopped while it was being stored is never sent.
+            if session is not None and run.phase is RunPhase.RECORDING:
+                payload = self.cell.jobs[run.key.job_id].job.payload
+                self._spawn(session.start(run, payload))
+
+    def _acknowledge(self, worker_id: str, end: int) -> None:
+        worker = self.cell.workers.get(worker_id)
+        if worker is None or worker.acked_end >= end:
+            return
+        worker.acked_end = end
+        session = self._sessions.get(worker_id)
+        if session is not None:
+            session.acked.set()
+
+    async def _ask(self, question: AdviceQuestion) -> None:
+        allowance: Allowance | None = None
+        if self.advice is not None:
+            allowance = await self.advice.ask(question.step, question.worker_ids)
+        now_s = self.clock.now_s()
+        if allowance is not None:
+            until_s = now_s + allowance.valid_until_s
+            allowance = Allowance(allowance.tickets, until_s)
+        log.info(
+            "advice: answered",
+            job=question.step.job_id,
+            step=question.step,
+            asked=len(question.worker_ids),
+            allowed=len(allowance.tickets) if allowance is not None else None,
+        )
+        self.cell.advice.answer(question.step, allowance, now_s)
+        self.wake()
+
+    def _heartbeat_due(self, now_s: float) -> bool:
+        return now_s - self._stored_at_s >= self.settings.cell.heartbeat_s
+
+    def _heartbeat(self) -> Keyed:
+        record = HolderRecord(
+            self.settings.instance_id, self.epoch, self.settings.name
+        )
+        return Keyed(HOLDER_KEY, encode_holder(record))
+
+    def _forgotten(self, now_s: float) -> list[Keyed]:
+        if now_s < self._forget_at_s:
+            return []
+        self._forget_at_s = now_s + FORGET_EVERY_S
+        forgotten = self.cell.forgettable(now_s)[:FORGET_COUNT]
+        for job_id in forgotten:
+            self._spawn(self._drop(job_id))
+        return [Keyed(job_id, None) for job_id in forgotten]
+
+    async def _drop(self, job_id: str) -> None:
+        producer = Producer(f"{self.settings.instance_id}-drop-{job_id}", 1, 0)
+        records = [Keyed(job_id, None), Keyed(CANCEL_MARK + job_id, None)]
+        await self.store.append(Topic.JOBS, records, producer, None)
+
+    async def _store(self, records: list[Keyed]) -> bool:
+        """Append under this epoch until it is done; false if the cell is lost."""
+        while not self.lost.is_set():
+            sent_at_s = self.clock.now_s()
+            producer = Producer(PRODUCER_NAME, self.epoch, self._sequence)
+            outcome = await self.store.append(
+                Topic.PROGRESS, records, producer, None
+            )
+            match outcome:
+                case Appended():
+                    self._stored(records, sent_at_s)
+                    return True
+                case OutOfSequence(expected) if expected == self._sequence + 1:
+                    self._stored(records, sent_at_s)
+                    return True
+                case Superseded():
+                    self.lose("the log has taken a higher epoch")
+                case Unavailable() | NoAnswer():
+                    self._note_failed(outcome, sent_at_s)
+                    await asyncio.sleep(RETRY_S)
+                case _:
+                    log.error("holder: unexpected", outcome=repr(outcome))
+                    self.lose("the log gave an unexpected answer")
+        return False
+
+    def _note_failed(self, outcome: Unavailable | NoAnswer, sent_at_s: float) -> None:
+        age_s = round(sent_at_s - self._stored_at_s, 3)
+        log.warning(
+            "holder: not stored", epoch=self.epoch, age_s=age_s, **asdict(outcome)
+        )
+
+    def _stored(self, records: list[Keyed], sent_at_s: float) -> None:
+        self._sequence += 1
+        self._stored_at_s = sent_at_s
+        for record in records:
+            if record.key != HOLDER_KEY:
+                self.ledger.take_progress(record)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("holder: task failed", error=repr(task.exception()))
+            self.lose("a task broke an invariant")
--- /dev/null
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -0,0 +1,291 @@
+"""
+Put the parts of one instance together and keep them running.
+
+Every instance follows the log and answers callers. The one that wins a claim
+also holds the cell, until it loses it or is told to stop.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from random import Random
+
+import structlog
+
+from hornbeampaddle.cell.workers import WorkerListing
+
+from .appender import Appender
+from .callers import Callers
+from .follower import Follower
+from .holder import PRODUCER_NAME, Holder
+from .leadership import HOLDER_KEY, HolderRecord, Leadership, encode_holder
+from .ledger import Ledger
+from .ports import (
+    AdvicePort,
+    Appended,
+    Clock,
+    Codec,
+    Configuration,
+    Keyed,
+    NoAnswer,
+    Producer,
+    StorePort,
+    Topic,
+    WorkerFactory,
+)
+from .settings import InstanceSettings
+
+log = structlog.get_logger()
+
+# How often an instance looks whether the cell is vacant: a tenth of the time
+# after which a silent holder is replaced.
+WATCH_S = 0.1
+
+
+class Instance:
+    """One entry instance."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        clock: Clock,
+        store: StorePort,
+        codec: Codec,
+        make_worker: WorkerFactory,
+        advice: AdvicePort | None,
+    ) -> None:
+        """Wire the parts; nothing runs before ``run``."""
+        self.settings = settings
+        self.clock = clock
+        self.store = store
+        self.codec = codec
+        self.make_worker = make_worker
+        self.advice = advice
+        self.ledger = Ledger()
+        self.leadership = Leadership(settings, Random())
+        self.configuration: Configuration | None = None
+        self.holder: Holder | None = None
+        self.stopping = False
+        self.jobs = self._follow(Topic.JOBS, self._take_jobs)
+        self.progress = self._follow(Topic.PROGRESS, self._take_progress)
+        self.operator = self._follow(Topic.OPERATOR, self._take_operator)
+        self.appender = Appender(store, Topic.JOBS, clock, settings)
+        self.callers = Callers(
+            settings, clock, self.ledger, self.jobs, self.progress, self.appender
+        )
+        self._workers_whole = False
+
+    def _follow(self, topic: Topic, handler) -> Follower:  # noqa: ANN001
+        follower = Follower(self.store, topic, self.clock, handler)
+        follower.wait_s = self.settings.read_wait_s
+        if topic is not Topic.OPERATOR:
+            follower.pause_s = self.settings.standby_read_s
+        return follower
+
+    def ready(self) -> bool:
+        """Tell whether new callers are well served here."""
+        if self.stopping or self.configuration is None:
+            return False
+        return self.callers.fresh() and not self.appender.stuck()
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        self.leadership.begin(self.clock.now_s())
+        async with asyncio.TaskGroup() as group:
+            for follower in (self.operator, self.jobs, self.progress):
+                group.create_task(follower.run())
+            group.create_task(self.appender.run())
+            group.create_task(self._watch())
+
+    async def stop(self) -> None:
+        """Say that no new callers are wanted, and let the cell go."""
+        self.stopping = True
+        holder = self.holder
+        if holder is not None:
+            holder.release()
+            try:
+                async with asyncio.timeout(self.settings.cell.holder_lapse_s):
+                    await holder.lost.wait()
+            except TimeoutError:
+                log.warning("holder: not released in time", epoch=holder.epoch)
+
+    # What the logs say
+
+    def _take_jobs(self, records: Sequence[Keyed]) -> None:
+        for record in records:
+            change, job_id = self.ledger.take_job(record)
+            if self.holder is not None:
+                self.holder.job_changed(change, job_id)
+
+    def _take_progress(self, records: Sequence[Keyed]) -> None:
+        now_s = self.clock.now_s()
+        for record in records:
+            if record.key == HOLDER_KEY:
+                self._take_holder(record, now_s)
+            elif self.holder is None:
+                self.ledger.take_progress(record)
+        self.leadership.sign_of_life(now_s)
+
+    def _take_holder(self, record: Keyed, now_s: float) -> None:
+        before = self.leadership.holder
+        self.leadership.observe(record.value, now_s)
+        after = self.leadership.holder
+        if after != before:
+            log.info(
+                "holder: seen",
+                name=after.name if after is not None else "",
+                epoch=after.epoch if after is not None else 0,
+                vacant=self.leadership.vacant,
+            )
+
+    def _take_operator(self, records: Sequence[Keyed]) -> None:
+        for record in records:
+            configuration = self.codec.configuration(record)
+            if configuration is not None:
+                self._configure(configuration)
+
+    def _configure(self, configuration: Configuration) -> None:
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.configuration = configuration
+        log.info(
+            "configuration: in force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+        )
+        if self.holder is not None:
+            self.holder.configure(configuration)
+
+    # Holding the cell
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(WATCH_S)
+            if self.stopping:
+                continue
+            if self.leadership.holds(self.settings.instance_id):
+                # A claim without an answer may be stored late: nobody else has
+                # claimed since, so the cell is ours.
+                await self._try_hold(self.leadership.epoch)
+            elif self._may_claim():
+                epoch = await self._claim()
+                if epoch is not None:
+                    await self._try_hold(epoch)
+                self.leadership.begin(self.clock.now_s())
+
+    def _may_claim(self) -> bool:
+        now_s = self.clock.now_s()
+        if self.configuration is None or self.progress.offset is None:
+            return False
+        # Without a recent look at the log its end is not known, and the holder
+        # may be alive: such a claim would fail, and cost a call.
+        if self.progress.age_s() > self.settings.cell.claim_after_s:
+            return False
+        return self.leadership.claim_due(now_s)
+
+    async def _claim(self) -> int | None:
+        """
+        Try to become the holder; return the epoch that was won.
+
+        The claim names no producer: the log answers a repeat under the same
+        producer and number like the first, and two claimants that send the
+        same ones would both read that they had won.
+        """
+        at_offset = self.progress.offset
+        assert at_offset is not None
+        epoch = at_offset + 1
+        record = HolderRecord(self.settings.instance_id, epoch, self.settings.name)
+        records = [Keyed(HOLDER_KEY, encode_holder(record))]
+        outcome = await self.store.append(Topic.PROGRESS, records, None, at_offset)
+        log.info("claim: answered", epoch=epoch, outcome=type(outcome).__name__)
+        if isinstance(outcome, Appended):
+            return epoch
+        if isinstance(outcome, NoAnswer):
+            # It may have been stored: if so, the log says that we hold it.
+            await self.progress.catch_up(self.settings.append_timeout_s)
+            if self.leadership.holder == record:
+                return epoch
+        return None
+
+    async def _fence(self, epoch: int) -> float | None:
+        """
+        Keep every earlier holder from storing anything more.
+
+        Returns when the fence was asked for, once this instance has read all
+        that was stored before it; nothing if the cell is already another's.
+        An earlier holder may still have stored something between the claim and
+        the fence: deciding without having read it would run a task twice.
+        """
+        sent_at_s = self.clock.now_s()
+        producer = Producer(PRODUCER_NAME, epoch, 0)
+        outcome = await self.store.append(Topic.PROGRESS, [], producer, None)
+        if not isinstance(outcome, Appended):
+            log.info("fence: answered", epoch=epoch, outcome=type(outcome).__name__)
+            return None
+        patience_s = self.settings.cell.holder_lapse_s
+        while (self.progress.offset or 0) < outcome.end_offset:
+            if self.clock.now_s() - sent_at_s > patience_s:
+                return None
+            await self.progress.catch_up(patience_s)
+        return sent_at_s if self.leadership.epoch <= epoch else None
+
+    async def _try_hold(self, epoch: int) -> None:
+        fenced_at_s = await self._fence(epoch)
+        if fenced_at_s is None:
+            return
+        holder = Holder(
+            self.settings,
+            self.clock,
+            self.store,
+            self.ledger,
+            self.make_worker,
+            self.advice,
+            epoch,
+            fenced_at_s,
+        )
+        await self._hold(holder)
+
+    async def _hold(self, holder: Holder) -> None:
+        holder.begin()
+        self.holder = holder
+        assert self.configuration is not None
+        holder.configure(self.configuration)
+        self.jobs.pause_s = 0.0
+        self.progress.pause_s = self.settings.read_wait_s
+        workers = self._follow(Topic.WORKERS, self._take_workers)
+        workers.wait_s = 0.0
+        workers.pause_s = self.settings.workers_read_s
+        workers.on_reload = self._reloaded
+        following = asyncio.create_task(workers.run())
+        try:
+            await holder.run()
+        finally:
+            following.cancel()
+            self.holder = None
+            self.jobs.pause_s = self.settings.standby_read_s
+            self.progress.pause_s = self.settings.standby_read_s
+            # What others stored since then was not taken in: read it again.
+            self.progress.offset = None
+            self.leadership.lost()
+
+    def _take_workers(self, records: Sequence[Keyed]) -> None:
+        if self.holder is None:
+            return
+        listed: dict[str, WorkerListing] = {}
+        gone: list[str] = []
+        for record in records:
+            listing = self.codec.worker(record)
+            if listing is None:
+                listed.pop(record.key, None)
+                gone.append(record.key)
+            else:
+                listed[record.key] = listing
+        gone = [worker_id for worker_id in gone if worker_id not in listed]
+        self.holder.list_workers(list(listed.values()), gone, whole=False)
+
+    def _reloaded(self, names: set[str]) -> None:
+        """Take in that the list was read whole: others are no longer in it."""
+        if self.holder is None:
+            return
+        for worker_id in set(self.holder.cell.workers) - names:
+            self.holder.cell.unlist_worker(worker_id)
--- /dev/null
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -0,0 +1,104 @@
+"""
+Keep the newest record of each job, as any instance reads it from the log.
+
+Every instance has one, so every instance answers callers, and whoever becomes
+the holder starts from it.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from hornbeampaddle.cell.jobs import Job
+from hornbeampaddle.cell.progress import JobStatus, decode_status
+
+from .ports import Keyed
+
+CANCEL_MARK = "x"
+_job_decoder = msgspec.msgpack.Decoder(Job)
+_job_encoder = msgspec.msgpack.Encoder()
+
+
+class Change(Enum):
+    """What a record of the log of jobs was."""
+
+    ACCEPTED = "accepted"
+    CANCELLED = "cancelled"
+    FORGOTTEN = "forgotten"
+    REPEATED = "repeated"
+
+
+def job_record(job: Job) -> Keyed:
+    """Return the record by which a job is accepted."""
+    return Keyed(job.job_id, _job_encoder.encode(job))
+
+
+def cancel_record(job_id: str) -> Keyed:
+    """Return the record by which a job is cancelled."""
+    return Keyed(CANCEL_MARK + job_id, b"1")
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Jobs, cancellations and progress by job id."""
+
+    jobs: dict[str, Job] = field(default_factory=dict)
+    cancelled: set[str] = field(default_factory=set)
+    progress: dict[str, bytes] = field(default_factory=dict)
+    by_queue: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
+
+    def take_job(self, record: Keyed) -> tuple[Change, str]:
+        """Take in a record of the log of jobs."""
+        if record.key.startswith(CANCEL_MARK):
+            job_id = record.key[len(CANCEL_MARK) :]
+            if record.value is None:
+                self.cancelled.discard(job_id)
+                return Change.FORGOTTEN, job_id
+            self.cancelled.add(job_id)
+            return Change.CANCELLED, job_id
+        job_id = record.key
+        if record.value is None:
+            self._forget(job_id)
+            return Change.FORGOTTEN, job_id
+        if job_id in self.jobs:
+            # The first record of an id is the job; another instance took in
+            # the same request again.
+            return Change.REPEATED, job_id
+        job = _job_decoder.decode(record.value)
+        self.jobs[job_id] = job
+        self.by_queue[job.queue.name].add(job_id)
+        return Change.ACCEPTED, job_id
+
+    def _forget(self, job_id: str) -> None:
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            self.by_queue[job.queue.name].discard(job_id)
+        self.progress.pop(job_id, None)
+        self.cancelled.discard(job_id)
+
+    def take_progress(self, record: Keyed) -> None:
+        """Take in a record of the log of progress."""
+        if record.value is None:
+            self.progress.pop(record.key, None)
+        else:
+            self.progress[record.key] = record.value
+
+    def status(self, job_id: str) -> JobStatus | None:
+        """Return a job's status, or nothing if it is not known."""
+        if job_id not in self.jobs:
+            return None
+        value = self.progress.get(job_id)
+        status = decode_status(value) if value is not None else JobStatus.QUEUED
+        if job_id in self.cancelled and not status.final:
+            return JobStatus.CANCELLED
+        return status
+
+    def pending(self, queue_name: str) -> int:
+        """Count a queue's jobs of which nothing has started."""
+        return sum(
+            1
+            for job_id in self.by_queue.get(queue_name, ())
+            if job_id not in self.progress and job_id not in self.cancelled
+        )
--- /dev/null
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
@@ -0,0 +1,207 @@
+"""
+Define what an instance needs from its surroundings.
+
+An adapter implements these protocols. No method raises for what the other end
+does: every way a call can end is a value.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from hornbeampaddle.cell.dispatch import Allowance
+from hornbeampaddle.cell.jobs import Queue, StepKey
+from hornbeampaddle.cell.progress import Run
+from hornbeampaddle.cell.reports import HoldOutcome, NoAnswer, OrderOutcome
+from hornbeampaddle.cell.workers import WorkerListing
+
+
+class Topic(Enum):
+    """The logs that an instance reads; it writes only the first two."""
+
+    JOBS = "jobs"
+    PROGRESS = "progress"
+    OPERATOR = "operator"
+    WORKERS = "workers"
+
+
+@dataclass(frozen=True, slots=True)
+class Keyed:
+    """A record of a compacted log; without a value the key is dropped."""
+
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Producer:
+    """Who appends: the log takes each sequence number of an epoch once."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """The records are stored for good, up to ``end_offset``."""
+
+    end_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """The log does not end where it was expected to; nothing was stored."""
+
+
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """A higher epoch has written; nothing was stored."""
+
+
+@dataclass(frozen=True, slots=True)
+class OutOfSequence:
+    """The log expects another sequence number; nothing was stored."""
+
+    expected: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The store refused the call; nothing was done."""
+
+    detail: str
+
+
+AppendOutcome = (
+    Appended | Conflict | Superseded | OutOfSequence | Unavailable | NoAnswer
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """Records from an offset on, and where the log ends."""
+
+    records: Sequence[Keyed]
+    next_offset: int
+    end_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """The records asked for are gone; the newest of each key remain."""
+
+
+@dataclass(frozen=True, slots=True)
+class Newest:
+    """The newest record of each key, and an offset from which to read on."""
+
+    records: Sequence[Keyed]
+    end_offset: int
+
+
+ReadOutcome = Batch | Expired | Unavailable | NoAnswer
+NewestOutcome = Newest | Unavailable | NoAnswer
+
+
+class StorePort(Protocol):
+    """The log service."""
+
+    async def append(
+        self,
+        topic: Topic,
+        records: Sequence[Keyed],
+        producer: Producer | None,
+        at_offset: int | None,
+    ) -> AppendOutcome:
+        """Append all records or none; no record at all only raises the epoch."""
+
+    async def read(self, topic: Topic, offset: int, wait_s: float) -> ReadOutcome:
+        """Read from an offset; wait for a record if there is none."""
+
+    async def newest(self, topic: Topic) -> NewestOutcome:
+        """Read the newest record of each key."""
+
+
+class WorkerPort(Protocol):
+    """One incarnation of a worker, under one fencing token."""
+
+    async def start(self, run: Run, payload: str, deadline_s: float) -> OrderOutcome:
+        """Start an attempt; ``deadline_s`` is on the worker's clock."""
+
+    async def stop(self, run: Run) -> OrderOutcome:
+        """End an attempt."""
+
+    async def pace(self, run: Run, percent: int) -> OrderOutcome:
+        """Let an attempt work at a share of its speed."""
+
+    async def report(
+        self, last_seen: int, deadline_s: float | None, wait_s: float
+    ) -> HoldOutcome:
+        """Renew the lease, acknowledge ends, and read what is there."""
+
+    def close(self) -> None:
+        """Drop the connections."""
+
+
+class AdvicePort(Protocol):
+    """The service that says which workers may run a step."""
+
+    async def ask(self, step: StepKey, worker_ids: Sequence[str]) -> Allowance | None:
+        """Return who may run it; ``valid_until_s`` counts from the answer."""
+
+
+class Clock(Protocol):
+    """The two clocks of this instance."""
+
+    def now_s(self) -> float:
+        """Return steady seconds that also count while the machine is suspended."""
+
+    def wall_s(self) -> float:
+        """Return Unix seconds; may jump."""
+
+
+@dataclass(frozen=True, slots=True)
+class QueueRoute:
+    """Where callers reach a queue."""
+
+    host: str
+    path_prefix: str
+    queue: Queue
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on callers' connections, as the operator sets them."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """The operator's newest configuration."""
+
+    version: int
+    routes: tuple[QueueRoute, ...]
+    limits: CallerLimits
+
+
+class Codec(Protocol):
+    """Read what the operator and the workers wrote to the store."""
+
+    def configuration(self, record: Keyed) -> Configuration | None:
+        """Return the configuration, or nothing if the record is another."""
+
+    def worker(self, record: Keyed) -> WorkerListing | None:
+        """Return the listing, or nothing if the worker has left."""
+
+
+class WorkerFactory(Protocol):
+    """Make the port to one worker."""
+
+    def __call__(self, listing: WorkerListing, token: int) -> WorkerPort:
+        """Return a port that speaks under a fencing token."""
--- /dev/null
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -0,0 +1,161 @@
+"""
+Speak to one worker on behalf of the holder.
+
+One task renews the lease and reads what ended, over and over; each order is a
+task of its own. Nothing is sent once the holder may have been replaced.
+"""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+
+from hornbeampaddle.cell.effects import PaceOrder, StopOrder
+from hornbeampaddle.cell.progress import Run, RunPhase
+from hornbeampaddle.cell.reports import (
+    NoAnswer,
+    OtherIncarnation,
+    Reason,
+    Refused,
+    Report,
+)
+
+from .ports import WorkerPort
+
+if TYPE_CHECKING:
+    from .holder import Holder
+
+log = structlog.get_logger()
+
+# Between reports of a worker that does not answer: leases last 10 s, so a
+# pause of this length costs little and a worker that is back is seen soon.
+SILENT_PAUSE_S = 0.3
+# The first report is not to wait for an end, it is needed for the takeover.
+FIRST_WAIT_S = 0.0
+# A stop without an answer is sent again after this pause, so many times; the
+# next report repeats the order if the run is still there.
+STOP_PAUSE_S = 0.2
+STOP_TRIES = 6
+
+
+class Session:
+    """The holder's conversation with one incarnation of a worker."""
+
+    def __init__(self, holder: "Holder", worker_id: str, port: WorkerPort) -> None:
+        """Keep the port; nothing is sent before ``run``."""
+        self.holder = holder
+        self.worker_id = worker_id
+        self.port = port
+        self.acked = asyncio.Event()
+        self._silent_since_s: float | None = None
+
+    async def run(self) -> None:
+        """Report after report, until the worker is gone or the holder ends."""
+        cell = self.holder.cell
+        wait_s = FIRST_WAIT_S
+        while self.worker_id in cell.workers:
+            if not self.holder.may_order():
+                await asyncio.sleep(SILENT_PAUSE_S)
+                continue
+            worker = cell.workers[self.worker_id]
+            now_s = self.holder.clock.now_s()
+            deadline_s = cell.lease_deadline(self.worker_id, now_s)
+            first = deadline_s is None
+            outcome = await self.port.report(worker.acked_end, deadline_s, wait_s)
+            if not await self._take(outcome):
+                await asyncio.sleep(SILENT_PAUSE_S)
+                continue
+            wait_s = FIRST_WAIT_S if first else self.holder.report_wait_s()
+
+    async def _take(self, outcome: object) -> bool:
+        match outcome:
+            case Report() as report:
+                self._heard()
+                self.holder.take_report(self.worker_id, report)
+                await self._acknowledged()
+                return True
+            case OtherIncarnation():
+                now_s = self.holder.clock.now_s()
+                self.holder.cell.worker_ended(self.worker_id, now_s, "replaced")
+                self.holder.wake()
+            case Refused(Reason.FENCED):
+                self.holder.lose("a worker has seen a higher token")
+            case Refused(reason):
+                self._silent(reason.value)
+            case NoAnswer(detail):
+                self._silent(detail)
+        return False
+
+    async def _acknowledged(self) -> None:
+        """Wait until the ends of the last report are stored, or for a while."""
+        worker = self.holder.cell.workers.get(self.worker_id)
+        if worker is None or worker.acked_end >= worker.seen_end:
+            return
+        self.acked.clear()
+        try:
+            async with asyncio.timeout(1.0):
+                await self.acked.wait()
+        except TimeoutError:
+            pass
+
+    def _heard(self) -> None:
+        if self._silent_since_s is None:
+            return
+        gone_s = round(self.holder.clock.now_s() - self._silent_since_s, 3)
+        log.info("worker: regained", worker=self.worker_id, gone_s=gone_s)
+        self._silent_since_s = None
+
+    def _silent(self, detail: str) -> None:
+        if self._silent_since_s is None:
+            self._silent_since_s = self.holder.clock.now_s()
+            log.warning("worker: lost", worker=self.worker_id, detail=detail)
+
+    async def start(self, run: Run, payload: str) -> None:
+        """Send a start until its fate is known."""
+        cell = self.holder.cell
+        run.phase = RunPhase.SENDING
+        while run.phase is RunPhase.SENDING and self.holder.may_order():
+            now_s = self.holder.clock.now_s()
+            if self.worker_id not in cell.workers:
+                return
+            deadline_s = cell.lease_deadline(self.worker_id, now_s)
+            if deadline_s is None:
+                return
+            outcome = await self.port.start(run, payload, deadline_s)
+            if outcome == Refused(Reason.FENCED):
+                self.holder.lose("a start was refused for its token")
+                return
+            now_s = self.holder.clock.now_s()
+            pause_s = cell.start_answered(run, outcome, now_s)
+            self.holder.wake()
+            if pause_s is None:
+                return
+            log.info(
+                "start: again",
+                job=run.key.job_id,
+                task=run.key,
+                run=run.number,
+                worker=self.worker_id,
+                outcome=repr(outcome),
+                pause_s=pause_s,
+            )
+            await asyncio.sleep(pause_s)
+
+    async def stop(self, order: StopOrder) -> None:
+        """Send a stop until it is answered."""
+        for _ in range(STOP_TRIES):
+            if not self.holder.may_order():
+                return
+            outcome = await self.port.stop(order.run)
+            now_s = self.holder.clock.now_s()
+            if not self.holder.cell.stop_answered(order, outcome, now_s):
+                return
+            await asyncio.sleep(STOP_PAUSE_S)
+
+    async def pace(self, order: PaceOrder) -> None:
+        """Send a pace; a lost one is sent again with the next change."""
+        if not self.holder.may_order():
+            return
+        outcome = await self.port.pace(order.run, order.percent)
+        if isinstance(outcome, NoAnswer):
+            order.run.pace_percent = -1
--- /dev/null
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
@@ -0,0 +1,48 @@
+"""Keep the settings of one instance, each with its unit and its reason."""
+
+from dataclasses import dataclass, field
+
+from hornbeampaddle.cell.settings import CellSettings
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceSettings:
+    """
+    What one instance is told at its start.
+
+    ``instance_id`` names this life of the process. ``cores`` and ``link_mbps``
+    describe its machine.
+    """
+
+    instance_id: str
+    name: str
+    data_centre: str
+    cores: float
+    link_mbps: float
+    cell: CellSettings = field(default_factory=CellSettings)
+    # Between two reads of jobs and progress by an instance that does not hold
+    # the cell: a caller's view is at most this old, and each read has a price.
+    standby_read_s: float = 0.25
+    # The holder's own view of the list of workers: drains must be seen in 2 s.
+    workers_read_s: float = 0.4
+    # A read waits this long for a record. Twice this is still below the 2 s in
+    # which a new configuration must be in force after a connection went silent.
+    read_wait_s: float = 1.0
+    # An instance that could not read for so long says that it is not ready:
+    # three reads have failed by then.
+    stale_s: float = 2.5
+    # A job that the store has not taken after so long is refused, if it is
+    # certain not to be stored: the caller's next try reaches another instance.
+    append_patience_s: float = 0.25
+    # The wait for the answer to an append: ten times a slow one.
+    append_timeout_s: float = 1.0
+    # After SIGTERM: the balancer needs two misses, a second apart, to look
+    # away; new connections are served until then.
+    drain_s: float = 2.6
+    # The whole time from SIGTERM to the end of the process.
+    grace_s: float = 5.0
+    # The machine that the standard claim delay is made for; a smaller one
+    # waits longer, so that the largest that lives becomes the holder.
+    reference_cores: float = 1.0
+    small_machine_delay_s: float = 0.8
+    claim_jitter_s: float = 0.25
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_server.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_server.py
@@ -70,6 +70,9 @@
         self.limits = limits
         self.handler = handler
         self.stopping = False
+        # Set while the process is about to end: requests are still served, and
+        # each answer closes its connection, so that callers move on by then.
+        self.last_answers = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: set[asyncio.Task[None]] = set()
@@ -179,7 +182,8 @@
             await self._refuse(state, BadRequest(error.error_status_hint, str(error)))
             return False
         response = await self._handle(request)
-        keep = state.their_state is h11.DONE and not self.server.stopping
+        closing = self.server.stopping or self.server.last_answers
+        keep = state.their_state is h11.DONE and not closing
         await self._write(state, response, keep)
         self.buffer = state.trailing_data[0]
         return keep and state.our_state is h11.DONE
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -0,0 +1,292 @@
+"""
+Place the tasks whose turn has come, the most urgent job first.
+
+Order: priority of the queue, then jobs that end before jobs that last, then
+the time by which the job should be done. A job that is too late to earn
+anything waits behind the others of its priority.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..resources import Resources
+from .effects import AdviceQuestion, Decision, Note
+from .jobs import StepKey, TaskKey
+from .placing import choose, suits
+from .progress import JobState, JobStatus, Run, StepState, Task
+from .workers import WorkerState
+
+if TYPE_CHECKING:
+    from .scheduler import Scheduler
+
+# A job is worth little after its objective and nothing after three times that.
+WORTHLESS_AFTER_RATIO = 3.0
+# A filler is placed while the workers' spare processors cover this share of
+# its need; beyond that it would only slow those that came before it.
+FILLER_SPARE_RATIO = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Allowance:
+    """Which workers may run a step, each with its ticket, until when."""
+
+    tickets: dict[str, str]
+    valid_until_s: float
+
+
+@dataclass(slots=True)
+class AdviceBook:
+    """Advice that was given, and questions that are open."""
+
+    given: dict[StepKey, Allowance] = field(default_factory=dict)
+    asked: set[StepKey] = field(default_factory=set)
+    rested: dict[StepKey, float] = field(default_factory=dict)
+
+    def answer(self, step: StepKey, allowance: Allowance | None, now_s: float) -> None:
+        """Take in an answer; nothing means that none came."""
+        self.asked.discard(step)
+        if allowance is None or not allowance.tickets:
+            self.rested[step] = now_s + ADVICE_PAUSE_S
+        if allowance is not None:
+            self.given[step] = allowance
+
+    def drop(self, key: TaskKey) -> None:
+        """Forget the advice on a task's step; a worker did not accept it."""
+        self.given.pop(StepKey(*key[:3]), None)
+
+    def may_ask(self, step: StepKey, now_s: float) -> bool:
+        """Tell whether a question on this step may be sent now."""
+        return step not in self.asked and self.rested.get(step, 0.0) <= now_s
+
+
+# The service of advice answers one question at a time for each caller.
+ADVICE_PAUSE_S = 0.3
+
+
+def place(cell: "Scheduler", decision: Decision, now_s: float, wall_s: float) -> None:
+    """Choose workers for waiting tasks; add the starts to the decision."""
+    ready = sorted(_ready_steps(cell, now_s, wall_s), key=lambda item: item[0])
+    if not ready:
+        return
+    usable = [w for w in cell.workers.values() if w.usable(now_s)]
+    for _, state, step in ready:
+        if not usable:
+            return
+        _place_step(cell, decision, state, step, usable, now_s)
+
+
+def _ready_steps(
+    cell: "Scheduler", now_s: float, wall_s: float
+) -> Iterator[tuple[tuple, JobState, StepState]]:
+    for state in cell.open_jobs.values():
+        if state.status.final:
+            continue
+        _open_due(cell, state, wall_s)
+        urgency = None
+        for steps in state.occurrences.values():
+            for step in steps:
+                if not _turn_has_come(steps, step):
+                    continue
+                if step.ready_at_s is None:
+                    step.ready_at_s = now_s
+                if urgency is None:
+                    urgency = _urgency(state, now_s)
+                yield urgency, state, step
+
+
+def _open_due(cell: "Scheduler", state: JobState, wall_s: float) -> None:
+    number = len(state.occurrences)
+    job = state.job
+    while number < job.occurrences:
+        if job.due_at_s(number) > wall_s + cell.settings.early_s:
+            return
+        state.open_occurrence(number)
+        number += 1
+
+
+def _turn_has_come(steps: list[StepState], step: StepState) -> bool:
+    if not any(task.waiting for task in step.tasks):
+        return False
+    return all(steps[number].done for number in step.step.after)
+
+
+def _urgency(state: JobState, now_s: float) -> tuple[int, bool, bool, float]:
+    job = state.job
+    objective_s = job.objective_s()
+    late_s = state.accepted_at_s + WORTHLESS_AFTER_RATIO * objective_s
+    worthless = not job.lasting and not job.repeat_count and now_s > late_s
+    due_s = state.accepted_at_s + objective_s
+    return (job.queue.priority, worthless, job.lasting, due_s)
+
+
+def _place_step(
+    cell: "Scheduler",
+    decision: Decision,
+    state: JobState,
+    step: StepState,
+    usable: list[WorkerState],
+    now_s: float,
+) -> None:
+    service = cell.services.get(state.job.queue.name, state.job.queue.service)
+    workers = [
+        w for w in usable if w.listing.service == service and suits(step.step, w)
+    ]
+    if step.step.lasting:
+        workers = _beyond_reserve(cell, workers, step.step.charge)
+    tickets: dict[str, str] = {}
+    if state.job.queue.advice is not None:
+        tickets = _tickets(cell, decision, step, workers, now_s)
+        workers = [w for w in workers if w.worker_id in tickets]
+    if not workers:
+        return
+    if step.step.gang:
+        _place_gang(cell, decision, state, step, workers, tickets, now_s)
+        return
+    used = _used(step)
+    for task in step.waiting():
+        if task.not_before_s > now_s:
+            continue
+        worker = choose(task.key, step.step, workers, used, task.last_worker_id)
+        if worker is None:
+            return
+        if step.step.filler and not _has_spare(worker, step):
+            return
+        used[worker.worker_id] = used.get(worker.worker_id, 0) + 1
+        _start(cell, decision, state, step, task, worker, tickets, now_s)
+
+
+def _has_spare(worker: WorkerState, step: StepState) -> bool:
+    needed = FILLER_SPARE_RATIO * step.step.need.cpu_millis
+    return worker.filler_cpu_millis == 0 or worker.spare_cpu_millis() >= needed
+
+
+def _beyond_reserve(
+    cell: "Scheduler", workers: list[WorkerState], charge: Resources
+) -> list[WorkerState]:
+    """Return the workers, or none if the cell would fall below its reserve."""
+    free = sum(w.free().cpu_millis for w in workers)
+    total = sum(w.listing.capacity.cpu_millis for w in workers)
+    if free - charge.cpu_millis < cell.settings.reserve_ratio * total:
+        return []
+    return workers
+
+
+def _used(step: StepState) -> dict[str, int]:
+    used: dict[str, int] = {}
+    for task in step.tasks:
+        if task.run is not None:
+            used[task.run.worker_id] = used.get(task.run.worker_id, 0) + 1
+    return used
+
+
+def _tickets(
+    cell: "Scheduler",
+    decision: Decision,
+    step: StepState,
+    workers: list[WorkerState],
+    now_s: float,
+) -> dict[str, str]:
+    allowance = cell.advice.given.get(step.key)
+    if allowance is not None and allowance.valid_until_s > now_s:
+        with_room = {w.worker_id for w in workers if _fits(step, w)}
+        if with_room & allowance.tickets.keys():
+            return allowance.tickets
+    if cell.advice.may_ask(step.key, now_s):
+        room = [w.worker_id for w in workers if _fits(step, w)]
+        asked = tuple(room[: cell.settings.advice_workers])
+        if asked:
+            cell.advice.asked.add(step.key)
+            decision.questions.append(AdviceQuestion(step.key, asked))
+    return {}
+
+
+def _fits(step: StepState, worker: WorkerState) -> bool:
+    return step.step.charge.fits_in(worker.free())
+
+
+def _place_gang(
+    cell: "Scheduler",
+    decision: Decision,
+    state: JobState,
+    step: StepState,
+    workers: list[WorkerState],
+    tickets: dict[str, str],
+    now_s: float,
+) -> None:
+    """Place all members at once, on one rack if that is asked for, or none."""
+    if any(task.run is not None for task in step.tasks):
+        return
+    for group in _gang_rooms(step, workers):
+        chosen = _trial(step, group)
+        if chosen is not None:
+            break
+    else:
+        return
+    number = max(task.last_run for task in step.tasks) + 1
+    checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
+    for task, worker in zip(step.tasks, chosen, strict=True):
+        task.last_run = number - 1
+        task.checkpoint = checkpoint
+        _start(cell, decision, state, step, task, worker, tickets, now_s)
+
+
+def _gang_rooms(
+    step: StepState, workers: list[WorkerState]
+) -> Iterator[list[WorkerState]]:
+    if step.step.one_rack:
+        for rack in sorted({w.listing.rack for w in workers}):
+            yield [w for w in workers if w.listing.rack == rack]
+    yield workers
+
+
+def _trial(step: StepState, workers: list[WorkerState]) -> list[WorkerState] | None:
+    """Book each member on a copy of the room; return the workers, or nothing."""
+    used: dict[str, int] = {}
+    booked: list[tuple[WorkerState, Run]] = []
+    for task in step.tasks:
+        worker = choose(task.key, step.step, workers, used, task.last_worker_id)
+        if worker is None:
+            break
+        run = Run(task.key, 0, worker.worker_id, step.step, step.step.charge)
+        worker.add(run)
+        booked.append((worker, run))
+        used[worker.worker_id] = used.get(worker.worker_id, 0) + 1
+    for worker, run in booked:
+        worker.remove(run)
+    if len(booked) < len(step.tasks):
+        return None
+    return [worker for worker, _ in booked]
+
+
+def _start(
+    cell: "Scheduler",
+    decision: Decision,
+    state: JobState,
+    step: StepState,
+    task: Task,
+    worker: WorkerState,
+    tickets: dict[str, str],
+    now_s: float,
+) -> None:
+    task.last_run += 1
+    run = Run(task.key, task.last_run, worker.worker_id, step.step, step.step.charge)
+    run.checkpoint = task.checkpoint
+    run.ticket = tickets.get(worker.worker_id, "")
+    run.placed_at_s = now_s
+    task.run = run
+    worker.add(run)
+    if not state.started:
+        state.started = True
+        state.status = JobStatus.ACTIVE
+    cell.dirty.add(state.job.job_id)
+    decision.starts.append(run)
+    detail: dict[str, object] = {
+        "task": task.key,
+        "run": run.number,
+        "worker": worker.worker_id,
+        "waited_s": round(now_s - (step.ready_at_s or now_s), 3),
+        "report_age_s": round(now_s - worker.last_report_at_s, 3),
+        "free_cpu_millis": worker.free().cpu_millis,
+    }
+    cell.note(Note("start", state.job.job_id, detail))
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -0,0 +1,57 @@
+"""Keep every threshold of the cell scheduler, with its unit and its reason."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CellSettings:
+    """
+    Thresholds of one cell; the defaults serve cells of 3 to 250 workers.
+
+    Times are seconds, ratios are between 0 and 1 unless said otherwise.
+    """
+
+    # The longest lease that workers grant. Long, so that work runs on while
+    # the store or the holder is away for 5 s and a takeover follows.
+    lease_s: float = 10.0
+    # Workers' clocks may run slow by this ratio.
+    clock_error_ratio: float = 0.02
+    # A holder that has stored nothing for so long stops giving orders ...
+    holder_lapse_s: float = 1.5
+    # ... and the others claim its place after so long: later, by more than
+    # the clock error and one round trip to the store.
+    claim_after_s: float = 2.0
+    # An idle holder stores a sign of life this often: three fit into a lapse.
+    heartbeat_s: float = 0.4
+    # How long a stop may take before the run's end is listed.
+    stop_s: float = 0.4
+    # A report waits this long for an end: a shorter wait costs calls, a longer
+    # one makes readings of tails too old to pace by.
+    report_wait_s: float = 0.8
+    # Orders and reports get this much time beyond the wait that they ask for;
+    # workers answer within 10 ms, so a lost answer costs this and no more.
+    answer_timeout_s: float = 0.6
+    # Share of a cell's processors that lasting tasks leave to tasks that end:
+    # one latency-critical job of the widest usual kind fits at once.
+    reserve_ratio: float = 0.05
+    # A worker rests after so many failures in a row, or half of its last ends.
+    failures_in_row: int = 2
+    rest_s: float = 6.0
+    # A worker that said that it is unwell, or has no room, is asked again.
+    unwell_s: float = 1.0
+    # A run whose progress stands still for so long, unpaced, is stopped.
+    stall_s: float = 2.5
+    # Pacing begins when a tail passes this share of its target.
+    pace_from_ratio: float = 0.8
+    # Fillers speed up again below this share of the target.
+    relax_below_ratio: float = 0.6
+    # The pace moves down by half and up by this many points a report.
+    pace_up_percent: int = 20
+    # A paced filler never waits for good: below this its neighbour moves on.
+    pace_floor_percent: int = 5
+    # How far ahead of an occurrence's time it may start; clocks differ.
+    early_s: float = 0.0
+    # Finished jobs are forgotten after so long: callers ask for 120 s.
+    keep_finished_s: float = 130.0
+    # Workers named in one question for advice: few, for each costs time.
+    advice_workers: int = 24
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -0,0 +1,124 @@
+"""
+Track what one worker holds and how far it can be trusted.
+
+The book of a worker is the attempts that may be running there. Room is given
+back only when an attempt is known to have ended, so that an order whose answer
+was lost can never bring a worker over its capacity.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..clocks import RemoteClock
+from ..machines import Address
+from ..resources import NOTHING, Resources
+from .jobs import TaskKey
+from .progress import Run, RunPhase
+
+ENDS_KEPT = 6
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerListing:
+    """What the list of workers says of one; ``labels`` are kind and rack."""
+
+    worker_id: str
+    service: str
+    address: Address
+    data_centre: str
+    capacity: Resources
+    labels: frozenset[str] = frozenset()
+    draining: bool = False
+
+    @property
+    def rack(self) -> str:
+        """Return the label that names the rack, or empty."""
+        return next((name for name in self.labels if "-" in name), "")
+
+
+@dataclass(slots=True)
+class WorkerState:
+    """One incarnation of a worker as the holder sees it."""
+
+    listing: WorkerListing
+    clock: RemoteClock
+    listed: bool = True
+    reported: bool = False
+    gone: bool = False
+    runs: dict[TaskKey, Run] = field(default_factory=dict)
+    taken: Resources = NOTHING
+    seen_end: int = 0
+    acked_end: int = 0
+    lease_over_at_s: float = float("-inf")
+    last_report_at_s: float = float("-inf")
+    rest_until_s: float = float("-inf")
+    failures_in_row: int = 0
+    recent_ends: deque[bool] = field(default_factory=lambda: deque(maxlen=ENDS_KEPT))
+    lasting_cpu_millis: int = 0
+    busy_cpu_millis: int = 0
+    filler_cpu_millis: int = 0
+    pace_percent: int = 100
+    paced_at_s: float = float("-inf")
+    worst_tail_ratio: float = 0.0
+
+    @property
+    def worker_id(self) -> str:
+        """Return the id of this incarnation."""
+        return self.listing.worker_id
+
+    def free(self) -> Resources:
+        """Return the room that is certain to be free."""
+        return self.listing.capacity - self.taken
+
+    def spare_cpu_millis(self) -> float:
+        """
+        Estimate the processor time that fillers share here.
+
+        Lasting tasks use about half of what they reserve, tasks that end use
+        all of it.
+        """
+        used = self.lasting_cpu_millis * LASTING_USE_RATIO + self.busy_cpu_millis
+        return self.listing.capacity.cpu_millis - used - self.filler_cpu_millis
+
+    def add(self, run: Run) -> None:
+        """Book an attempt."""
+        self.runs[run.key] = run
+        self.taken = self.taken + run.charge
+        self._count_use(run, 1)
+
+    def remove(self, run: Run) -> None:
+        """Give an attempt's room back; its end is known."""
+        if self.runs.get(run.key) is not run:
+            return
+        del self.runs[run.key]
+        self.taken = self.taken - run.charge
+        self._count_use(run, -1)
+
+    def _count_use(self, run: Run, sign: int) -> None:
+        cpu_millis = sign * run.step.need.cpu_millis
+        if run.step.filler:
+            self.filler_cpu_millis += cpu_millis
+        elif run.step.lasting:
+            self.lasting_cpu_millis += cpu_millis
+        else:
+            self.busy_cpu_millis += cpu_millis
+
+    def usable(self, now_s: float) -> bool:
+        """Tell whether a new attempt may be placed here."""
+        if not self.listed or not self.reported or self.gone:
+            return False
+        return not self.listing.draining and now_s >= self.rest_until_s
+
+    def note_end(self, well: bool) -> None:
+        """Count an end that says something about the worker itself."""
+        self.recent_ends.append(well)
+        self.failures_in_row = 0 if well else self.failures_in_row + 1
+
+    def unanswered(self) -> list[Run]:
+        """Return the attempts whose start has no answer yet."""
+        phases = (RunPhase.SENDING, RunPhase.INHERITED)
+        return [run for run in self.runs.values() if run.phase in phases]
+
+
+# Mean load of tasks that serve others, as a share of what they reserve.
+LASTING_USE_RATIO = 0.5
