--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -13,7 +13,7 @@
 from ..resources import Resources
 from .effects import AdviceQuestion, Decision, Note
 from .jobs import StepKey, TaskKey
-from .placing import choose, suits
+from .placing import Ranking, suits
 from .progress import JobState, JobStatus, Run, StepState, Task
 from .workers import WorkerState
 
@@ -143,17 +143,16 @@
     if step.step.gang:
         _place_gang(cell, decision, state, step, workers, tickets, now_s)
         return
-    used = _used(step)
+    ranking = Ranking(step.step, cell.model, _used(step))
+    ranking.fill(workers)
     for task in step.waiting():
-        if task.not_before_s > now_s:
-            continue
-        worker = choose(task.key, step.step, workers, used, task.last_worker_id)
+        worker = ranking.choose(task.key, task.last_worker_id)
         if worker is None:
             return
         if step.step.filler and not _has_spare(worker, step):
             return
-        used[worker.worker_id] = used.get(worker.worker_id, 0) + 1
         _start(cell, decision, state, step, task, worker, tickets, now_s)
+        ranking.booked(worker)
 
 
 def _has_spare(worker: WorkerState, step: StepState) -> bool:
@@ -218,7 +217,7 @@
     if any(task.run is not None for task in step.tasks):
         return
     for group in _gang_rooms(step, workers):
-        chosen = _trial(step, group)
+        chosen = _trial(cell, step, group)
         if chosen is not None:
             break
     else:
@@ -240,18 +239,21 @@
     yield workers
 
 
-def _trial(step: StepState, workers: list[WorkerState]) -> list[WorkerState] | None:
-    """Book each member on a copy of the room; return the workers, or nothing."""
-    used: dict[str, int] = {}
+def _trial(
+    cell: "Scheduler", step: StepState, workers: list[WorkerState]
+) -> list[WorkerState] | None:
+    """Book each member for a moment; return the workers, or nothing."""
+    ranking = Ranking(step.step, cell.model, {})
+    ranking.fill(workers)
     booked: list[tuple[WorkerState, Run]] = []
     for task in step.tasks:
-        worker = choose(task.key, step.step, workers, used, task.last_worker_id)
+        worker = ranking.choose(task.key, task.last_worker_id)
         if worker is None:
             break
         run = Run(task.key, 0, worker.worker_id, step.step, step.step.charge)
         worker.add(run)
         booked.append((worker, run))
-        used[worker.worker_id] = used.get(worker.worker_id, 0) + 1
+        ranking.booked(worker)
     for worker, run in booked:
         worker.remove(run)
     if len(booked) < len(step.tasks):
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -1,20 +1,36 @@
 """
-Choose the worker for a task.
+Rank the workers for the tasks of one step.
 
 Tasks that reserve processors are packed: the fullest worker that has room, so
-that wide tasks still find a whole worker. Fillers are spread: the worker with
-the most processor time to spare, away from tasks that are near their target.
+that wide tasks still find a whole worker; tasks that serve go beside others of
+their image, so that a filler that disturbs one image finds workers without it.
+Fillers go where processors are to spare and nobody is disturbed.
 """
 
+import heapq
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
+from .interference import Interference
 from .jobs import Step, TaskKey
 from .workers import WorkerState
 
-# A filler beside a task at its target counts as if so much less were spare.
-TAIL_PENALTY_MILLIS = 40_000
+# A filler whose neighbours would come to e times their target counts as if so
+# many thousandths of a core were missing: more than any worker has.
+DISTURBANCE_MILLIS = 200_000
+# Pressure that stays below the target still counts, so that harmless pairs are
+# preferred while both have processors to spare.
+PRESSURE_MILLIS = 40_000
+# Fillers keep the predicted tail below this share of the target (a logarithm).
+PREDICTED_LIMIT = -0.35
+# A serving task prefers workers whose serving tasks are of its image; worth
+# this much of a worker's free processors.
+SAME_IMAGE_MILLIS = 60_000
 # Memory is rarely what binds; it only breaks ties between equal workers.
 MEMORY_WEIGHT = 0.1
+# Larger than any difference in room: the other rack and the worker of the last
+# failure are taken only when nothing else has room.
+RACK_PENALTY = 1e7
 
 
 def suits(step: Step, worker: WorkerState) -> bool:
@@ -25,47 +41,100 @@
     return step.need.fits_in(listing.capacity)
 
 
-def choose(
-    key: TaskKey,
-    step: Step,
-    workers: Iterable[WorkerState],
-    used: dict[str, int],
-    avoid: str,
-) -> WorkerState | None:
-    """
-    Return the best worker for one task, or nothing if none has room.
-
-    ``workers`` are usable and suit the step; ``used`` counts the tasks of the
-    step on each worker; ``avoid`` is the worker where the task failed last.
-    """
-    best: WorkerState | None = None
-    best_score = float("-inf")
-    charge = step.charge
-    for worker in workers:
-        if not charge.fits_in(worker.free()) or key in worker.runs:
-            continue
-        worker_id = worker.listing.worker_id
-        if step.per_worker_max and used.get(worker_id, 0) >= step.per_worker_max:
-            continue
-        score = _filler_score(worker) if step.filler else _packing_score(worker)
-        if step.data_rack and step.data_rack not in worker.listing.labels:
+@dataclass(slots=True)
+class Ranking:
+    """The workers for one step, the best first; scores follow the choices."""
+
+    step: Step
+    model: Interference
+    used: dict[str, int]
+    _heap: list[tuple[float, str, WorkerState]] = field(default_factory=list)
+
+    def fill(self, workers: Iterable[WorkerState]) -> None:
+        """Score all workers that have room."""
+        charge = self.step.charge
+        for worker in workers:
+            if charge.fits_in(worker.free()):
+                self._heap.append((-self._score(worker), worker.worker_id, worker))
+        heapq.heapify(self._heap)
+
+    def choose(self, key: TaskKey, avoid: str) -> WorkerState | None:
+        """
+        Take the best worker for one task, or nothing if none has room.
+
+        ``avoid`` is the worker where the task failed last; it is taken only if
+        there is no other. The caller books the task before the next choice.
+        """
+        passed: list[tuple[float, str, WorkerState]] = []
+        fallback: tuple[float, str, WorkerState] | None = None
+        chosen: WorkerState | None = None
+        while self._heap and chosen is None:
+            entry = heapq.heappop(self._heap)
+            worker = entry[2]
+            if not self._open(worker, key):
+                continue
+            if worker.worker_id == avoid and fallback is None:
+                fallback = entry
+                continue
+            chosen = worker
+        if chosen is None and fallback is not None:
+            chosen, fallback = fallback[2], None
+        if fallback is not None:
+            passed.append(fallback)
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return chosen
+
+    def booked(self, worker: WorkerState) -> None:
+        """Score a worker again, now that it holds one task more."""
+        name = worker.worker_id
+        self.used[name] = self.used.get(name, 0) + 1
+        if self.step.charge.fits_in(worker.free()):
+            heapq.heappush(self._heap, (-self._score(worker), name, worker))
+
+    def _open(self, worker: WorkerState, key: TaskKey) -> bool:
+        if key in worker.runs or not self.step.charge.fits_in(worker.free()):
+            return False
+        most = self.step.per_worker_max
+        return not most or self.used.get(worker.worker_id, 0) < most
+
+    def _score(self, worker: WorkerState) -> float:
+        if self.step.filler:
+            score = filler_score(self.step, worker, self.model)
+        else:
+            score = _packing_score(worker)
+            if self.step.tail_target_s:
+                score += SAME_IMAGE_MILLIS * _same_share(self.step.image, worker)
+        if self.step.data_rack and self.step.data_rack not in worker.listing.labels:
             score -= RACK_PENALTY
-        if worker_id == avoid:
-            score -= AVOID_PENALTY
-        if score > best_score:
-            best, best_score = worker, score
-    return best
+        return score
 
 
-# Larger than any difference in room: the other rack and the worker of the last
-# failure are taken only when nothing else has room.
-RACK_PENALTY = 1e7
-AVOID_PENALTY = 1e8
+def filler_score(step: Step, worker: WorkerState, model: Interference) -> float:
+    """Return how good a worker is for a filler: spare processors less harm."""
+    share = step.need.cpu_millis / worker.listing.capacity.cpu_millis
+    disturbance, pressure = 0.0, 0.0
+    for image in worker.serving:
+        added = model.slope(image, step.image) * share
+        level = model.level(image) + added
+        for other, use in worker.filling.items():
+            level += model.slope(image, other) * use
+        disturbance = max(disturbance, min(added, level - PREDICTED_LIMIT))
+        pressure = max(pressure, added)
+    spare = worker.spare_cpu_millis()
+    return spare - disturbance * DISTURBANCE_MILLIS - pressure * PRESSURE_MILLIS
+
+
+def _same_share(image: str, worker: WorkerState) -> float:
+    """Return the share of a worker's serving tasks that are of an image."""
+    total = sum(worker.serving.values())
+    if not total:
+        return NEUTRAL_SHARE
+    return worker.serving.get(image, 0) / total
 
 
-def _filler_score(worker: WorkerState) -> float:
-    pressure = max(0.0, worker.worst_tail_ratio - 0.5)
-    return worker.spare_cpu_millis() - pressure * TAIL_PENALTY_MILLIS
+# An empty worker is better than one of other images, worse than one of its own.
+NEUTRAL_SHARE = 0.5
 
 
 def _packing_score(worker: WorkerState) -> float:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -65,7 +65,7 @@
     stop_reason: str = ""
     progress_percent: float = 0.0
     progressed_at_s: float = 0.0
-    over_target_since_s: float | None = None
+    paced_since_s: float | None = None
     tail_s: float = 0.0
     used_cpu_millis: int = -1
     pace_percent: int = 100
@@ -87,7 +87,6 @@
     checkpoint: str = ""
     run: Run | None = None
     last_worker_id: str = ""
-    not_before_s: float = 0.0
 
     @property
     def waiting(self) -> bool:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -14,6 +14,7 @@
 from . import dispatch, pacing
 from .dispatch import AdviceBook
 from .effects import Decision, Note, StopOrder
+from .interference import Interference
 from .jobs import Job, Step, TaskKey
 from .progress import JobState, JobStatus, Run, RunPhase, Task, encode, restore
 from .reports import (
@@ -55,7 +56,8 @@
         self.services: dict[str, str] = {}
         self.note = note or _ignore
         self._stops: list[StopOrder] = []
-        self._paces = pacing.Pacer(settings)
+        self.model = Interference()
+        self._paces = pacing.Pacer(settings, self.model)
 
     # Jobs
 
@@ -208,8 +210,7 @@
                 "worker": worker_id, "running": len(report.running)
             }
             self.note(Note("worker_reported", "", detail))
-        for order in self._paces.observe(worker, now_s):
-            self.stop(order, "interference")
+        self._paces.observe(worker, now_s)
 
     def _take_end(self, worker: WorkerState, row: EndedRow, now_s: float) -> None:
         state = self.jobs.get(row.key.job_id)
@@ -521,6 +522,7 @@
     def decide(self, now_s: float, wall_s: float) -> Decision:
         """Place what waits; return what to store and which orders to give."""
         self.expire(now_s)
+        self.model.solve(now_s)
         decision = Decision()
         dispatch.place(self, decision, now_s, wall_s)
         decision.stops, self._stops = self._stops, []
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -41,14 +41,14 @@
     unwell_s: float = 1.0
     # A run whose progress stands still for so long, unpaced, is stopped.
     stall_s: float = 2.5
-    # Pacing begins when a tail passes this share of its target.
-    pace_from_ratio: float = 0.8
-    # Fillers speed up again below this share of the target.
-    relax_below_ratio: float = 0.6
-    # The pace moves down by half and up by this many points a report.
+    # Fillers give way when a tail passes this share of its target ...
+    pace_from_ratio: float = 0.85
+    # ... and speed up again below this share.
+    relax_below_ratio: float = 0.65
+    # The pace rises by so many points a reading, twice that far from a target.
     pace_up_percent: int = 20
-    # A paced filler never waits for good: below this its neighbour moves on.
-    pace_floor_percent: int = 5
+    # A paced filler never waits for good: below this it only stands in the way.
+    pace_floor_percent: int = 4
     # How far ahead of an occurrence's time it may start; clocks differ.
     early_s: float = 0.0
     # Finished jobs are forgotten after so long: callers ask for 120 s.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -13,7 +13,7 @@
 from ..machines import Address
 from ..resources import NOTHING, Resources
 from .jobs import TaskKey
-from .progress import Run, RunPhase
+from .progress import Run
 
 ENDS_KEPT = 6
 
@@ -57,9 +57,11 @@
     lasting_cpu_millis: int = 0
     busy_cpu_millis: int = 0
     filler_cpu_millis: int = 0
-    pace_percent: int = 100
     paced_at_s: float = float("-inf")
-    worst_tail_ratio: float = 0.0
+    # Serving tasks by image, and the share of the worker that each filling
+    # image uses.
+    serving: dict[str, int] = field(default_factory=dict)
+    filling: dict[str, float] = field(default_factory=dict)
 
     @property
     def worker_id(self) -> str:
@@ -95,13 +97,23 @@
         self._count_use(run, -1)
 
     def _count_use(self, run: Run, sign: int) -> None:
-        cpu_millis = sign * run.step.need.cpu_millis
-        if run.step.filler:
+        step = run.step
+        cpu_millis = sign * step.need.cpu_millis
+        if step.filler:
             self.filler_cpu_millis += cpu_millis
-        elif run.step.lasting:
+            # The capacity of a worker that only an old record names is unknown.
+            share = cpu_millis / max(1, self.listing.capacity.cpu_millis)
+            use = self.filling.get(step.image, 0.0) + share
+            self.filling[step.image] = max(0.0, use)
+        elif step.lasting:
             self.lasting_cpu_millis += cpu_millis
         else:
             self.busy_cpu_millis += cpu_millis
+        if step.tail_target_s:
+            count = self.serving.get(step.image, 0) + sign
+            self.serving[step.image] = count
+            if not count:
+                del self.serving[step.image]
 
     def usable(self, now_s: float) -> bool:
         """Tell whether a new attempt may be placed here."""
@@ -114,11 +126,6 @@
         self.recent_ends.append(well)
         self.failures_in_row = 0 if well else self.failures_in_row + 1
 
-    def unanswered(self) -> list[Run]:
-        """Return the attempts whose start has no answer yet."""
-        phases = (RunPhase.SENDING, RunPhase.INHERITED)
-        return [run for run in self.runs.values() if run.phase in phases]
-
 
 # Mean load of tasks that serve others, as a share of what they reserve.
 LASTING_USE_RATIO = 0.5
