Count inherited leases from the takeover; repeat stops that got lost

Ruled out: the election (one winner, its predecessor silent for 0.5 s by then) and orders carried out late.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -103,7 +103,7 @@
         # minute would only make nonsense of the order in which jobs are due.
         age_s = min(60.0, max(0.0, self.clock.wall_s() - job.accepted_at_s))
         progress = self.ledger.progress.get(job_id)
-        self.cell.add_job(job, progress, now_s - age_s)
+        self.cell.add_job(job, progress, now_s - age_s, now_s)
 
     def job_changed(self, change: Change, job_id: str) -> None:
         """Take in a record of the log of jobs."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -35,6 +35,8 @@
 # Starts without an answer are sent again at once, then after growing pauses.
 RESEND_BASE_S = 0.1
 RESEND_MAX_S = 1.0
+# A run that is still reported so long after it should have stopped is told again.
+STOP_REPEAT_S = 0.4
 # Stands for the address of a worker that only an old record names.
 NO_ADDRESS = Address("", 0)
 
@@ -62,11 +64,18 @@
 
     # Jobs
 
-    def add_job(self, job: Job, progress: bytes | None, now_s: float) -> None:
-        """Take in a job with its stored progress; a repeat changes nothing."""
+    def add_job(
+        self, job: Job, progress: bytes | None, accepted_at_s: float, now_s: float
+    ) -> None:
+        """
+        Take in a job with its stored progress; a repeat changes nothing.
+
+        ``accepted_at_s`` is local, and for an old job in the past. Leases of
+        inherited attempts count from ``now_s``, never from that time.
+        """
         if job.job_id in self.jobs:
             return
-        state = restore(job, progress, now_s)
+        state = restore(job, progress, accepted_at_s)
         self.jobs[job.job_id] = state
         for run in state.runs():
             self._inherit(run, now_s)
@@ -329,8 +338,18 @@
             run.used_cpu_millis = int(row.measure)
         if self.jobs[row.key.job_id].status.final:
             self.stop(run, "job_ended")
+        self._repeat_stop(run, now_s)
         self._stop_if_stuck(worker, run, now_s)
 
+    def _repeat_stop(self, run: Run, now_s: float) -> None:
+        # Guards against a stop that never reached the worker: it was ordered
+        # before the worker could be asked, or every try of it was lost. The run
+        # would go on for as long as its lease is renewed.
+        late = now_s - run.stop_sent_at_s > self.settings.stop_s + STOP_REPEAT_S
+        if run.phase is RunPhase.STOPPING and late:
+            run.stop_sent_at_s = now_s
+            self._stops.append(StopOrder(run, run.worker_id, run.stop_reason))
+
     def _stop_stray(self, worker: WorkerState, row: RunningRow, now_s: float) -> None:
         # An order of an earlier holder, or one that was carried out late, whose
         # task has moved on. Its room is taken until its end is listed.
@@ -527,7 +546,7 @@
         decision = Decision()
         moving.move_slow_fillers(self, now_s)
         dispatch.place(self, decision, now_s, wall_s)
-        decision.stops, self._stops = self._stops, []
+        decision.stops = self._take_stops(now_s)
         decision.paces = self._paces.take()
         for job_id in self.dirty:
             state = self.jobs.get(job_id)
@@ -537,6 +556,22 @@
         self._close_finished(now_s)
         return decision
 
+    def _take_stops(self, now_s: float) -> list[StopOrder]:
+        """Return the stops for workers that can be asked; keep the others."""
+        ready: list[StopOrder] = []
+        kept: list[StopOrder] = []
+        for order in self._stops:
+            worker = self.workers.get(order.worker_id)
+            if worker is None or worker.runs.get(order.run.key) is not order.run:
+                continue
+            if worker.reported:
+                order.run.stop_sent_at_s = now_s
+                ready.append(order)
+            else:
+                kept.append(order)
+        self._stops = kept
+        return ready
+
     def _close_finished(self, now_s: float) -> None:
         for job_id, state in list(self.open_jobs.items()):
             if state.status.final and not state.runs():
