--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := hornbeampaddle hornbeampaddle-wire hornbeampaddle-entry hornbeampaddle-standins hornbeampaddle-cli
+PACKAGES := hornbeampaddle hornbeampaddle-wire hornbeampaddle-entry hornbeampaddle-cell hornbeampaddle-standins hornbeampaddle-cli
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
 STAMP := $(VENV)/installed
 REPORTS := $(VENV)/reports
--- /dev/null
+++ b/features/cell.feature
@@ -0,0 +1,211 @@
+Feature: A cell schedules from the log, whoever holds it
+  Real instances in simulated time, on stand-ins of the log service and of workers that
+  judge what they are told.
+
+  Scenario: A job's steps run in order and callers see it done
+    Given a cell of 3 instances and 4 workers
+    When a job "aa01" of 2 steps of 6 tasks is handed in
+    Then the job "aa01" is shown as completed within 8 s
+    And no promise of the cell was broken
+
+  Scenario: Eight instances that claim at once find one holder
+    # A user would see tasks stopped and started over and over. All instances start within
+    # a moment and claim at the same offset. With one producer name for all, the log
+    # answered every claim like the first, and each instance believed that it had won.
+    Given a cell of 8 instances and 4 workers
+    When 5 s pass in the cell
+    Then exactly 1 instance believes that it holds the cell
+
+  Scenario: Work that runs goes on under the next holder
+    # A user would see a check run in two places. A job was accepted long ago, its task runs,
+    # and the holder dies. The next one counted the lease of the inherited attempt from the
+    # job's acceptance, took it for lapsed, and started the task again beside the first run.
+    Given a cell of 3 instances and 4 workers
+    And tasks take 25 s
+    When a job "aa02" of 1 steps of 3 tasks is handed in
+    And 15 s pass in the cell
+    And the holder dies
+    Then another instance holds the cell within 4 s
+    And the job "aa02" is shown as completed within 40 s
+    And no promise of the cell was broken
+    And no task was started more often than needed
+
+  Scenario: A cancelled job's runs end under the next holder
+    # A user cancels, gets the answer, and the task works on. The holder dies with the
+    # cancellation stored and the stop not sent. The next holder ordered the stop before it
+    # knew the worker, dropped the order, and never gave it again.
+    Given a cell of 3 instances and 4 workers
+    And a lasting job "aa03" of 4 tasks is at work
+    When the holder dies
+    And the job "aa03" is cancelled at once
+    Then nothing of "aa03" runs 6 s later
+    And no promise of the cell was broken
+
+  Scenario Outline: The store turns the holder away: <how>
+    # A user would see nothing start. The store serves everybody but the holder, which can
+    # store no order; it must stop giving any and another instance must go on.
+    Given a cell of 3 instances and 4 workers
+    When a job "aa04" of 3 steps of 4 tasks is handed in
+    And 1 s pass in the cell
+    And the store <how> for the holder only
+    Then another instance holds the cell within 5 s
+    And the job "aa04" is shown as completed within 25 s
+    And no promise of the cell was broken
+
+    Examples:
+      | how           |
+      | refuses       |
+      | is silent     |
+      | loses answers |
+
+  Scenario Outline: The store fails everybody for 5 s: <how>
+    # A user's running work must live through it, and what was handed in before must end.
+    Given a cell of 3 instances and 4 workers
+    And tasks take 3 s
+    When a job "aa05" of 2 steps of 6 tasks is handed in
+    And 2 s pass in the cell
+    And the store <how> for everybody
+    And 5 s pass in the cell
+    And the store serves everybody again
+    Then the job "aa05" is shown as completed within 30 s
+    And no promise of the cell was broken
+
+    Examples:
+      | how           |
+      | refuses       |
+      | is silent     |
+      | loses answers |
+      | acts late     |
+
+  Scenario: A refused job never runs
+    # A user reads "not accepted" and hands the work in elsewhere. If the store took the
+    # first one after all, the work would be done twice under two ids.
+    Given a cell of 3 instances and 4 workers
+    When the store refuses for everybody
+    And a job "aa06" of 1 steps of 2 tasks is handed in
+    Then the job was refused
+    When the store serves everybody again
+    And 10 s pass in the cell
+    Then nothing has started
+
+  Scenario: A job whose answer was lost is one job
+    # A user gets no answer and hands the same job in at another instance.
+    Given a cell of 3 instances and 4 workers
+    When the store loses answers for everybody
+    And a job "aa07" of 1 steps of 4 tasks is handed in
+    And the store serves everybody again
+    And a job "aa07" of 1 steps of 4 tasks is handed in
+    Then the job "aa07" is shown as completed within 15 s
+    And no promise of the cell was broken
+    And no task was started more often than needed
+
+  Scenario: Orders that are carried out late do no harm
+    # A user would see a task run twice: a start without an answer is given up, the task
+    # starts elsewhere, and four seconds later the first order is carried out.
+    Given a cell of 3 instances and 4 workers
+    And one order in ten is carried out 4 s late
+    When 6 jobs of 2 steps of 6 tasks are handed in
+    And 25 s pass in the cell
+    Then all jobs are shown as completed within 40 s
+    And no promise of the cell was broken
+
+  Scenario: A worker that dies gives its tasks back
+    # A user waits for a check whose worker is gone. Its lease must be over before the task
+    # may start elsewhere, and then it must start.
+    Given a cell of 3 instances and 4 workers
+    And tasks take 4 s
+    When a job "aa08" of 1 steps of 8 tasks is handed in
+    And 1 s pass in the cell
+    And a busy worker dies
+    Then the job "aa08" is shown as completed within 25 s
+    And no promise of the cell was broken
+
+  Scenario: A worker that fails everything is left alone
+    # A user's job is shown as failed although others would have done it: one worker ends
+    # every attempt as failed at once, is free again first, and gets the next attempt too.
+    Given a cell of 3 instances and 6 workers
+    And one worker fails everything
+    When 12 jobs of 1 steps of 6 tasks are handed in
+    Then all jobs are shown as completed within 40 s
+
+  Scenario: Tasks that stand still move to another worker
+    # A user waits for ever: a worker answers, lists the task as running, and does nothing.
+    Given a cell of 3 instances and 6 workers
+    And one worker stands still
+    When 6 jobs of 1 steps of 6 tasks are handed in
+    Then all jobs are shown as completed within 40 s
+    And no promise of the cell was broken
+
+  Scenario: Draining workers get nothing new and their lasting tasks move
+    Given a cell of 3 instances and 5 workers
+    And a lasting job "aa09" of 4 tasks is at work
+    When a busy worker drains
+    And 4 s pass in the cell
+    Then nothing runs on the draining worker
+    And 4 tasks of "aa09" are at work
+    And no promise of the cell was broken
+
+  Scenario: Fillers stay away from the tasks that they disturb
+    # A front desk waits: a batch task sits beside a calendar task and pushes its tail over
+    # the target. Of two filling images one disturbs and one does not, which only the
+    # reports show. Both must still get done.
+    Given a cell of 3 instances and 8 workers
+    And the image "heavy" disturbs the image "serving" and "light" does not
+    And a lasting job "ab01" of 8 tasks of the image "serving" is at work
+    When 10 filling jobs each of the images "heavy" and "light" are handed in over 10 s
+    Then all jobs are shown as completed within 60 s
+    And serving tasks were over their target for less than 12 task-seconds
+    And no promise of the cell was broken
+
+  Scenario: Steps of an advised queue go only where they are allowed
+    Given a cell of 3 instances and 6 workers
+    And advice allows only the workers "w0" and "w1"
+    When a job "ab02" of 1 steps of 6 tasks is handed in for advice
+    Then the job "ab02" is shown as completed within 15 s
+    And it ran only on "w0" and "w1"
+
+  Scenario: A gang starts whole or not at all
+    Given a cell of 3 instances and 4 workers
+    When a gang job "ab03" of 6 tasks is handed in
+    Then the job "ab03" is shown as completed within 10 s
+    And every member had the same run number
+
+  Scenario: A job that is due several times runs each time, not early
+    Given a cell of 3 instances and 4 workers
+    When a job "ab04" due 3 times every 2 s is handed in
+    Then the job "ab04" is shown as completed within 15 s
+    And its occurrences started in turn and not early
+
+  Scenario: An instance that cannot read is not ready and says so
+    # A caller asks a cut-off instance for a job that it has not heard of. "No such job"
+    # would be a lie; it must say that it cannot know.
+    Given a cell of 3 instances and 4 workers
+    When the store is silent for "i2"
+    And a job "ab05" of 1 steps of 2 tasks is handed in through "i1"
+    And 4 s pass in the cell
+    Then "i2" is not ready
+    And "i2" does not deny the job "ab05"
+
+  Scenario: The log forgets its history
+    # Every follower finds its place in the log gone and must begin from the newest records.
+    Given a cell of 3 instances and 4 workers
+    When a job "ab06" of 3 steps of 4 tasks is handed in
+    And the log forgets its history
+    And 1 s pass in the cell
+    And the log forgets its history
+    Then the job "ab06" is shown as completed within 15 s
+    And no promise of the cell was broken
+
+  Scenario Outline: Random faults, seed <seed>
+    Given a random walk of a cell with seed <seed>
+    Then no promise of the cell was broken
+    And every accepted job came to its end
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
--- /dev/null
+++ b/features/steps/cell_steps.py
@@ -0,0 +1,424 @@
+"""Steps that play a cell in simulated time."""
+
+import asyncio
+import math
+
+from behave import given, step, then, when
+from support.cell_walk import build, new_world, plain, walk
+from support.virtual_loop import VirtualLoop
+
+from hornbeampaddle.cell.dispatch import Allowance
+from hornbeampaddle.cell.jobs import Advice, Job, Queue
+from hornbeampaddle.cell.progress import JobStatus
+from hornbeampaddle_cell.callers import Accepted, Gone, NotAccepted
+from hornbeampaddle_standins.cell.store import StoreFault
+from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
+
+STORE_FAULTS = {
+    "refuses": StoreFault.REFUSES,
+    "is silent": StoreFault.SILENT,
+    "loses answers": StoreFault.LOSES_ANSWERS,
+    "acts late": StoreFault.LATE,
+}
+ADVISED = Queue("advised", "compute", 0, 4, 1.5, 0.25, Advice(0.02, 0.001))
+
+
+def play(context, coroutine):
+    return context.loop.run_until_complete(coroutine)
+
+
+def new_loop(context):
+    context.loop = VirtualLoop()
+    asyncio.set_event_loop(context.loop)
+    context.add_cleanup(close_loop, context)
+
+
+def close_loop(context):
+    context.loop.run_until_complete(context.world.close())
+    context.loop.close()
+
+
+def job_id(text):
+    return text.rjust(16, "0")
+
+
+@given("a cell of {instances:d} instances and {workers:d} workers")
+def start_cell(context, instances, workers):
+    new_loop(context)
+
+    async def begin():
+        context.world = World(7)
+        await build(context.world, instances, workers)
+
+    play(context, begin())
+
+
+@given("tasks take {seconds_s:g} s")
+def set_work(context, seconds_s):
+    context.world.work_s = seconds_s
+
+
+@given("one order in ten is carried out 4 s late")
+def late_orders(context):
+    context.world.faults.late_ratio = 0.1
+
+
+@given("one worker fails everything")
+def failing_worker(context):
+    context.world.workers["w0"].fails_all = True
+
+
+@given("one worker stands still")
+def stalled_worker(context):
+    context.world.workers["w0"].stalled = True
+
+
+@given('a lasting job "{name}" of {tasks:d} tasks is at work')
+def lasting(context, name, tasks):
+    lasting_steps(context, name, plain(tasks, 4000, lasting=True), tasks)
+
+
+@given('a lasting job "{name}" of {tasks:d} tasks of the image "{image}" is at work')
+def lasting_image(context, name, tasks, image):
+    step_ = plain(
+        tasks, 6000, lasting=True, image=image, tail_target_s=0.05, per_worker_max=1
+    )
+    lasting_steps(context, name, step_, tasks)
+
+
+def lasting_steps(context, name, step_, tasks):
+    world = context.world
+    outcome = play(context, world.submit(job_id(name), URGENT, step_))
+    assert outcome == Accepted()
+    assert play(context, world.until(lambda: running(world, name) == tasks, 5))
+
+
+def running(world, name):
+    wanted = job_id(name)
+    return sum(
+        1 for w in world.workers.values() for key in w.runs if key.job_id == wanted
+    )
+
+
+@given('the image "heavy" disturbs the image "serving" and "light" does not')
+def disturbs(context):
+    def slope(serving, filling):
+        return 8.0 if filling == "heavy" else 0.0
+
+    for worker in context.world.workers.values():
+        worker.slopes = slope
+
+
+@given('advice allows only the workers "{one}" and "{other}"')
+def advise(context, one, other):
+    def answer(step_key, worker_ids):
+        allowed = {name: "ticket" for name in worker_ids if name in (one, other)}
+        return Allowance(allowed, 3.0)
+
+    context.world.advised = answer
+    world = context.world
+
+    async def restart():
+        for name in list(world.instances):
+            await world.kill(name)
+            world.start_instance(name)
+        world.configure(URGENT, BATCH, ADVISED)
+        await asyncio.sleep(5)
+
+    play(context, restart())
+
+
+@when('a job "{name}" of {steps:d} steps of {tasks:d} tasks is handed in')
+def hand_in(context, name, steps, tasks):
+    submit_job(context, name, steps, tasks, URGENT)
+
+
+@when('a job "{name}" of {steps:d} steps of {tasks:d} tasks is handed in for advice')
+def hand_in_advised(context, name, steps, tasks):
+    submit_job(context, name, steps, tasks, ADVISED)
+
+
+@when(
+    'a job "{name}" of {steps:d} steps of {tasks:d} tasks is handed in through "{via}"'
+)
+def hand_in_via(context, name, steps, tasks, via):
+    submit_job(context, name, steps, tasks, URGENT, via)
+
+
+def submit_job(context, name, steps, tasks, queue, via=None):
+    chain = [plain(tasks, after=(n - 1,) if n else ()) for n in range(steps)]
+    context.outcome = play(
+        context, context.world.submit(job_id(name), queue, *chain, via=via)
+    )
+
+
+@when("{jobs:d} jobs of {steps:d} steps of {tasks:d} tasks are handed in")
+def hand_in_many(context, jobs, steps, tasks):
+    for number in range(jobs):
+        submit_job(context, f"c{number:03d}", steps, tasks, URGENT)
+
+
+@when('10 filling jobs each of the images "heavy" and "light" are handed in over 10 s')
+def hand_in_fillers(context):
+    async def load():
+        for number in range(10):
+            for image in ("heavy", "light"):
+                step_ = plain(4, 3000, image=image, filler=True, saves_checkpoints=True)
+                name = job_id(f"{ord(image[0]):x}{number:02d}")
+                await context.world.submit(name, BATCH, step_)
+            await asyncio.sleep(1.0)
+
+    context.lasting = set(context.world.accepted)
+    play(context, load())
+
+
+@when('a gang job "{name}" of {tasks:d} tasks is handed in')
+def hand_in_gang(context, name, tasks):
+    context.runs = record_runs(context.world)
+    step_ = plain(tasks, gang=True)
+    context.outcome = play(context, context.world.submit(job_id(name), URGENT, step_))
+
+
+def record_runs(world):
+    """Note every run that begins, with its time."""
+    runs = []
+    for worker in world.workers.values():
+
+        def begin(run, worker=worker, original=worker._begin):
+            runs.append((worker.now_s(), run))
+            original(run)
+
+        worker._begin = begin
+    return runs
+
+
+@when('a job "{name}" due 3 times every 2 s is handed in')
+def hand_in_due(context, name):
+    context.runs = record_runs(context.world)
+    world = context.world
+    instance = world.instances["i0"]
+
+    async def submit():
+        context.due_s = instance.clock.wall_s() + 2.0
+        job = Job(job_id(name), URGENT, "p", (plain(2),), 0.0, 3, context.due_s, 2.0)
+        return await instance.callers.submit(job, instance.clock.now_s() + 3)
+
+    assert play(context, submit()) == Accepted()
+
+
+@step("{seconds_s:g} s pass in the cell")
+def pass_time(context, seconds_s):
+    play(context, asyncio.sleep(seconds_s))
+
+
+@when("the holder dies")
+def kill_holder(context):
+    context.before = context.world.holder()
+    assert context.before is not None
+    play(context, context.world.kill(context.before))
+
+
+@when('the job "{name}" is cancelled at once')
+def cancel(context, name):
+    via = context.world.served()[0]
+    outcome = play(context, context.world.cancel(job_id(name), via))
+    assert outcome == Accepted(), outcome
+
+
+@when("the store {how} for the holder only")
+def fault_holder(context, how):
+    context.before = context.world.holder()
+    context.world.store.faults[context.before] = STORE_FAULTS[how]
+
+
+@when("the store {how} for everybody")
+def fault_all(context, how):
+    context.world.store.faults[""] = STORE_FAULTS[how]
+
+
+@when('the store is silent for "{name}"')
+def fault_one(context, name):
+    context.world.store.faults[name] = StoreFault.SILENT
+
+
+@when("the store serves everybody again")
+def heal_store(context):
+    context.world.store.faults.clear()
+
+
+@when("the log forgets its history")
+def compact(context):
+    context.world.store.forget_history()
+
+
+@when("a busy worker dies")
+def kill_worker(context):
+    worker = next(w for w in context.world.workers.values() if w.runs)
+    worker.die()
+
+
+@when("a busy worker drains")
+def drain_worker(context):
+    world = context.world
+    worker = next(w for w in world.workers.values() if w.runs)
+    context.draining = worker
+    listing = worker.listing
+    worker.listing = type(listing)(
+        listing.worker_id,
+        listing.service,
+        listing.address,
+        listing.data_centre,
+        listing.capacity,
+        listing.labels,
+        True,
+    )
+    world.list_worker(worker)
+
+
+@then('the job "{name}" is shown as completed within {seconds_s:g} s')
+def completed(context, name, seconds_s):
+    done = play(context, context.world.until_done(job_id(name), seconds_s))
+    assert done, play(context, context.world.status(job_id(name)))
+
+
+@then("all jobs are shown as completed within {seconds_s:g} s")
+def all_completed(context, seconds_s):
+    world = context.world
+    names = [n for n in world.accepted if n not in getattr(context, "lasting", set())]
+    assert names
+
+    async def wait():
+        deadline_s = context.loop.time() + seconds_s
+        open_ = set(names)
+        while open_ and context.loop.time() < deadline_s:
+            await asyncio.sleep(0.5)
+            for name in sorted(open_):
+                if await world.status(name) is JobStatus.COMPLETED:
+                    open_.discard(name)
+        return {name: await world.status(name) for name in open_}
+
+    left = play(context, wait())
+    assert not left, left
+
+
+@then("no promise of the cell was broken")
+def promises(context):
+    broken = context.world.judge.broken
+    assert not broken, broken[:5]
+
+
+@then("no task was started more often than needed")
+def starts(context):
+    judge = context.world.judge
+    assert judge.starts == len(judge.done), (judge.starts, len(judge.done))
+
+
+@then("exactly 1 instance believes that it holds the cell")
+def one_holder(context):
+    holders = [n for n, i in context.world.instances.items() if i.holder is not None]
+    assert len(holders) == 1, holders
+
+
+@then("another instance holds the cell within {seconds_s:g} s")
+def taken_over(context, seconds_s):
+    world = context.world
+
+    def other():
+        name = world.holder()
+        return name is not None and name != context.before
+
+    assert play(context, world.until(other, seconds_s)), world.holder()
+
+
+@then('nothing of "{name}" runs {seconds_s:g} s later')
+def nothing_runs(context, name, seconds_s):
+    play(context, asyncio.sleep(seconds_s))
+    assert running(context.world, name) == 0
+
+
+@then('{tasks:d} tasks of "{name}" are at work')
+def at_work(context, tasks, name):
+    assert running(context.world, name) == tasks
+
+
+@then("nothing runs on the draining worker")
+def drained(context):
+    assert not context.draining.runs
+
+
+@then("the job was refused")
+def refused(context):
+    assert isinstance(context.outcome, NotAccepted), context.outcome
+
+
+@then("nothing has started")
+def nothing_started(context):
+    assert context.world.judge.starts == 0
+
+
+@then("serving tasks were over their target for less than {seconds_s:g} task-seconds")
+def over_target(context, seconds_s):
+    over_s = context.world.judge.over_target_s
+    assert over_s < seconds_s, over_s
+
+
+@then('it ran only on "{one}" and "{other}"')
+def ran_on(context, one, other):
+    used = {name for name, w in context.world.workers.items() if w.highest}
+    assert used and used <= {one, other}, used
+
+
+@then("every member had the same run number")
+def same_number(context):
+    numbers = {run.number for _, run in context.runs}
+    assert numbers == {1}, numbers
+
+
+@then("its occurrences started in turn and not early")
+def in_turn(context):
+    first_s: dict[int, float] = {}
+    for at_s, run in context.runs:
+        first_s[run.key.occurrence] = min(
+            at_s, first_s.get(run.key.occurrence, math.inf)
+        )
+    assert sorted(first_s) == [0, 1, 2], first_s
+    for number, at_s in first_s.items():
+        due_s = context.due_s - 1_700_000_000 + 2.0 * number
+        assert due_s - 0.25 <= at_s < due_s + 1.0, (number, at_s, due_s)
+
+
+@then('"{name}" is not ready')
+def not_ready(context, name):
+    assert not context.world.instances[name].ready()
+
+
+@then('"{name}" does not deny the job "{job}"')
+def not_denied(context, name, job):
+    status = play(context, context.world.status(job_id(job), name))
+    assert not isinstance(status, Gone), status
+
+
+@given("a random walk of a cell with seed {seed:d}")
+def random_walk(context, seed):
+    new_loop(context)
+
+    async def begin():
+        context.world = new_world(seed)
+        await walk(context.world)
+
+    play(context, begin())
+
+
+@then("every accepted job came to its end")
+def came_to_end(context):
+    world = context.world
+
+    async def states():
+        return {name: await world.status(name) for name in world.accepted}
+
+    left = {
+        name: status
+        for name, status in play(context, states()).items()
+        if not isinstance(status, JobStatus) or not status.final
+    }
+    assert not left, left
--- /dev/null
+++ b/features/support/cell_walk.py
@@ -0,0 +1,138 @@
+"""Walk a cell through random faults and load, drawn from one seed."""
+
+import asyncio
+from random import Random
+
+from hornbeampaddle.cell.jobs import Step
+from hornbeampaddle.resources import Resources
+from hornbeampaddle_standins.cell.store import StoreFault
+from hornbeampaddle_standins.cell.world import BATCH, MIB, URGENT, World
+
+INSTANCES = 4
+WORKERS = 8
+LOAD_S = 30.0
+
+
+def plain(count, cpu_millis=2000, after=(), **more):
+    return Step(count, Resources(cpu_millis, 512 * MIB, 0), 1.0, after, **more)
+
+
+async def build(world, instances, workers):
+    """Start a world and let it settle."""
+    world.configure(URGENT, BATCH)
+    for number in range(workers):
+        world.add_worker(f"w{number}")
+    for number in range(instances):
+        world.start_instance(f"i{number}")
+    await asyncio.sleep(2.0)
+
+
+async def _load(world, random):
+    deadline_s = asyncio.get_running_loop().time() + LOAD_S
+    number = 0
+    while asyncio.get_running_loop().time() < deadline_s:
+        await asyncio.sleep(random.uniform(0.1, 0.8))
+        number += 1
+        job_id = f"{number:016x}"
+        steps = [plain(random.randint(1, 6), random.choice([500, 2000, 6000]))]
+        if random.random() < 0.5:
+            saves = random.random() < 0.5
+            steps.append(plain(3, after=(0,), saves_checkpoints=saves))
+        if world.instances:
+            asyncio.create_task(_submit(world, random, job_id, steps))
+
+
+async def _submit(world, random, job_id, steps):
+    queue = random.choice([URGENT, BATCH])
+    via = random.choice(sorted(world.instances))
+    await world.submit(job_id, queue, *steps, via=via)
+    if random.random() < 0.1 and job_id in world.accepted and world.instances:
+        await asyncio.sleep(random.uniform(0, 2))
+        via = random.choice(sorted(world.instances))
+        await world.cancel(job_id, via)
+
+
+async def _kill(world, random):
+    if len(world.instances) < 2:
+        return
+    name = random.choice(sorted(world.instances))
+    await world.kill(name)
+    await asyncio.sleep(random.uniform(0.2, 3.0))
+    world.start_instance(name)
+
+
+async def _kill_holder(world, random):
+    name = world.holder()
+    if name is None or len(world.instances) < 2:
+        return
+    await world.kill(name)
+    await asyncio.sleep(random.uniform(0.2, 3.0))
+    world.start_instance(name)
+
+
+async def _store(world, random):
+    kind = random.choice([f for f in StoreFault if f is not StoreFault.NONE])
+    who = random.choice(["", world.holder() or "", *sorted(world.instances)])
+    world.store.faults[who] = kind
+    await asyncio.sleep(random.uniform(0.5, 5.0))
+    world.store.faults.pop(who, None)
+
+
+async def _orders(world, random):
+    world.faults.late_ratio = random.uniform(0, 0.1)
+    world.faults.lost_ratio = random.uniform(0, 0.2)
+    await asyncio.sleep(random.uniform(1, 5))
+    world.faults.late_ratio = world.faults.lost_ratio = 0.0
+
+
+async def _cut(world, random):
+    names = sorted(world.workers)
+    pairs = {(i, w) for i in world.instances for w in random.sample(names, 2)}
+    world.faults.cut |= pairs
+    await asyncio.sleep(random.uniform(1, 14))
+    world.faults.cut -= pairs
+
+
+async def _compact(world, random):
+    world.store.forget_history()
+
+
+async def _flap(world, random):
+    name = random.choice(sorted(world.workers))
+    world.unlist_worker(name)
+    await asyncio.sleep(random.uniform(1, 6))
+    if world.workers[name].alive:
+        world.list_worker(world.workers[name])
+
+
+async def _crash(world, random):
+    alive = [name for name, w in world.workers.items() if w.alive]
+    if len(alive) <= WORKERS - 2:
+        return
+    name = random.choice(sorted(alive))
+    world.workers[name].die()
+    await asyncio.sleep(3.3)
+    world.unlist_worker(name)
+
+
+FAULTS = [_kill, _kill_holder, _store, _orders, _cut, _compact, _flap, _crash]
+
+
+async def walk(world):
+    """Load a world and break it in several places at a time; let it recover."""
+    random = Random(world.seed)
+    await build(world, INSTANCES, WORKERS)
+    load = asyncio.create_task(_load(world, random))
+    breaking = set()
+    while not load.done():
+        await asyncio.sleep(random.uniform(0.5, 3.0))
+        breaking.add(asyncio.create_task(random.choice(FAULTS)(world, random)))
+    await asyncio.gather(load, *breaking)
+    for name in [f"i{number}" for number in range(INSTANCES)]:
+        if name not in world.instances:
+            world.start_instance(name)
+    await asyncio.sleep(40.0)
+
+
+def new_world(seed):
+    return World(seed, work_s=1.5, fail_ratio=0.02)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -164,8 +164,21 @@
         The clock counts while the machine is suspended, so a holder that wakes
         up after its successor began finds that its time is over.
         """
+        return self._lives(self.settings.cell.holder_lapse_s)
+
+    def may_renew(self) -> bool:
+        """
+        Tell whether this instance may still renew leases.
+
+        Somewhat longer than it may order: workers refuse the renewals of a
+        holder that was replaced, and its successor counts with the rest.
+        """
+        cell = self.settings.cell
+        return self._lives(cell.holder_lapse_s + cell.renew_on_s)
+
+    def _lives(self, lapse_s: float) -> bool:
         age_s = self.clock.now_s() - self._stored_at_s
-        return age_s < self.settings.cell.holder_lapse_s and not self.lost.is_set()
+        return age_s < lapse_s and not self.lost.is_set()
 
     def report_wait_s(self) -> float:
         """Return how long a report waits for an end."""
@@ -292,9 +305,7 @@
         return now_s - self._stored_at_s >= self.settings.cell.heartbeat_s
 
     def _heartbeat(self) -> Keyed:
-        record = HolderRecord(
-            self.settings.instance_id, self.epoch, self.settings.name
-        )
+        record = HolderRecord(self.settings.instance_id, self.epoch, self.settings.name)
         return Keyed(HOLDER_KEY, encode_holder(record))
 
     def _forgotten(self, now_s: float) -> list[Keyed]:
@@ -316,9 +327,7 @@
         while not self.lost.is_set():
             sent_at_s = self.clock.now_s()
             producer = Producer(PRODUCER_NAME, self.epoch, self._sequence)
-            outcome = await self.store.append(
-                Topic.PROGRESS, records, producer, None
-            )
+            outcome = await self.store.append(Topic.PROGRESS, records, producer, None)
             match outcome:
                 case Appended():
                     self._stored(records, sent_at_s)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/leadership.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/leadership.py
@@ -91,8 +91,10 @@
 
     def lost(self) -> None:
         """Note that the cell is no longer ours, whatever was read before."""
-        self.holder = None if self.holder is None else msgspec.structs.replace(
-            self.holder, instance_id=UNKNOWN_HOLDER
+        self.holder = (
+            None
+            if self.holder is None
+            else msgspec.structs.replace(self.holder, instance_id=UNKNOWN_HOLDER)
         )
 
     def holds(self, instance_id: str) -> bool:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -54,7 +54,7 @@
         cell = self.holder.cell
         wait_s = FIRST_WAIT_S
         while self.worker_id in cell.workers:
-            if not self.holder.may_order():
+            if not self.holder.may_renew():
                 await asyncio.sleep(SILENT_PAUSE_S)
                 continue
             worker = cell.workers[self.worker_id]
@@ -106,6 +106,7 @@
         self._silent_since_s = None
 
     def _silent(self, detail: str) -> None:
+        self.holder.cell.worker_silent(self.worker_id)
         if self._silent_since_s is None:
             self._silent_since_s = self.holder.clock.now_s()
             log.warning("worker: lost", worker=self.worker_id, detail=detail)
@@ -114,10 +115,17 @@
         """Send a start until its fate is known."""
         cell = self.holder.cell
         run.phase = RunPhase.SENDING
-        while run.phase is RunPhase.SENDING and self.holder.may_order():
-            now_s = self.holder.clock.now_s()
-            if self.worker_id not in cell.workers:
+        while run.phase is RunPhase.SENDING:
+            if not cell.booked(run):
+                # Given up while this waited to send it again: its task may run
+                # elsewhere by now, and this start would be a second run of it.
                 return
+            if not self.holder.may_order():
+                # The store is away. If it comes back with this holder still in
+                # place, the start is still to be sent: nobody else will.
+                await asyncio.sleep(SILENT_PAUSE_S)
+                continue
+            now_s = self.holder.clock.now_s()
             deadline_s = cell.lease_deadline(self.worker_id, now_s)
             if deadline_s is None:
                 return
--- /dev/null
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
@@ -0,0 +1,234 @@
+"""Stand in for the log service: conditional appends, epochs, compacted logs."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from hornbeampaddle.cell.reports import NoAnswer
+from hornbeampaddle_cell.ports import (
+    Appended,
+    AppendOutcome,
+    Batch,
+    Conflict,
+    Expired,
+    Keyed,
+    Newest,
+    NewestOutcome,
+    OutOfSequence,
+    Producer,
+    ReadOutcome,
+    Superseded,
+    Topic,
+    Unavailable,
+)
+
+# One answer takes about as long as the users' store takes.
+ANSWER_S = 0.006
+# A caller gives up a call that gets no answer after so long.
+CALLER_PATIENCE_S = 1.0
+# A store remembers the outcome of this many appends of each producer.
+REMEMBERED = 5
+
+
+class StoreFault(Enum):
+    """How the store treats one instance, or all."""
+
+    NONE = "none"
+    REFUSES = "refuses"
+    SILENT = "silent"
+    LOSES_ANSWERS = "loses_answers"
+    LATE = "late"
+
+
+@dataclass(slots=True)
+class _Writer:
+    """What the log remembers of one producer's appends."""
+
+    epoch: int = -1
+    next_sequence: int = 0
+    outcomes: dict[int, Appended] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class KeyedLog:
+    """One compacted log; ``first`` is the oldest offset that can be read."""
+
+    records: list[Keyed] = field(default_factory=list)
+    newest: dict[str, bytes] = field(default_factory=dict)
+    writers: dict[str, _Writer] = field(default_factory=dict)
+    first: int = 0
+
+    @property
+    def end(self) -> int:
+        """Return the offset after the last record."""
+        return len(self.records)
+
+    def append(
+        self, records: Sequence[Keyed], producer: Producer | None, at: int | None
+    ) -> AppendOutcome:
+        """Append all or none."""
+        if producer is not None:
+            outcome = self._admit(producer)
+            if outcome is not None:
+                return outcome
+        if at is not None and at != self.end:
+            return Conflict()
+        self.records += records
+        for record in records:
+            if record.value is None:
+                self.newest.pop(record.key, None)
+            else:
+                self.newest[record.key] = record.value
+        done = Appended(self.end)
+        if producer is not None and records:
+            writer = self.writers[producer.name]
+            writer.outcomes[producer.sequence] = done
+            writer.outcomes.pop(producer.sequence - REMEMBERED, None)
+            writer.next_sequence = producer.sequence + 1
+        return done
+
+    def _admit(self, producer: Producer) -> AppendOutcome | None:
+        writer = self.writers.setdefault(producer.name, _Writer())
+        if producer.epoch < writer.epoch:
+            return Superseded()
+        if producer.epoch > writer.epoch:
+            self.writers[producer.name] = _Writer(producer.epoch, producer.sequence)
+            return None
+        if producer.sequence in writer.outcomes:
+            return writer.outcomes[producer.sequence]
+        if producer.sequence != writer.next_sequence:
+            return OutOfSequence(writer.next_sequence)
+        return None
+
+
+@dataclass(slots=True)
+class CellStore:
+    """All logs, and how each instance is treated at present."""
+
+    logs: dict[Topic, KeyedLog] = field(
+        default_factory=lambda: {topic: KeyedLog() for topic in Topic}
+    )
+    faults: dict[str, StoreFault] = field(default_factory=dict)
+    answer_s: float = ANSWER_S
+    late_s: float = 3.0
+    appends: int = 0
+    reads: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def fault(self, name: str) -> StoreFault:
+        """Return the fault that one instance meets."""
+        return self.faults.get(name) or self.faults.get("", StoreFault.NONE)
+
+    def port(self, name: str) -> "StoreAccess":
+        """Return the store as one instance reaches it."""
+        return StoreAccess(self, name)
+
+    def write(self, topic: Topic, record: Keyed) -> None:
+        """Write as an operator or a worker does: past all faults."""
+        self.logs[topic].append([record], None, None)
+        self.wake()
+
+    def forget_history(self) -> None:
+        """Keep only the newest record of each key."""
+        for log in self.logs.values():
+            log.first = log.end
+
+    def wake(self) -> None:
+        """Let the reads that wait look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class StoreAccess:
+    """The store port of one instance."""
+
+    def __init__(self, store: CellStore, name: str) -> None:
+        """Reach ``store`` under the faults set for ``name``."""
+        self.store = store
+        self.name = name
+
+    async def append(
+        self,
+        topic: Topic,
+        records: Sequence[Keyed],
+        producer: Producer | None,
+        at_offset: int | None,
+    ) -> AppendOutcome:
+        """Append all records or none."""
+        self.store.appends += 1
+        await asyncio.sleep(self.store.answer_s / 2)
+        match self.store.fault(self.name):
+            case StoreFault.REFUSES:
+                return Unavailable("refused")
+            case StoreFault.SILENT:
+                return await self._silence()
+            case StoreFault.LATE:
+                asyncio.get_running_loop().call_later(
+                    self.store.late_s, self._append, topic, records, producer, at_offset
+                )
+                return await self._silence()
+            case StoreFault.LOSES_ANSWERS:
+                self._append(topic, records, producer, at_offset)
+                return await self._silence()
+        outcome = self._append(topic, records, producer, at_offset)
+        await asyncio.sleep(self.store.answer_s / 2)
+        return outcome
+
+    def _append(
+        self,
+        topic: Topic,
+        records: Sequence[Keyed],
+        producer: Producer | None,
+        at_offset: int | None,
+    ) -> AppendOutcome:
+        outcome = self.store.logs[topic].append(records, producer, at_offset)
+        self.store.wake()
+        return outcome
+
+    async def _silence(self) -> NoAnswer:
+        await asyncio.sleep(CALLER_PATIENCE_S)
+        return NoAnswer("timed out")
+
+    async def _refused(self) -> Unavailable | NoAnswer | None:
+        match self.store.fault(self.name):
+            case StoreFault.REFUSES:
+                return Unavailable("refused")
+            case StoreFault.SILENT:
+                return await self._silence()
+        return None
+
+    async def read(self, topic: Topic, offset: int, wait_s: float) -> ReadOutcome:
+        """Read from an offset; wait for a record if there is none."""
+        self.store.reads += 1
+        await asyncio.sleep(self.store.answer_s / 2)
+        log = self.store.logs[topic]
+        deadline_s = asyncio.get_running_loop().time() + wait_s
+        while True:
+            refused = await self._refused()
+            if refused is not None:
+                return refused
+            left_s = deadline_s - asyncio.get_running_loop().time()
+            if log.end > offset or left_s <= 0:
+                break
+            try:
+                async with asyncio.timeout(left_s):
+                    await self.store.changed.wait()
+            except TimeoutError:
+                pass
+        await asyncio.sleep(self.store.answer_s / 2)
+        if offset < log.first:
+            return Expired()
+        records = log.records[offset:]
+        return Batch(records, offset + len(records), log.end)
+
+    async def newest(self, topic: Topic) -> NewestOutcome:
+        """Read the newest record of each key."""
+        self.store.reads += 1
+        await asyncio.sleep(self.store.answer_s)
+        refused = await self._refused()
+        if refused is not None:
+            return refused
+        log = self.store.logs[topic]
+        records = [Keyed(key, value) for key, value in log.newest.items()]
+        return Newest(records, log.end)
--- /dev/null
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -0,0 +1,377 @@
+"""
+Stand in for workers: leases, tokens, runs, ends, checkpoints, pace.
+
+A worker judges what it is told: two runs of a task, a start after its end or
+its cancellation, and more than it holds are promises broken.
+"""
+
+import asyncio
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from hornbeampaddle.cell.jobs import TaskKey
+from hornbeampaddle.cell.progress import Run
+from hornbeampaddle.cell.reports import (
+    Done,
+    EndedRow,
+    EndKind,
+    HoldOutcome,
+    NoAnswer,
+    OrderOutcome,
+    Reason,
+    Refused,
+    Report,
+    RunningRow,
+)
+from hornbeampaddle.cell.workers import WorkerListing
+from hornbeampaddle.resources import NOTHING
+
+ANSWER_S = 0.002
+CALLER_PATIENCE_S = 0.6
+STOP_S = 0.3
+LEASE_MAX_S = 10.0
+TICK_S = 0.05
+# The tail of a serving task alone, as a share of its target.
+ALONE_RATIO = 0.35
+
+
+@dataclass(slots=True)
+class Judge:
+    """What all workers saw together."""
+
+    running: dict[TaskKey, int] = field(default_factory=dict)
+    begun_at_s: dict[TaskKey, float] = field(default_factory=dict)
+    done: set[TaskKey] = field(default_factory=set)
+    cancelled_at_s: dict[str, float] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+    starts: int = 0
+    over_target_s: float = 0.0
+
+    def began(self, key: TaskKey, now_s: float) -> None:
+        """Note that a run began."""
+        self.starts += 1
+        if self.running.get(key, 0):
+            self.broken.append(f"{now_s:.3f}: {key} runs twice")
+        if key in self.done:
+            self.broken.append(f"{now_s:.3f}: {key} runs after its end")
+        cancelled_at_s = self.cancelled_at_s.get(key.job_id, math.inf)
+        if now_s > cancelled_at_s + 3.0:
+            self.broken.append(f"{now_s:.3f}: {key} starts after its cancellation")
+        self.running[key] = self.running.get(key, 0) + 1
+        self.begun_at_s[key] = now_s
+
+    def acknowledged(self, key: TaskKey, ended_at_s: float) -> None:
+        """
+        Note that the end of a run that was done has been taken note of.
+
+        An end that dies with its worker before that does not count: the task
+        has to run again.
+        """
+        self.done.add(key)
+        if self.begun_at_s[key] > ended_at_s:
+            self.broken.append(f"{ended_at_s:.3f}: {key} began after its end")
+
+    def ended(self, key: TaskKey) -> None:
+        """Note that a run is over."""
+        self.running[key] -= 1
+
+
+@dataclass(slots=True)
+class LiveRun:
+    """A run on a worker."""
+
+    run: Run
+    work_s: float
+    done_s: float = 0.0
+    pace: float = 1.0
+    saved_s: float = 0.0
+    fails: bool = False
+
+
+@dataclass
+class CellWorker:
+    """One incarnation of a worker in simulated time."""
+
+    listing: WorkerListing
+    judge: Judge
+    work_of: Callable[[Run], tuple[float, bool]]
+    slopes: Callable[[str, str], float]
+    skew_s: float = 0.0
+    token: int = 0
+    lease_until_s: float = 0.0
+    runs: dict[TaskKey, LiveRun] = field(default_factory=dict)
+    ends: list[EndedRow] = field(default_factory=list)
+    done_at_s: dict[int, float] = field(default_factory=dict)
+    position: int = 0
+    highest: dict[TaskKey, int] = field(default_factory=dict)
+    alive: bool = True
+    fails_all: bool = False
+    stalled: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def now_s(self) -> float:
+        """Return simulated seconds."""
+        return asyncio.get_running_loop().time()
+
+    def clock_s(self) -> float:
+        """Return this worker's own clock."""
+        return self.now_s() + self.skew_s
+
+    def die(self) -> None:
+        """End with everything that runs."""
+        self.alive = False
+        for key in list(self.runs):
+            self.judge.ended(key)
+        self.runs.clear()
+
+    async def live(self) -> None:
+        """Let time pass for what runs."""
+        while self.alive:
+            await asyncio.sleep(TICK_S)
+            self.advance(TICK_S)
+
+    def advance(self, passed_s: float) -> None:
+        """Work for a while; end what is done or whose lease is over."""
+        if self.clock_s() >= self.lease_until_s:
+            for key in list(self.runs):
+                self._end(key, EndKind.LEASE_EXPIRED)
+            # What ended before a lapse may rightly run again elsewhere.
+            self.done_at_s.clear()
+            return
+        speed = self._filler_speed()
+        for key, live in list(self.runs.items()):
+            if self.stalled:
+                continue
+            rate = live.pace * (speed if live.run.step.filler else 1.0)
+            live.done_s += passed_s * rate
+            if live.run.step.saves_checkpoints:
+                live.saved_s = math.floor(live.done_s)
+            if live.done_s >= live.work_s and not live.run.step.lasting:
+                self._end(key, EndKind.FAILED if live.fails else EndKind.DONE)
+        for live in self.runs.values():
+            if live.run.step.tail_target_s and self._ratio(live) > 1:
+                self.judge.over_target_s += passed_s
+
+    def _filler_speed(self) -> float:
+        fillers = [r.run for r in self.runs.values() if r.run.step.filler]
+        wanted = sum(run.step.need.cpu_millis for run in fillers)
+        others = sum(
+            live.run.step.need.cpu_millis * (0.5 if live.run.step.lasting else 1.0)
+            for live in self.runs.values()
+            if not live.run.step.filler
+        )
+        left = max(0.0, self.listing.capacity.cpu_millis - others)
+        return min(1.0, left / wanted) if wanted else 1.0
+
+    def _ratio(self, live: LiveRun) -> float:
+        level = 0.0
+        speed = self._filler_speed()
+        for other in self.runs.values():
+            if other.run.step.filler:
+                use = other.run.step.need.cpu_millis * other.pace * speed
+                share = use / self.listing.capacity.cpu_millis
+                level += share * self.slopes(live.run.step.image, other.run.step.image)
+        return ALONE_RATIO * math.exp(level)
+
+    def _end(self, key: TaskKey, how: EndKind) -> None:
+        live = self.runs.pop(key)
+        self.judge.ended(key)
+        self.position += 1
+        if how is EndKind.DONE:
+            self.done_at_s[self.position] = self.now_s()
+        saved = str(live.saved_s) if live.saved_s else ""
+        self.ends.append(EndedRow(self.position, key, live.run.number, how, saved))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    # Orders
+
+    def start(self, run: Run, token: int, deadline_s: float) -> OrderOutcome:
+        """Begin a run, or say why not."""
+        if token < self.token:
+            return Refused(Reason.FENCED, self.clock_s())
+        self.token = token
+        self._extend(deadline_s)
+        if deadline_s < self.clock_s():
+            return Refused(Reason.EXPIRED, self.clock_s())
+        live = self.runs.get(run.key)
+        if live is not None and live.run.number == run.number:
+            return Done(self.clock_s())
+        if run.number <= self.highest.get(run.key, 0):
+            return Refused(Reason.OUTDATED, self.clock_s())
+        if live is not None:
+            return Refused(Reason.OUTDATED, self.clock_s())
+        self._begin(run)
+        return Done(self.clock_s())
+
+    def _begin(self, run: Run) -> None:
+        self.judge.began(run.key, self.now_s())
+        work_s, fails = self.work_of(run)
+        live = LiveRun(run, work_s, fails=fails or self.fails_all)
+        live.done_s = live.saved_s = float(run.checkpoint or 0)
+        self.runs[run.key] = live
+        self.highest[run.key] = run.number
+        taken = NOTHING
+        for other in self.runs.values():
+            taken = taken + other.run.charge
+        if not taken.fits_in(self.listing.capacity):
+            self.judge.broken.append(f"{self.now_s():.3f}: {run.worker_id} is over")
+
+    def _extend(self, deadline_s: float) -> None:
+        bounded_s = min(deadline_s, self.clock_s() + LEASE_MAX_S)
+        self.lease_until_s = max(self.lease_until_s, bounded_s)
+
+    def stop(self, run: Run, token: int) -> OrderOutcome:
+        """End a run soon; a later start of it is refused."""
+        if token < self.token:
+            return Refused(Reason.FENCED, self.clock_s())
+        self.token = token
+        self.highest[run.key] = max(self.highest.get(run.key, 0), run.number)
+        live = self.runs.get(run.key)
+        if live is not None and live.run.number <= run.number:
+            loop = asyncio.get_running_loop()
+            loop.call_later(STOP_S, self._stopped, run.key, live)
+        return Done(self.clock_s())
+
+    def _stopped(self, key: TaskKey, live: LiveRun) -> None:
+        if self.runs.get(key) is live:
+            live.saved_s = live.done_s if live.run.step.saves_checkpoints else 0.0
+            self._end(key, EndKind.STOPPED)
+
+    def pace(self, run: Run, token: int, percent: int) -> OrderOutcome:
+        """Let a run work at a share of its speed."""
+        if token < self.token:
+            return Refused(Reason.FENCED, self.clock_s())
+        live = self.runs.get(run.key)
+        if live is not None and live.run.number == run.number:
+            live.pace = percent / 100
+        return Done(self.clock_s())
+
+    def renew(
+        self, token: int, last_seen: int, deadline_s: float | None
+    ) -> Refused | None:
+        """Extend the lease and forget acknowledged ends."""
+        if token < self.token:
+            return Refused(Reason.FENCED, self.clock_s())
+        self.token = token
+        if deadline_s is not None:
+            self._extend(deadline_s)
+        for end in self.ends:
+            done_at_s = self.done_at_s.pop(end.position, None)
+            if end.position <= last_seen and done_at_s is not None:
+                self.judge.acknowledged(end.key, done_at_s)
+            elif done_at_s is not None:
+                self.done_at_s[end.position] = done_at_s
+        self.ends = [end for end in self.ends if end.position > last_seen]
+        return None
+
+    def rows(self) -> tuple[RunningRow, ...]:
+        """Return what runs, as a report lists it."""
+        rows = []
+        for live in self.runs.values():
+            step = live.run.step
+            measure = step.need.cpu_millis * live.pace
+            if step.filler:
+                measure *= self._filler_speed()
+            if step.tail_target_s:
+                measure = self._ratio(live) * step.tail_target_s * 1000
+            percent = 100.0 if step.lasting else 100 * live.done_s / live.work_s
+            saved = str(live.saved_s) if live.saved_s else ""
+            number = live.run.number
+            rows.append(RunningRow(live.run.key, number, saved, percent, measure))
+        return tuple(rows)
+
+
+@dataclass(slots=True)
+class OrderFaults:
+    """What happens to orders between an instance and the workers."""
+
+    random: Random
+    lost_ratio: float = 0.0
+    late_ratio: float = 0.0
+    late_s: float = 4.0
+    cut: set[tuple[str, str]] = field(default_factory=set)
+
+
+class WorkerAccess:
+    """The worker port of one instance, under one token."""
+
+    def __init__(
+        self, worker: CellWorker, caller: str, token: int, faults: OrderFaults
+    ) -> None:
+        """Reach ``worker`` under the faults of the network."""
+        self.worker = worker
+        self.caller = caller
+        self.token = token
+        self.faults = faults
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+    async def _order(self, act: Callable[[], OrderOutcome]) -> OrderOutcome:
+        await asyncio.sleep(ANSWER_S / 2)
+        if (self.caller, self.worker.listing.worker_id) in self.faults.cut:
+            return await self._silence()
+        if not self.worker.alive:
+            return await self._silence()
+        drawn = self.faults.random.random()
+        if drawn < self.faults.late_ratio:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.late_s, self._if_alive, act)
+            return await self._silence()
+        outcome = act()
+        if drawn < self.faults.late_ratio + self.faults.lost_ratio:
+            return await self._silence()
+        await asyncio.sleep(ANSWER_S / 2)
+        return outcome
+
+    def _if_alive(self, act: Callable[[], OrderOutcome]) -> None:
+        if self.worker.alive:
+            act()
+
+    async def _silence(self) -> NoAnswer:
+        await asyncio.sleep(CALLER_PATIENCE_S)
+        return NoAnswer("timed out")
+
+    async def start(self, run: Run, payload: str, deadline_s: float) -> OrderOutcome:
+        """Start an attempt."""
+        return await self._order(lambda: self.worker.start(run, self.token, deadline_s))
+
+    async def stop(self, run: Run) -> OrderOutcome:
+        """End an attempt."""
+        return await self._order(lambda: self.worker.stop(run, self.token))
+
+    async def pace(self, run: Run, percent: int) -> OrderOutcome:
+        """Let an attempt work at a share of its speed."""
+        return await self._order(lambda: self.worker.pace(run, self.token, percent))
+
+    async def report(
+        self, last_seen: int, deadline_s: float | None, wait_s: float
+    ) -> HoldOutcome:
+        """Renew the lease, acknowledge ends, and read what is there."""
+        sent_at_s = self.worker.now_s()
+        outcome = await self._order(
+            lambda: (
+                self.worker.renew(self.token, last_seen, deadline_s)
+                or Done(self.worker.clock_s())
+            )
+        )
+        if not isinstance(outcome, Done):
+            return outcome
+        if not self.worker.ends and wait_s:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self.worker.changed.wait()
+            except TimeoutError:
+                pass
+        if not self.worker.alive:
+            return await self._silence()
+        return Report(
+            sent_at_s,
+            self.worker.now_s(),
+            self.worker.clock_s(),
+            self.worker.rows(),
+            tuple(self.worker.ends),
+        )
--- a/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
@@ -139,9 +139,7 @@
                 room[image] -= more * pressure
             self._set(worker, run, run.pace_percent + 100 * more, now_s)
 
-    def _set(
-        self, worker: WorkerState, run: Run, percent: float, now_s: float
-    ) -> None:
+    def _set(self, worker: WorkerState, run: Run, percent: float, now_s: float) -> None:
         wanted = max(0, min(100, round(percent)))
         small = abs(wanted - run.pace_percent) < PACE_STEP_PERCENT
         if wanted == run.pace_percent or (small and wanted not in (0, 100)):
--- a/packages/hornbeampaddle/hornbeampaddle/cell/reports.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/reports.py
@@ -19,7 +19,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RunningRow:
-    """An attempt that a worker has; ``measure`` is a tail or a use of CPU.
+    """
+    An attempt that a worker has; ``measure`` is a tail or a use of CPU.
 
     ``measure`` is the tail latency in milliseconds for a task with a tail
     target, otherwise thousandths of a core in use; -1 if it was not given.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -37,6 +37,8 @@
 RESEND_MAX_S = 1.0
 # A run that is still reported so long after it should have stopped is told again.
 STOP_REPEAT_S = 0.4
+# Orders take a moment on their way, and a deadline is rounded.
+LEASE_MARGIN_S = 0.2
 # Stands for the address of a worker that only an old record names.
 NO_ADDRESS = Address("", 0)
 
@@ -93,7 +95,7 @@
             listing = WorkerListing(run.worker_id, "", NO_ADDRESS, "", NOTHING)
             worker = self._new_worker(listing)
             worker.listed = False
-            worker.lease_over_at_s = now_s + self._lease_bound_s()
+            worker.lease_over_at_s = now_s + self._inherited_bound_s()
         worker.add(run)
 
     def cancel(self, job_id: str, now_s: float) -> None:
@@ -118,7 +120,7 @@
         worker = self.workers.get(listing.worker_id)
         if worker is None:
             worker = self._new_worker(listing)
-            worker.lease_over_at_s = now_s + self._lease_bound_s()
+            worker.lease_over_at_s = now_s + self._inherited_bound_s()
             self.note(Note("worker_listed", "", {"worker": listing.worker_id}))
         was_draining = worker.listing.draining
         worker.listing = listing
@@ -141,7 +143,9 @@
             return
         worker.gone = True
         detail: dict[str, object] = {
-            "worker": worker_id, "why": why, "runs": len(worker.runs)
+            "worker": worker_id,
+            "why": why,
+            "runs": len(worker.runs),
         }
         self.note(Note("worker_ended", "", detail))
         for run in list(worker.runs.values()):
@@ -155,7 +159,9 @@
         return worker
 
     def _lease_bound_s(self) -> float:
-        return self.settings.lease_s * (1 + self.settings.clock_error_ratio) + 0.2
+        """Return the local time in which a lease granted now has passed."""
+        lease_s = self.settings.lease_s * (1 + self.settings.clock_error_ratio)
+        return lease_s + LEASE_MARGIN_S
 
     def _leave(self, worker: WorkerState) -> None:
         # A draining worker ends everything when it exits. What would not end by
@@ -165,6 +171,10 @@
             if run.step.lasting or run.step.saves_checkpoints:
                 self.stop(run, "worker_draining")
 
+    def _inherited_bound_s(self) -> float:
+        # The holder before this one may renew for a while after it lapsed.
+        return self._lease_bound_s() + self.settings.renew_on_s
+
     def expire(self, now_s: float) -> None:
         """Give up the runs of workers whose lease has certainly passed."""
         for worker in list(self.workers.values()):
@@ -188,9 +198,22 @@
         worker = self.workers[worker_id]
         if not worker.clock.known:
             return None
+        if worker.silent and worker.granted_s is not None:
+            # Guards against a dead worker that keeps its tasks for ever: each
+            # order may have arrived, so a new deadline in each of them would
+            # push the end of its lease ahead of us. A silent worker is only
+            # told the deadline that it may know already.
+            return worker.granted_s
         over_at_s = now_s + self._lease_bound_s() + self.settings.answer_timeout_s
         worker.lease_over_at_s = max(worker.lease_over_at_s, over_at_s)
-        return worker.clock.deadline_there(now_s + self.settings.lease_s)
+        worker.granted_s = worker.clock.deadline_there(now_s + self.settings.lease_s)
+        return worker.granted_s
+
+    def worker_silent(self, worker_id: str) -> None:
+        """Take in that a worker has not answered; its lease is not renewed."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.silent = True
 
     # What workers answer
 
@@ -203,6 +226,7 @@
         worker.clock.observe(report.clock_s, now_s)
         first = not worker.reported
         worker.reported = True
+        worker.silent = False
         worker.last_report_at_s = now_s
         listed = set()
         for ended in report.ended:
@@ -217,7 +241,8 @@
         self._find_missing(worker, report, listed)
         if first:
             detail: dict[str, object] = {
-                "worker": worker_id, "running": len(report.running)
+                "worker": worker_id,
+                "running": len(report.running),
             }
             self.note(Note("worker_reported", "", detail))
         self._paces.observe(worker, now_s)
@@ -245,8 +270,11 @@
         if not ours or run is None:
             return
         detail: dict[str, object] = {
-            "task": row.key, "run": row.number, "worker": worker.worker_id,
-            "how": row.how.value, "asked": run.stop_reason,
+            "task": row.key,
+            "run": row.number,
+            "worker": worker.worker_id,
+            "how": row.how.value,
+            "asked": run.stop_reason,
         }
         self.note(Note("run_ended", row.key.job_id, detail))
         task.run = None
@@ -314,7 +342,8 @@
             worker.recent_ends.clear()
             worker.failures_in_row = self.settings.failures_in_row - 1
             detail: dict[str, object] = {
-                "worker": worker.worker_id, "until_s": worker.rest_until_s
+                "worker": worker.worker_id,
+                "until_s": worker.rest_until_s,
             }
             self.note(Note("worker_rests", "", detail))
 
@@ -410,13 +439,23 @@
             task.checkpoint = run.checkpoint
         self.dirty.add(run.key.job_id)
         detail: dict[str, object] = {
-            "task": run.key, "run": run.number, "worker": run.worker_id, "why": why
+            "task": run.key,
+            "run": run.number,
+            "worker": run.worker_id,
+            "why": why,
         }
         self.note(Note("run_released", run.key.job_id, detail))
 
     # What became of orders
 
-    def start_answered(self, run: Run, outcome: OrderOutcome, now_s: float) -> float | None:
+    def booked(self, run: Run) -> bool:
+        """Tell whether an attempt still takes room on its worker."""
+        worker = self.workers.get(run.worker_id)
+        return worker is not None and worker.runs.get(run.key) is run
+
+    def start_answered(
+        self, run: Run, outcome: OrderOutcome, now_s: float
+    ) -> float | None:
         """
         Take in what became of a start.
 
@@ -462,8 +501,11 @@
         if clock_s:
             worker.clock.observe(clock_s, now_s)
         detail: dict[str, object] = {
-            "task": run.key, "run": run.number, "worker": worker.worker_id,
-            "reason": reason.value, "unanswered": run.unanswered,
+            "task": run.key,
+            "run": run.number,
+            "worker": worker.worker_id,
+            "reason": reason.value,
+            "unanswered": run.unanswered,
         }
         self.note(Note("start_refused", run.key.job_id, detail))
         if reason is Reason.EXPIRED:
@@ -489,7 +531,9 @@
         self._release(run, now_s, f"refused_{reason.value}")
         return None
 
-    def stop_answered(self, order: StopOrder, outcome: OrderOutcome, now_s: float) -> bool:
+    def stop_answered(
+        self, order: StopOrder, outcome: OrderOutcome, now_s: float
+    ) -> bool:
         """Take in what became of a stop; return whether to send it again."""
         worker = self.workers.get(order.worker_id)
         if worker is None or worker.runs.get(order.run.key) is not order.run:
@@ -517,7 +561,9 @@
         run.phase = RunPhase.STOPPING
         run.stop_reason = reason
         detail: dict[str, object] = {
-            "task": run.key, "run": run.number, "worker": run.worker_id,
+            "task": run.key,
+            "run": run.number,
+            "worker": run.worker_id,
             "why": reason,
         }
         self.note(Note("stop", run.key.job_id, detail))
@@ -532,7 +578,8 @@
         state.finished_at_s = now_s
         self.dirty.add(state.job.job_id)
         detail: dict[str, object] = {
-            "status": status.name.lower(), "why": why,
+            "status": status.name.lower(),
+            "why": why,
             "age_s": round(now_s - state.accepted_at_s, 3),
         }
         self.note(Note("job_finished", state.job.job_id, detail))
@@ -561,10 +608,9 @@
         ready: list[StopOrder] = []
         kept: list[StopOrder] = []
         for order in self._stops:
-            worker = self.workers.get(order.worker_id)
-            if worker is None or worker.runs.get(order.run.key) is not order.run:
+            if not self.booked(order.run):
                 continue
-            if worker.reported:
+            if self.workers[order.worker_id].reported:
                 order.run.stop_sent_at_s = now_s
                 ready.append(order)
             else:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -11,9 +11,14 @@
     Times are seconds, ratios are between 0 and 1 unless said otherwise.
     """
 
-    # The longest lease that workers grant. Long, so that work runs on while
-    # the store or the holder is away for 5 s and a takeover follows.
-    lease_s: float = 10.0
+    # How long a worker's runs live without a renewal. Long enough for a zone
+    # that is cut off for 6.5 s; no longer, for the tasks of a worker that died
+    # may only start elsewhere when it has passed.
+    lease_s: float = 8.0
+    # A holder that can store nothing renews leases for so long after it has
+    # stopped giving orders: work that runs lives through an outage of the store
+    # of this, the lapse and the lease together, 11.5 s.
+    renew_on_s: float = 2.0
     # Workers' clocks may run slow by this ratio.
     clock_error_ratio: float = 0.02
     # A holder that has stored nothing for so long stops giving orders ...
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -49,7 +49,11 @@
     taken: Resources = NOTHING
     seen_end: int = 0
     acked_end: int = 0
+    # The last deadline that was sent, on the worker's clock, and the local time
+    # by which it has certainly passed there.
+    granted_s: float | None = None
     lease_over_at_s: float = float("-inf")
+    silent: bool = False
     last_report_at_s: float = float("-inf")
     rest_until_s: float = float("-inf")
     failures_in_row: int = 0
@@ -120,7 +124,9 @@
         """Tell whether a new attempt may be placed here."""
         if not self.listed or not self.reported or self.gone:
             return False
-        return not self.listing.draining and now_s >= self.rest_until_s
+        if self.silent or self.listing.draining:
+            return False
+        return now_s >= self.rest_until_s
 
     def note_end(self, well: bool) -> None:
         """Count an end that says something about the worker itself."""
