Separate a job's own load from what fillers do; feasible jobs first

Change: a job's own level from its tasks' undisturbed tails; jobs over their target by themselves do not silence fillers; held-back processors are spare; first those jobs that can still be on time.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -18,6 +18,7 @@
 from hornbeampaddle.cell.progress import RunPhase
 from hornbeampaddle.cell.reports import NoAnswer, Report
 from hornbeampaddle.cell.scheduler import Scheduler
+from hornbeampaddle.cell.summary import summary
 from hornbeampaddle.cell.workers import WorkerListing
 
 from .leadership import HOLDER_KEY, HolderRecord, encode_holder
@@ -50,6 +51,8 @@
 # Finished jobs are looked for this often, and dropped so many at a time.
 FORGET_EVERY_S = 5.0
 FORGET_COUNT = 100
+# The state of the cell is logged this often; it costs about 1 ms.
+SUMMARY_EVERY_S = 1.0
 
 
 class Holder:
@@ -82,6 +85,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._woken = asyncio.Event()
         self._forget_at_s = claimed_at_s + FORGET_EVERY_S
+        self._summary_at_s = claimed_at_s
         self._releasing = False
 
     def _log_note(self, note: Note) -> None:
@@ -244,6 +248,7 @@
         ends = [(worker, end) for worker, end in self.cell.acknowledgements()]
         records = [Keyed(key, value) for key, value in decision.records.items()]
         records += self._forgotten(now_s)
+        self._log_summary(now_s)
         unacked = any(worker.acked_end < end for worker, end in ends)
         if records or unacked or self._heartbeat_due(now_s):
             if not records:
@@ -308,6 +313,12 @@
         record = HolderRecord(self.settings.instance_id, self.epoch, self.settings.name)
         return Keyed(HOLDER_KEY, encode_holder(record))
 
+    def _log_summary(self, now_s: float) -> None:
+        if now_s < self._summary_at_s:
+            return
+        self._summary_at_s = now_s + SUMMARY_EVERY_S
+        log.info("cell: state", epoch=self.epoch, **asdict(summary(self.cell, now_s)))
+
     def _forgotten(self, now_s: float) -> list[Keyed]:
         if now_s < self._forget_at_s:
             return []
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -2,15 +2,13 @@
 Place the tasks whose turn has come, the most urgent job first.
 
 Order: priority of the queue, then jobs that end before jobs that last, then
-the time by which the job should be done. A job that is too late to earn
-anything waits behind the others of its priority.
+jobs that can still be on time, then the time by which a job should be done.
 """
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ..resources import Resources
 from .effects import AdviceQuestion, Decision, Note
 from .jobs import StepKey, TaskKey
 from .placing import Ranking, suits
@@ -111,13 +109,39 @@
     return all(steps[number].done for number in step.step.after)
 
 
-def _urgency(state: JobState, now_s: float) -> tuple[int, bool, bool, float]:
+def _urgency(state: JobState, now_s: float) -> tuple[int, bool, int, float]:
     job = state.job
     objective_s = job.objective_s()
-    late_s = state.accepted_at_s + WORTHLESS_AFTER_RATIO * objective_s
-    worthless = not job.lasting and not job.repeat_count and now_s > late_s
     due_s = state.accepted_at_s + objective_s
-    return (job.queue.priority, worthless, job.lasting, due_s)
+    chance = 0
+    if not job.lasting and not job.repeat_count:
+        chance = _chance(state, objective_s, now_s)
+    return (job.queue.priority, job.lasting, chance, due_s)
+
+
+def _chance(state: JobState, objective_s: float, now_s: float) -> int:
+    """
+    Return 0 for a job that can still be on time, 1 for late, 2 for neither.
+
+    When the queue is long, the first in line are those that are just too late:
+    serving them first makes every one behind them late as well.
+    """
+    end_s = now_s + remaining_chain_s(state) - state.accepted_at_s
+    if end_s <= objective_s:
+        return 0
+    return 1 if end_s <= WORTHLESS_AFTER_RATIO * objective_s else 2
+
+
+def remaining_chain_s(state: JobState) -> float:
+    """Return the estimated length of the longest chain of steps not yet done."""
+    steps = state.occurrences.get(0)
+    if steps is None:
+        return state.job.chain_s()
+    ends: list[float] = []
+    for step in steps:
+        begin_s = max((ends[number] for number in step.step.after), default=0.0)
+        ends.append(begin_s if step.done else begin_s + step.step.estimate_s)
+    return max(ends, default=0.0)
 
 
 def _place_step(
@@ -132,8 +156,6 @@
     workers = [
         w for w in usable if w.listing.service == service and suits(step.step, w)
     ]
-    if step.step.lasting:
-        workers = _beyond_reserve(cell, workers, step.step.charge)
     tickets: dict[str, str] = {}
     if state.job.queue.advice is not None:
         tickets = _tickets(cell, decision, step, workers, now_s)
@@ -160,17 +182,6 @@
     return worker.filler_cpu_millis == 0 or worker.spare_cpu_millis() >= needed
 
 
-def _beyond_reserve(
-    cell: "Scheduler", workers: list[WorkerState], charge: Resources
-) -> list[WorkerState]:
-    """Return the workers, or none if the cell would fall below its reserve."""
-    free = sum(w.free().cpu_millis for w in workers)
-    total = sum(w.listing.capacity.cpu_millis for w in workers)
-    if free - charge.cpu_millis < cell.settings.reserve_ratio * total:
-        return []
-    return workers
-
-
 def _used(step: StepState) -> dict[str, int]:
     used: dict[str, int] = {}
     for task in step.tasks:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
@@ -6,11 +6,17 @@
 of that form explains a third of the variance of tails, and it tells the one
 pair in three that disturbs (slope 5 to 9) from those that do not (slope near 0).
 Readings count less as they age, since the amounts change.
+
+The tasks of one job share the load of its users, wherever they run. What the
+fillers do not explain, in most of a job's tasks alike, is that load: its own
+level. A job that is over its target by its own load cannot be helped.
 """
 
 import math
 from dataclasses import dataclass, field
 
+from .jobs import TaskKey
+
 # A reading loses half of its weight in about this many seconds.
 HALF_LIFE_S = 25.0
 # The fit is solved again after so long; readings come every half second.
@@ -23,10 +29,26 @@
 PRIOR_WEIGHT = 0.15
 # A serving image with no reading is taken to be at this share of its target.
 PRIOR_LEVEL = math.log(0.4)
+# The level of a fit is what a task's tail differs from its job's by itself.
 LEVEL_WEIGHT = 2.0
+# Readings of a job's tasks count for its own level while they are this young:
+# two reports.
+OWN_AGE_S = 1.8
+# The own level is low among the tasks' residuals: a disturbance that the fit
+# has not learned raises some of them, the users' load raises all.
+OWN_QUANTILE = 0.3
+# Fewer readings than this do not show that a job is over its target by itself.
+OWN_READINGS_MIN = 3
 # Tails beyond four times the target say only "far too much".
 LEVEL_MAX = math.log(4.0)
 LEVEL_MIN = math.log(0.02)
+# Undisturbed tails above this (1.2 times the target) show a job that is over it
+# by its own load; that holds for so long, as the load swings within seconds.
+OVER_BY_ITSELF = math.log(1.2)
+LOST_FOR_S = 2.5
+# A tail is undisturbed if images above this slope use less than this share.
+HARMLESS_SLOPE = 0.8
+CLEAN_SHARE = 0.02
 # Bounds on memory: images beyond these are treated by the prior.
 SERVING_IMAGES_MAX = 64
 FILLING_IMAGES_MAX = 64
@@ -39,7 +61,7 @@
     columns: dict[str, int] = field(default_factory=dict)
     matrix: list[list[float]] = field(default_factory=lambda: [[0.0]])
     right: list[float] = field(default_factory=lambda: [0.0])
-    level: float = PRIOR_LEVEL
+    level: float = 0.0
     slopes: dict[str, float] = field(default_factory=dict)
 
     def add(self, uses: dict[str, float], level: float) -> None:
@@ -78,7 +100,6 @@
         matrix = [row[:] for row in self.matrix]
         right = self.right[:]
         matrix[0][0] += LEVEL_WEIGHT
-        right[0] += LEVEL_WEIGHT * PRIOR_LEVEL
         for column in range(1, size):
             matrix[column][column] += PRIOR_WEIGHT
             right[column] += PRIOR_WEIGHT * PRIOR_SLOPE
@@ -109,6 +130,15 @@
     return values
 
 
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """The tail of one task: ``level`` is the logarithm of tail over target."""
+
+    key: TaskKey
+    image: str
+    level: float
+
+
 class Interference:
     """What is known of all pairs of serving and filling images."""
 
@@ -116,21 +146,72 @@
         """Start with the prior alone."""
         self._fits: dict[str, _Fit] = {}
         self._solve_at_s = float("-inf")
+        self._residuals: dict[str, dict[TaskKey, tuple[float, float]]] = {}
+        self._lost_until_s: dict[str, float] = {}
 
-    def observe(self, serving: str, uses: dict[str, float], ratio: float) -> None:
+    def observe(
+        self, readings: list[Reading], uses: dict[str, float], now_s: float
+    ) -> None:
         """
-        Take in one reading.
+        Take in the tails on one worker.
 
-        ``uses`` is the processor use of each filling image on the worker, as a
-        share of its capacity; ``ratio`` is the tail over its target.
+        ``uses`` is the processor use of each filling image there, as a share of
+        the worker's capacity.
         """
+        for reading in readings:
+            level = min(LEVEL_MAX, max(LEVEL_MIN, reading.level))
+            own, count = self.own(reading.key.job_id, now_s)
+            if count >= OWN_READINGS_MIN:
+                fit = self._fit(reading.image)
+                if fit is not None:
+                    fit.add(uses, level - own)
+            residual = level - self.pressure(reading.image, uses)
+            rows = self._residuals.setdefault(reading.key.job_id, {})
+            rows[reading.key] = (now_s, residual)
+            if self._undisturbed(reading.image, uses):
+                self._note_clean(reading.key.job_id, level, now_s)
+
+    def _fit(self, serving: str) -> _Fit | None:
         fit = self._fits.get(serving)
-        if fit is None:
-            if len(self._fits) >= SERVING_IMAGES_MAX:
-                return
+        if fit is None and len(self._fits) < SERVING_IMAGES_MAX:
             fit = self._fits[serving] = _Fit()
-        level = math.log(max(ratio, 1e-6))
-        fit.add(uses, min(LEVEL_MAX, max(LEVEL_MIN, level)))
+        return fit
+
+    def pressure(self, serving: str, uses: dict[str, float]) -> float:
+        """Return by how much fillers raise the level of a serving image."""
+        return sum(self.slope(serving, image) * use for image, use in uses.items())
+
+    def own(self, job_id: str, now_s: float) -> tuple[float, int]:
+        """Return a job's own level, and from how many readings it comes."""
+        rows = self._residuals.get(job_id)
+        if not rows:
+            return PRIOR_LEVEL, 0
+        fresh = sorted(r for at_s, r in rows.values() if now_s - at_s < OWN_AGE_S)
+        if not fresh:
+            return PRIOR_LEVEL, 0
+        return fresh[int(OWN_QUANTILE * (len(fresh) - 1))], len(fresh)
+
+    def _undisturbed(self, serving: str, uses: dict[str, float]) -> bool:
+        """Tell whether no filler that may disturb an image is at work beside it."""
+        disturbing = sum(
+            use
+            for image, use in uses.items()
+            if self.slope(serving, image) > HARMLESS_SLOPE
+        )
+        return disturbing < CLEAN_SHARE
+
+    def _note_clean(self, job_id: str, level: float, now_s: float) -> None:
+        # Only tails beside which nothing disturbs count here. A slope that is
+        # taken too low would make the fillers' doing look like the users' load,
+        # and releasing the fillers would confirm it.
+        if level < OVER_BY_ITSELF:
+            self._lost_until_s.pop(job_id, None)
+        else:
+            self._lost_until_s[job_id] = now_s + LOST_FOR_S
+
+    def lost_by_itself(self, job_id: str, now_s: float) -> bool:
+        """Tell whether a job is clearly over its target by its own load."""
+        return self._lost_until_s.get(job_id, now_s) > now_s
 
     def solve(self, now_s: float) -> None:
         """Fit again, if the last time was long ago."""
@@ -141,11 +222,18 @@
         kept = 0.5 ** (passed_s / HALF_LIFE_S)
         for fit in self._fits.values():
             fit.solve(kept)
-
-    def level(self, serving: str) -> float:
-        """Return the usual logarithm of tail over target with no filler."""
-        fit = self._fits.get(serving)
-        return fit.level if fit is not None else PRIOR_LEVEL
+        self._forget_old(now_s)
+
+    def _forget_old(self, now_s: float) -> None:
+        for job_id, until_s in list(self._lost_until_s.items()):
+            if until_s < now_s:
+                del self._lost_until_s[job_id]
+        for job_id, rows in list(self._residuals.items()):
+            for key, (at_s, _) in list(rows.items()):
+                if now_s - at_s > OWN_AGE_S:
+                    del rows[key]
+            if not rows:
+                del self._residuals[job_id]
 
     def slope(self, serving: str, filling: str) -> float:
         """Return how fast that logarithm grows with the filler's share."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
@@ -10,7 +10,7 @@
 import math
 
 from .effects import PaceOrder
-from .interference import Interference
+from .interference import Interference, Reading
 from .progress import Run, RunPhase
 from .settings import CellSettings
 from .workers import WorkerState
@@ -40,8 +40,12 @@
     def observe(self, worker: WorkerState, now_s: float) -> None:
         """Take in a worker's newest tails; queue the changes of pace."""
         worker.filling = _filling(worker)
-        levels = self._levels(worker)
-        worst = max(levels, key=lambda pair: pair[1], default=None)
+        worker.held_back_cpu_millis = _held_back(worker)
+        readings = _readings(worker)
+        self.model.observe(readings, worker.filling, now_s)
+        worker.own_levels = self._own_levels(readings, now_s)
+        helped = [r for r in readings if not self._lost(r, now_s)]
+        worst = max(helped, key=lambda reading: reading.level, default=None)
         self._note_over(worker, worst, now_s)
         fillers = [run for run in worker.runs.values() if _paceable(run)]
         if not fillers or now_s - worker.paced_at_s < SETTLE_S:
@@ -49,28 +53,30 @@
         if self._over_for_long(worker, now_s):
             for run in fillers:
                 self._set(worker, run, 0, now_s)
-        elif worst is not None and worst[1] > math.log(self.settings.pace_from_ratio):
-            self._slow_down(worker, fillers, *worst, now_s)
+        elif worst is not None and worst.level > math.log(
+            self.settings.pace_from_ratio
+        ):
+            self._slow_down(worker, fillers, worst, now_s)
         else:
-            self._speed_up(worker, fillers, levels, now_s)
-
-    def _levels(self, worker: WorkerState) -> list[tuple[str, float]]:
-        """Read the tails; return the logarithm of each over its target."""
-        levels = []
-        for run in worker.runs.values():
-            if not run.step.tail_target_s or run.tail_s <= 0:
-                continue
-            if run.progress_percent < 100:
-                continue
-            ratio = run.tail_s / run.step.tail_target_s
-            self.model.observe(run.step.image, worker.filling, ratio)
-            levels.append((run.step.image, math.log(ratio)))
+            self._speed_up(worker, fillers, helped, now_s)
+
+    def _lost(self, reading: Reading, now_s: float) -> bool:
+        # A job that its own users' load keeps over the target gains nothing
+        # from fillers that stand still: on days of high load that idled a third
+        # of the processors left to fillers.
+        return self.model.lost_by_itself(reading.key.job_id, now_s)
+
+    def _own_levels(self, readings: list[Reading], now_s: float) -> dict[str, float]:
+        levels: dict[str, float] = {}
+        for reading in readings:
+            own, _ = self.model.own(reading.key.job_id, now_s)
+            levels[reading.image] = max(levels.get(reading.image, own), own)
         return levels
 
     def _note_over(
-        self, worker: WorkerState, worst: tuple[str, float] | None, now_s: float
+        self, worker: WorkerState, worst: Reading | None, now_s: float
     ) -> None:
-        if worst is None or worst[1] < math.log(self.settings.over_ratio):
+        if worst is None or worst.level < math.log(self.settings.over_ratio):
             worker.over_since_s = None
         elif worker.over_since_s is None:
             worker.over_since_s = now_s
@@ -86,16 +92,15 @@
         self,
         worker: WorkerState,
         fillers: list[Run],
-        image: str,
-        level: float,
+        worst: Reading,
         now_s: float,
     ) -> None:
         """Take the excess from the fillers that disturb the worst task."""
-        excess = level - math.log(self.settings.pace_from_ratio)
+        excess = worst.level - math.log(self.settings.pace_from_ratio)
         shares = {
-            id(run): self._pressure(worker, image, run, use_of(run))
+            id(run): self._pressure(worker, worst.image, run, use_of(run))
             for run in fillers
-            if self._pressure(worker, image, run, run.step.need.cpu_millis)
+            if self._pressure(worker, worst.image, run, run.step.need.cpu_millis)
             > HARMLESS_LEVEL
         }
         total = sum(shares.values())
@@ -116,14 +121,15 @@
         self,
         worker: WorkerState,
         fillers: list[Run],
-        levels: list[tuple[str, float]],
+        readings: list[Reading],
         now_s: float,
     ) -> None:
         """Give the paced fillers what the nearest tail leaves, the oldest first."""
         limit = math.log(self.settings.relax_to_ratio)
-        room = {}
-        for image, level in levels:
-            room[image] = min(room.get(image, math.inf), limit - level)
+        room: dict[str, float] = {}
+        for reading in readings:
+            left = limit - reading.level
+            room[reading.image] = min(room.get(reading.image, left), left)
         for run in fillers:
             if run.pace_percent >= 100:
                 continue
@@ -164,10 +170,36 @@
 
 
 def use_of(run: Run) -> float:
-    """Return a filler's processor use, as measured or as expected."""
-    if run.used_cpu_millis >= 0:
-        return run.used_cpu_millis
-    return run.step.need.cpu_millis * run.pace_percent / 100
+    """
+    Return a filler's processor use, between measured and expected.
+
+    A measured figure is off by up to a third, the expected one is too high
+    where processors are short.
+    """
+    expected = run.step.need.cpu_millis * run.pace_percent / 100
+    if run.used_cpu_millis < 0:
+        return expected
+    return (expected + run.used_cpu_millis) / 2
+
+
+def _readings(worker: WorkerState) -> list[Reading]:
+    """Return the tails of the serving tasks that are at work."""
+    readings = []
+    for run in worker.runs.values():
+        target_s = run.step.tail_target_s
+        if target_s and run.tail_s > 0 and run.progress_percent >= 100:
+            level = math.log(run.tail_s / target_s)
+            readings.append(Reading(run.key, run.step.image, level))
+    return readings
+
+
+def _held_back(worker: WorkerState) -> float:
+    """Return the processor time that paced fillers leave of their need."""
+    return sum(
+        run.step.need.cpu_millis * (1 - run.pace_percent / 100)
+        for run in worker.runs.values()
+        if run.step.filler
+    )
 
 
 def _paceable(run: Run) -> bool:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .interference import Interference
+from .interference import PRIOR_LEVEL, Interference
 from .jobs import Step, TaskKey
 from .workers import WorkerState
 
@@ -25,6 +25,9 @@
 PRESSURE_MILLIS = 40_000
 # Fillers keep the predicted tail below this share of the target (a logarithm).
 PREDICTED_LIMIT = -0.35
+# A job's load swings back within seconds: one that is over its target now
+# counts as if it were just below (a logarithm).
+OWN_LEVEL_MAX = -0.1
 # A serving task prefers workers whose serving tasks are of its image; worth
 # this much of a worker's free processors.
 SAME_IMAGE_MILLIS = 200_000
@@ -118,9 +121,8 @@
     disturbance, pressure = 0.0, 0.0
     for image in worker.serving:
         added = model.slope(image, step.image) * share
-        level = model.level(image) + added
-        for other, use in worker.filling.items():
-            level += model.slope(image, other) * use
+        own = min(OWN_LEVEL_MAX, worker.own_levels.get(image, PRIOR_LEVEL))
+        level = own + added + model.pressure(image, worker.filling)
         disturbance = max(disturbance, min(added, level - PREDICTED_LIMIT))
         pressure = max(pressure, added)
     spare = worker.spare_cpu_millis()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -36,9 +36,6 @@
     # Orders and reports get this much time beyond the wait that they ask for;
     # workers answer within 10 ms, so a lost answer costs this and no more.
     answer_timeout_s: float = 0.6
-    # Share of a cell's processors that lasting tasks leave to tasks that end:
-    # one latency-critical job of the widest usual kind fits at once.
-    reserve_ratio: float = 0.05
     # A worker rests after so many failures in a row, or half of its last ends.
     failures_in_row: int = 2
     rest_s: float = 6.0
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/summary.py
@@ -0,0 +1,67 @@
+"""Sum up a cell in one line: what waits, what runs, what is free."""
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .jobs import Step
+
+if TYPE_CHECKING:
+    from .scheduler import Scheduler
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """
+    One moment of a cell.
+
+    ``waiting`` and ``running`` count tasks by kind: ``lasting``, ``filler`` or
+    ``plain``. Processors are thousandths of a core over all usable workers.
+    """
+
+    open_jobs: int
+    waiting: dict[str, int]
+    running: dict[str, int]
+    slow_fillers: int
+    free_cpu_millis: int
+    spare_cpu_millis: int
+    widest_free_cpu_millis: int
+    usable_workers: int
+    silent_workers: int
+    resting_workers: int
+    over_target_workers: int
+
+
+def kind_of(step: Step) -> str:
+    """Name the kind of a step's tasks."""
+    if step.lasting:
+        return "lasting"
+    return "filler" if step.filler else "plain"
+
+
+def summary(cell: "Scheduler", now_s: float) -> Summary:
+    """Return the state of a cell."""
+    waiting: Counter[str] = Counter()
+    for state in cell.open_jobs.values():
+        if state.status.final:
+            continue
+        for steps in state.occurrences.values():
+            for step in steps:
+                if all(steps[number].done for number in step.step.after):
+                    waiting[kind_of(step.step)] += len(step.waiting())
+    workers = list(cell.workers.values())
+    runs = [run for worker in workers for run in worker.runs.values()]
+    usable = [worker for worker in workers if worker.usable(now_s)]
+    return Summary(
+        open_jobs=len(cell.open_jobs),
+        waiting=dict(waiting),
+        running=dict(Counter(kind_of(run.step) for run in runs)),
+        slow_fillers=sum(run.slow_since_s is not None for run in runs),
+        free_cpu_millis=sum(worker.free().cpu_millis for worker in usable),
+        spare_cpu_millis=int(sum(worker.spare_cpu_millis() for worker in usable)),
+        widest_free_cpu_millis=max((w.free().cpu_millis for w in usable), default=0),
+        usable_workers=len(usable),
+        silent_workers=sum(worker.silent for worker in workers),
+        resting_workers=sum(worker.rest_until_s > now_s for worker in workers),
+        over_target_workers=sum(w.over_since_s is not None for w in workers),
+    )
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -63,10 +63,13 @@
     filler_cpu_millis: int = 0
     paced_at_s: float = float("-inf")
     over_since_s: float | None = None
-    # Serving tasks by image, and the share of the worker that each filling
-    # image uses.
+    # Serving tasks by image, the highest own level among the jobs of each, and
+    # the share of the worker that each filling image uses.
     serving: dict[str, int] = field(default_factory=dict)
+    own_levels: dict[str, float] = field(default_factory=dict)
     filling: dict[str, float] = field(default_factory=dict)
+    # What paced fillers do not use of their need.
+    held_back_cpu_millis: float = 0.0
 
     @property
     def worker_id(self) -> str:
@@ -85,7 +88,8 @@
         all of it.
         """
         used = self.lasting_cpu_millis * LASTING_USE_RATIO + self.busy_cpu_millis
-        return self.listing.capacity.cpu_millis - used - self.filler_cpu_millis
+        fillers = self.filler_cpu_millis - self.held_back_cpu_millis
+        return self.listing.capacity.cpu_millis - used - fillers
 
     def add(self, run: Run) -> None:
         """Book an attempt."""
