Place fillers only where their learned pressure stays small

Change: a worker takes a filler only while the pressure on each serving image beside it stays below 0.2 (logarithm); slopes lose their noise of 0.7; readings are cut at 2.5 times the target; a filler that disturbs leaves for the queue.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
@@ -21,9 +21,9 @@
 HALF_LIFE_S = 25.0
 # The fit is solved again after so long; readings come every half second.
 SOLVE_EVERY_S = 1.0
-# Slope of a pair that has not been seen: enough to prefer pairs that are known
-# to be harmless, too little to shut out a new image.
-PRIOR_SLOPE = 1.5
+# Slope of a pair that has not been seen, less the noise: two fillers of a tenth
+# of a worker each may try it out there, no more.
+PRIOR_SLOPE = 1.0
 # Weight of that prior, in units of squared shares: about 20 readings of a
 # filler that uses a tenth of a worker.
 PRIOR_WEIGHT = 0.15
@@ -39,16 +39,18 @@
 OWN_QUANTILE = 0.3
 # Fewer readings than this do not show that a job is over its target by itself.
 OWN_READINGS_MIN = 3
-# Tails beyond four times the target say only "far too much".
-LEVEL_MAX = math.log(4.0)
-LEVEL_MIN = math.log(0.02)
+# Tails beyond this say only "far too much": near saturation they grow without
+# bound, and one such reading would outweigh a hundred others.
+LEVEL_MAX = math.log(2.5)
+LEVEL_MIN = math.log(0.1)
+# The noise of a fitted slope; harmless pairs come out between 0 and this.
+SLOPE_NOISE = 0.7
 # Undisturbed tails above this (1.2 times the target) show a job that is over it
 # by its own load; that holds for so long, as the load swings within seconds.
 OVER_BY_ITSELF = math.log(1.2)
 LOST_FOR_S = 2.5
-# A tail is undisturbed if images above this slope use less than this share.
-HARMLESS_SLOPE = 0.8
-CLEAN_SHARE = 0.02
+# A tail is undisturbed if the fillers use less than this share of the worker.
+CLEAN_SHARE = 0.005
 # Bounds on memory: images beyond these are treated by the prior.
 SERVING_IMAGES_MAX = 64
 FILLING_IMAGES_MAX = 64
@@ -102,11 +104,11 @@
         matrix[0][0] += LEVEL_WEIGHT
         for column in range(1, size):
             matrix[column][column] += PRIOR_WEIGHT
-            right[column] += PRIOR_WEIGHT * PRIOR_SLOPE
+            right[column] += PRIOR_WEIGHT * (PRIOR_SLOPE + SLOPE_NOISE)
         values = solve_linear(matrix, right)
         self.level = values[0]
         for image, column in self.columns.items():
-            self.slopes[image] = max(0.0, values[column])
+            self.slopes[image] = max(0.0, values[column] - SLOPE_NOISE)
 
 
 def solve_linear(matrix: list[list[float]], right: list[float]) -> list[float]:
@@ -168,7 +170,7 @@
             residual = level - self.pressure(reading.image, uses)
             rows = self._residuals.setdefault(reading.key.job_id, {})
             rows[reading.key] = (now_s, residual)
-            if self._undisturbed(reading.image, uses):
+            if sum(uses.values()) < CLEAN_SHARE:
                 self._note_clean(reading.key.job_id, level, now_s)
 
     def _fit(self, serving: str) -> _Fit | None:
@@ -191,17 +193,8 @@
             return PRIOR_LEVEL, 0
         return fresh[int(OWN_QUANTILE * (len(fresh) - 1))], len(fresh)
 
-    def _undisturbed(self, serving: str, uses: dict[str, float]) -> bool:
-        """Tell whether no filler that may disturb an image is at work beside it."""
-        disturbing = sum(
-            use
-            for image, use in uses.items()
-            if self.slope(serving, image) > HARMLESS_SLOPE
-        )
-        return disturbing < CLEAN_SHARE
-
     def _note_clean(self, job_id: str, level: float, now_s: float) -> None:
-        # Only tails beside which nothing disturbs count here. A slope that is
+        # Only tails beside which no filler works count here. A slope that is
         # taken too low would make the fillers' doing look like the users' load,
         # and releasing the fillers would confirm it.
         if level < OVER_BY_ITSELF:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/moving.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/moving.py
@@ -1,8 +1,11 @@
 """
-Move fillers that stand still to workers where they disturb nobody.
+Move fillers away from where they disturb or stand still.
 
-A stop saves a checkpoint; the task starts again elsewhere from it. Only tasks
-that save checkpoints move, and only while another worker is clearly better.
+A stop saves a checkpoint; the task starts again elsewhere from it, or waits
+until there is a place. Only tasks that save checkpoints move. A filler that is
+only slow moves when another worker is clearly better, one that disturbs also
+when there is none: a task over its target costs its users more than a batch
+task that waits.
 """
 
 from typing import TYPE_CHECKING
@@ -31,7 +34,7 @@
     for run in _slow(cell, now_s):
         if moved >= MOVES_AT_ONCE:
             return
-        if _better_exists(cell, run, now_s):
+        if _disturbs(cell, run) or _better_exists(cell, run, now_s):
             cell.stop(run, "moves_away")
             moved += 1
 
@@ -51,6 +54,11 @@
     return sorted(slow, key=lambda run: run.slow_since_s or 0.0)
 
 
+def _disturbs(cell: "Scheduler", run: Run) -> bool:
+    worker = cell.workers[run.worker_id]
+    return filler_score(run.step, worker, cell.model, moving=True) is None
+
+
 def _better_exists(cell: "Scheduler", run: Run, now_s: float) -> bool:
     here = cell.workers[run.worker_id]
     need_millis = run.step.need.cpu_millis
@@ -64,6 +72,8 @@
         if not run.charge.fits_in(worker.free()):
             continue
         score = filler_score(run.step, worker, cell.model)
+        if score is None:
+            continue
         if score >= need_millis * ROOM_RATIO and worker.over_since_s is None:
             return True
     return False
--- a/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
@@ -39,11 +39,10 @@
 
     def observe(self, worker: WorkerState, now_s: float) -> None:
         """Take in a worker's newest tails; queue the changes of pace."""
-        worker.filling = _filling(worker)
+        uses = _filling(worker)
         worker.held_back_cpu_millis = _held_back(worker)
         readings = _readings(worker)
-        self.model.observe(readings, worker.filling, now_s)
-        worker.own_levels = self._own_levels(readings, now_s)
+        self.model.observe(readings, uses, now_s)
         helped = [r for r in readings if not self._lost(r, now_s)]
         worst = max(helped, key=lambda reading: reading.level, default=None)
         self._note_over(worker, worst, now_s)
@@ -66,13 +65,6 @@
         # of the processors left to fillers.
         return self.model.lost_by_itself(reading.key.job_id, now_s)
 
-    def _own_levels(self, readings: list[Reading], now_s: float) -> dict[str, float]:
-        levels: dict[str, float] = {}
-        for reading in readings:
-            own, _ = self.model.own(reading.key.job_id, now_s)
-            levels[reading.image] = max(levels.get(reading.image, own), own)
-        return levels
-
     def _note_over(
         self, worker: WorkerState, worst: Reading | None, now_s: float
     ) -> None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -11,23 +11,19 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .interference import PRIOR_LEVEL, Interference
+from .interference import Interference
 from .jobs import Step, TaskKey
 from .workers import WorkerState
 
-# A filler whose neighbours would come to e times their target counts as if so
-# many thousandths of a core were missing: more than any worker has.
-DISTURBANCE_MILLIS = 200_000
+# Fillers that disturb an image may raise the logarithm of its tails by this
+# much together, at full speed: alone, tails reach 0.72 of their target when the
+# users' load is highest, and 0.72 x e^0.2 is 0.88.
+PRESSURE_MAX = 0.2
 # A worker where a task is over its target takes fillers only as the last one.
 OVER_TARGET_MILLIS = 100_000
-# Pressure that stays below the target still counts, so that harmless pairs are
-# preferred while both have processors to spare.
-PRESSURE_MILLIS = 40_000
-# Fillers keep the predicted tail below this share of the target (a logarithm).
-PREDICTED_LIMIT = -0.35
-# A job's load swings back within seconds: one that is over its target now
-# counts as if it were just below (a logarithm).
-OWN_LEVEL_MAX = -0.1
+# Pressure below that bound still counts, so that harmless pairs are preferred
+# while both have processors to spare.
+PRESSURE_MILLIS = 100_000
 # A serving task prefers workers whose serving tasks are of its image; worth
 # this much of a worker's free processors.
 SAME_IMAGE_MILLIS = 200_000
@@ -59,8 +55,9 @@
         """Score all workers that have room."""
         charge = self.step.charge
         for worker in workers:
-            if charge.fits_in(worker.free()):
-                self._heap.append((-self._score(worker), worker.worker_id, worker))
+            score = self._score(worker)
+            if score is not None and charge.fits_in(worker.free()):
+                self._heap.append((-score, worker.worker_id, worker))
         heapq.heapify(self._heap)
 
     def choose(self, key: TaskKey, avoid: str) -> WorkerState | None:
@@ -94,8 +91,9 @@
         """Score a worker again, now that it holds one task more."""
         name = worker.worker_id
         self.used[name] = self.used.get(name, 0) + 1
-        if self.step.charge.fits_in(worker.free()):
-            heapq.heappush(self._heap, (-self._score(worker), name, worker))
+        score = self._score(worker)
+        if score is not None and self.step.charge.fits_in(worker.free()):
+            heapq.heappush(self._heap, (-score, name, worker))
 
     def _open(self, worker: WorkerState, key: TaskKey) -> bool:
         if key in worker.runs or not self.step.charge.fits_in(worker.free()):
@@ -103,9 +101,12 @@
         most = self.step.per_worker_max
         return not most or self.used.get(worker.worker_id, 0) < most
 
-    def _score(self, worker: WorkerState) -> float:
+    def _score(self, worker: WorkerState) -> float | None:
         if self.step.filler:
-            score = filler_score(self.step, worker, self.model)
+            filling = filler_score(self.step, worker, self.model)
+            if filling is None:
+                return None
+            score = filling
         else:
             score = _packing_score(worker)
             if self.step.tail_target_s:
@@ -115,20 +116,27 @@
         return score
 
 
-def filler_score(step: Step, worker: WorkerState, model: Interference) -> float:
-    """Return how good a worker is for a filler: spare processors less harm."""
+def filler_score(
+    step: Step, worker: WorkerState, model: Interference, moving: bool = False
+) -> float | None:
+    """
+    Return how good a worker is for a filler, or nothing if it would disturb.
+
+    ``moving`` tells that the filler is on the worker already.
+    """
     share = step.need.cpu_millis / worker.listing.capacity.cpu_millis
-    disturbance, pressure = 0.0, 0.0
+    highest = 0.0
     for image in worker.serving:
-        added = model.slope(image, step.image) * share
-        own = min(OWN_LEVEL_MAX, worker.own_levels.get(image, PRIOR_LEVEL))
-        level = own + added + model.pressure(image, worker.filling)
-        disturbance = max(disturbance, min(added, level - PREDICTED_LIMIT))
-        pressure = max(pressure, added)
+        slope = model.slope(image, step.image)
+        added = 0.0 if moving else slope * share
+        pressure = added + model.pressure(image, worker.demand())
+        if slope > 0 and pressure > PRESSURE_MAX:
+            return None
+        highest = max(highest, slope * share)
     spare = worker.spare_cpu_millis()
     if worker.over_since_s is not None:
         spare -= OVER_TARGET_MILLIS
-    return spare - disturbance * DISTURBANCE_MILLIS - pressure * PRESSURE_MILLIS
+    return spare - highest * PRESSURE_MILLIS
 
 
 def _same_share(image: str, worker: WorkerState) -> float:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -63,11 +63,9 @@
     filler_cpu_millis: int = 0
     paced_at_s: float = float("-inf")
     over_since_s: float | None = None
-    # Serving tasks by image, the highest own level among the jobs of each, and
-    # the share of the worker that each filling image uses.
+    # Serving tasks by image, and the processors that fillers of each image need.
     serving: dict[str, int] = field(default_factory=dict)
-    own_levels: dict[str, float] = field(default_factory=dict)
-    filling: dict[str, float] = field(default_factory=dict)
+    needed_cpu_millis: dict[str, int] = field(default_factory=dict)
     # What paced fillers do not use of their need.
     held_back_cpu_millis: float = 0.0
 
@@ -91,6 +89,13 @@
         fillers = self.filler_cpu_millis - self.held_back_cpu_millis
         return self.listing.capacity.cpu_millis - used - fillers
 
+    def demand(self) -> dict[str, float]:
+        """Return the share of the worker that fillers of each image ask for."""
+        # The capacity of a worker that only an old record names is unknown.
+        capacity_millis = max(1, self.listing.capacity.cpu_millis)
+        needed = self.needed_cpu_millis.items()
+        return {image: millis / capacity_millis for image, millis in needed}
+
     def add(self, run: Run) -> None:
         """Book an attempt."""
         self.runs[run.key] = run
@@ -110,10 +115,10 @@
         cpu_millis = sign * step.need.cpu_millis
         if step.filler:
             self.filler_cpu_millis += cpu_millis
-            # The capacity of a worker that only an old record names is unknown.
-            share = cpu_millis / max(1, self.listing.capacity.cpu_millis)
-            use = self.filling.get(step.image, 0.0) + share
-            self.filling[step.image] = max(0.0, use)
+            needed = self.needed_cpu_millis.get(step.image, 0) + cpu_millis
+            self.needed_cpu_millis[step.image] = needed
+            if not needed:
+                del self.needed_cpu_millis[step.image]
         elif step.lasting:
             self.lasting_cpu_millis += cpu_millis
         else:
