Store what was learned of interference for the next holder

Change: the learned slopes are a record of about 1 KB every 2 s, and the next holder's prior. Fillers that disturb everywhere start at a lower pace, after 6 s.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -11,6 +11,7 @@
 from collections.abc import Coroutine, Sequence
 from dataclasses import asdict
 
+import msgspec
 import structlog
 
 from hornbeampaddle.cell.dispatch import Allowance
@@ -22,7 +23,7 @@
 from hornbeampaddle.cell.workers import WorkerListing
 
 from .leadership import HOLDER_KEY, HolderRecord, encode_holder
-from .ledger import CANCEL_MARK, Change, Ledger
+from .ledger import CANCEL_MARK, INTERFERENCE_KEY, Change, Ledger
 from .ports import (
     AdvicePort,
     Appended,
@@ -51,6 +52,9 @@
 # Finished jobs are looked for this often, and dropped so many at a time.
 FORGET_EVERY_S = 5.0
 FORGET_COUNT = 100
+# What was learned is stored this often; it is about 1 KB.
+LEARNED_EVERY_S = 2.0
+_learned_decoder = msgspec.msgpack.Decoder(dict[str, dict[str, float]])
 # The state of the cell is logged this often; it costs about 1 ms.
 SUMMARY_EVERY_S = 1.0
 
@@ -86,6 +90,7 @@
         self._woken = asyncio.Event()
         self._forget_at_s = claimed_at_s + FORGET_EVERY_S
         self._summary_at_s = claimed_at_s
+        self._learned_at_s = claimed_at_s + LEARNED_EVERY_S
         self._releasing = False
 
     def _log_note(self, note: Note) -> None:
@@ -94,8 +99,11 @@
     # What the instance tells the holder
 
     def begin(self) -> None:
-        """Take in all jobs of the ledger."""
+        """Take in all jobs of the ledger, and what was learned before."""
         now_s = self.clock.now_s()
+        learned = self.ledger.special.get(INTERFERENCE_KEY)
+        if learned:
+            self.cell.model.inherit(_learned_decoder.decode(learned))
         for job_id in self.ledger.jobs:
             self._add_job(job_id, now_s)
         for job_id in list(self.ledger.cancelled):
@@ -248,6 +256,7 @@
         ends = [(worker, end) for worker, end in self.cell.acknowledgements()]
         records = [Keyed(key, value) for key, value in decision.records.items()]
         records += self._forgotten(now_s)
+        records += self._learned(now_s)
         self._log_summary(now_s)
         unacked = any(worker.acked_end < end for worker, end in ends)
         if records or unacked or self._heartbeat_due(now_s):
@@ -313,6 +322,14 @@
         record = HolderRecord(self.settings.instance_id, self.epoch, self.settings.name)
         return Keyed(HOLDER_KEY, encode_holder(record))
 
+    def _learned(self, now_s: float) -> list[Keyed]:
+        """Return what was learned of interference, for the next holder."""
+        if now_s < self._learned_at_s:
+            return []
+        self._learned_at_s = now_s + LEARNED_EVERY_S
+        value = msgspec.msgpack.encode(self.cell.model.table())
+        return [Keyed(INTERFERENCE_KEY, value)]
+
     def _log_summary(self, now_s: float) -> None:
         if now_s < self._summary_at_s:
             return
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -17,6 +17,9 @@
 from .ports import Keyed
 
 CANCEL_MARK = "x"
+# Records of the log of progress that are no job's begin with this.
+SPECIAL_MARK = "."
+INTERFERENCE_KEY = ".interference"
 _job_decoder = msgspec.msgpack.Decoder(Job)
 _job_encoder = msgspec.msgpack.Encoder()
 
@@ -47,6 +50,7 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)
     progress: dict[str, bytes] = field(default_factory=dict)
+    special: dict[str, bytes] = field(default_factory=dict)
     by_queue: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
 
     def take_job(self, record: Keyed) -> tuple[Change, str]:
@@ -80,7 +84,9 @@
 
     def take_progress(self, record: Keyed) -> None:
         """Take in a record of the log of progress."""
-        if record.value is None:
+        if record.key.startswith(SPECIAL_MARK):
+            self.special[record.key] = record.value or b""
+        elif record.value is None:
             self.progress.pop(record.key, None)
         else:
             self.progress[record.key] = record.value
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -11,7 +11,7 @@
 
 from .effects import AdviceQuestion, Decision, Note
 from .jobs import StepKey, TaskKey
-from .placing import Ranking, suits
+from .placing import Ranking, choose_slow, suits
 from .progress import JobState, JobStatus, Run, StepState, Task
 from .workers import WorkerState
 
@@ -23,6 +23,9 @@
 # A filler is placed while the workers' spare processors cover this share of
 # its need; beyond that it would only slow those that came before it.
 FILLER_SPARE_RATIO = 0.5
+# A filler waits so long for a worker where it disturbs nobody before it starts
+# at a lower pace; after 1.5 s already, it cost more than it gained.
+SLOW_AFTER_S = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +173,7 @@
     for task in step.waiting():
         worker = ranking.choose(task.key, task.last_worker_id)
         if worker is None:
+            _place_slow(cell, decision, state, step, workers, now_s)
             return
         if step.step.filler and not _has_spare(worker, step):
             return
@@ -177,6 +181,27 @@
         ranking.booked(worker)
 
 
+def _place_slow(
+    cell: "Scheduler",
+    decision: Decision,
+    state: JobState,
+    step: StepState,
+    workers: list[WorkerState],
+    now_s: float,
+) -> None:
+    """Place one filler that disturbs wherever it goes, at a pace that does not."""
+    waited_s = now_s - (step.ready_at_s or now_s)
+    waiting = step.waiting()
+    if not step.step.filler or not waiting or waited_s < SLOW_AFTER_S:
+        return
+    place = choose_slow(step.step, workers, cell.model)
+    if place is None:
+        return
+    worker, share = place
+    _start(cell, decision, state, step, waiting[0], worker, {}, now_s)
+    decision.starts[-1].first_pace_percent = round(100 * share)
+
+
 def _has_spare(worker: WorkerState, step: StepState) -> bool:
     needed = FILLER_SPARE_RATIO * step.step.need.cpu_millis
     return worker.filler_cpu_millis == 0 or worker.spare_cpu_millis() >= needed
--- a/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
@@ -27,6 +27,9 @@
 # Weight of that prior, in units of squared shares: about 20 readings of a
 # filler that uses a tenth of a worker.
 PRIOR_WEIGHT = 0.15
+# Weight of a slope that an earlier holder had learned: about a second of its
+# readings, since the amounts change.
+INHERITED_WEIGHT = 0.6
 # A serving image with no reading is taken to be at this share of its target.
 PRIOR_LEVEL = math.log(0.4)
 # The level of a fit is what a task's tail differs from its job's by itself.
@@ -65,6 +68,8 @@
     right: list[float] = field(default_factory=lambda: [0.0])
     level: float = 0.0
     slopes: dict[str, float] = field(default_factory=dict)
+    # What an earlier holder had learned.
+    inherited: dict[str, float] = field(default_factory=dict)
 
     def add(self, uses: dict[str, float], level: float) -> None:
         cells = [(0, 1.0)]
@@ -92,6 +97,10 @@
         self.right.append(0.0)
         return column
 
+    def known(self) -> dict[str, float]:
+        """Return all slopes, also those that were only inherited."""
+        return {**self.inherited, **self.slopes}
+
     def solve(self, kept: float) -> None:
         """Age the readings by a factor and fit again."""
         size = len(self.right)
@@ -102,9 +111,12 @@
         matrix = [row[:] for row in self.matrix]
         right = self.right[:]
         matrix[0][0] += LEVEL_WEIGHT
-        for column in range(1, size):
-            matrix[column][column] += PRIOR_WEIGHT
-            right[column] += PRIOR_WEIGHT * (PRIOR_SLOPE + SLOPE_NOISE)
+        for image, column in self.columns.items():
+            slope, weight = PRIOR_SLOPE, PRIOR_WEIGHT
+            if image in self.inherited:
+                slope, weight = self.inherited[image], INHERITED_WEIGHT
+            matrix[column][column] += weight
+            right[column] += weight * (slope + SLOPE_NOISE)
         values = solve_linear(matrix, right)
         self.level = values[0]
         for image, column in self.columns.items():
@@ -233,11 +245,17 @@
         fit = self._fits.get(serving)
         if fit is None:
             return PRIOR_SLOPE
-        return fit.slopes.get(filling, PRIOR_SLOPE)
+        known = fit.slopes.get(filling)
+        return known if known is not None else fit.inherited.get(filling, PRIOR_SLOPE)
 
     def table(self) -> dict[str, dict[str, float]]:
-        """Return the slopes that were learned, for the log."""
+        """Return the slopes that were learned, to be logged or stored."""
         return {
-            serving: {image: round(slope, 1) for image, slope in fit.slopes.items()}
+            serving: {image: round(slope, 1) for image, slope in fit.known().items()}
             for serving, fit in self._fits.items()
         }
+
+    def inherit(self, table: dict[str, dict[str, float]]) -> None:
+        """Begin with the slopes that an earlier holder stored."""
+        for serving, slopes in list(table.items())[:SERVING_IMAGES_MAX]:
+            self._fits[serving] = _Fit(inherited=dict(slopes))
--- a/packages/hornbeampaddle/hornbeampaddle/cell/moving.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/moving.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from .placing import filler_score, suits
+from .placing import allowed_share, filler_score, suits
 from .progress import Run, RunPhase
 
 if TYPE_CHECKING:
@@ -56,7 +56,8 @@
 
 def _disturbs(cell: "Scheduler", run: Run) -> bool:
     worker = cell.workers[run.worker_id]
-    return filler_score(run.step, worker, cell.model, moving=True) is None
+    allowed = allowed_share(run.step, worker, cell.model, placed=True)
+    return allowed < run.pace_percent / 100
 
 
 def _better_exists(cell: "Scheduler", run: Run, now_s: float) -> bool:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
@@ -150,6 +150,11 @@
         worker.paced_at_s = now_s
         self._orders.append(PaceOrder(run, worker.worker_id, wanted))
 
+    def begin(self, worker: WorkerState, run: Run, now_s: float) -> None:
+        """Set the pace at which a filler was placed."""
+        if run.first_pace_percent < 100:
+            self._set(worker, run, run.first_pace_percent, now_s)
+
     def take(self) -> list[PaceOrder]:
         """Return the changes of pace since the last call."""
         orders, self._orders = self._orders, []
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -19,6 +19,9 @@
 # much together, at full speed: alone, tails reach 0.72 of their target when the
 # users' load is highest, and 0.72 x e^0.2 is 0.88.
 PRESSURE_MAX = 0.2
+# A filler that disturbs everywhere works at no less than this share of its speed:
+# slower, it would only hold memory.
+SLOW_SHARE_MIN = 0.25
 # A worker where a task is over its target takes fillers only as the last one.
 OVER_TARGET_MILLIS = 100_000
 # Pressure below that bound still counts, so that harmless pairs are preferred
@@ -116,27 +119,56 @@
         return score
 
 
-def filler_score(
-    step: Step, worker: WorkerState, model: Interference, moving: bool = False
-) -> float | None:
+def filler_score(step: Step, worker: WorkerState, model: Interference) -> float | None:
+    """Return how good a worker is for a filler, or nothing if it would disturb."""
+    if allowed_share(step, worker, model) < 1.0:
+        return None
+    share = step.need.cpu_millis / worker.listing.capacity.cpu_millis
+    slopes = (model.slope(image, step.image) for image in worker.serving)
+    pressure = share * max(slopes, default=0.0)
+    return _filler_room(worker) - pressure * PRESSURE_MILLIS
+
+
+def _filler_room(worker: WorkerState) -> float:
+    spare = worker.spare_cpu_millis()
+    return spare if worker.over_since_s is None else spare - OVER_TARGET_MILLIS
+
+
+def allowed_share(
+    step: Step, worker: WorkerState, model: Interference, placed: bool = False
+) -> float:
     """
-    Return how good a worker is for a filler, or nothing if it would disturb.
+    Return at which share of its speed a filler disturbs nobody on a worker.
 
-    ``moving`` tells that the filler is on the worker already.
+    ``placed`` tells that its need is part of the worker's demand already.
     """
     share = step.need.cpu_millis / worker.listing.capacity.cpu_millis
-    highest = 0.0
+    allowed = 1.0
     for image in worker.serving:
-        slope = model.slope(image, step.image)
-        added = 0.0 if moving else slope * share
-        pressure = added + model.pressure(image, worker.demand())
-        if slope > 0 and pressure > PRESSURE_MAX:
-            return None
-        highest = max(highest, slope * share)
-    spare = worker.spare_cpu_millis()
-    if worker.over_since_s is not None:
-        spare -= OVER_TARGET_MILLIS
-    return spare - highest * PRESSURE_MILLIS
+        full = model.slope(image, step.image) * share
+        if full <= 0:
+            continue
+        others = model.pressure(image, worker.demand()) - (full if placed else 0.0)
+        allowed = min(allowed, max(0.0, PRESSURE_MAX - others) / full)
+    return allowed
+
+
+def choose_slow(
+    step: Step, workers: Iterable[WorkerState], model: Interference
+) -> tuple[WorkerState, float] | None:
+    """Return the worker that lets a disturbing filler work fastest, and how fast."""
+    best: tuple[float, str, WorkerState] | None = None
+    for worker in workers:
+        if not step.charge.fits_in(worker.free()) or worker.over_since_s is not None:
+            continue
+        if worker.spare_cpu_millis() < step.need.cpu_millis:
+            continue
+        entry = (allowed_share(step, worker, model), worker.worker_id, worker)
+        if best is None or entry > best:
+            best = entry
+    if best is None or best[0] < SLOW_SHARE_MIN:
+        return None
+    return best[2], best[0]
 
 
 def _same_share(image: str, worker: WorkerState) -> float:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -69,6 +69,8 @@
     tail_s: float = 0.0
     used_cpu_millis: int = -1
     pace_percent: int = 100
+    # The pace that is ordered as soon as the worker has confirmed the start.
+    first_pace_percent: int = 100
 
 
 @dataclass(slots=True)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -473,6 +473,7 @@
                     run.progressed_at_s = now_s
                 if run.confirmed_at_s == float("inf"):
                     run.confirmed_at_s = now_s
+                    self._paces.begin(worker, run, now_s)
                 return None
             case NoAnswer():
                 return self._resend_after_s(run)
