Serve counters and histograms; log each end and each pace

Cause: a failure could be followed in the log only as far as decisions; ends and paces were not in it, and nothing was counted.

Ruled out: counting in each caller of a port, which the next caller forgets.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
@@ -17,6 +17,7 @@
 
 from .ports import (
     Appended,
+    AppendOutcome,
     Clock,
     Keyed,
     OutOfSequence,
@@ -145,7 +146,7 @@
                     return self._settle(batch, Stored.UNKNOWN)
             await asyncio.sleep(RETRY_S)
 
-    async def _send(self, records: Sequence[Keyed]):  # noqa: ANN202
+    async def _send(self, records: Sequence[Keyed]) -> AppendOutcome:
         producer = Producer(self.settings.instance_id, 1, self._sequence)
         return await self.store.append(self.topic, records, producer, None)
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
@@ -15,6 +15,7 @@
 from .appender import Appender, Stored
 from .follower import Follower
 from .ledger import Ledger, cancel_record, job_record
+from .metrics import Metrics
 from .ports import Clock
 from .settings import InstanceSettings
 
@@ -68,6 +69,7 @@
         jobs: Follower,
         progress: Follower,
         appender: Appender,
+        metrics: Metrics,
     ) -> None:
         """Keep the parts that answers are made of."""
         self.settings = settings
@@ -76,19 +78,26 @@
         self.jobs = jobs
         self.progress = progress
         self.appender = appender
+        self.metrics = metrics
 
     def fresh(self) -> bool:
         """Tell whether this instance's view of the log is recent."""
         age_s = max(self.jobs.age_s(), self.progress.age_s())
         return age_s < self.settings.stale_s
 
+    def _answered(self, call: str, outcome: object, begun_s: float) -> None:
+        took_s = self.clock.now_s() - begun_s
+        name = type(outcome).__name__.lower()
+        self.metrics.answered(call, name, took_s)
+
     async def submit(self, job: Job, deadline_s: float) -> Submitted:
         """Store a job, once for each id."""
+        begun_s = self.clock.now_s()
         if job.job_id in self.ledger.jobs:
             log.info("submit: repeated", job=job.job_id)
+            self._answered("submit", Accepted(), begun_s)
             return Accepted()
         job = replace(job, accepted_at_s=self.clock.wall_s())
-        begun_s = self.clock.now_s()
         stored = await self.appender.put(job_record(job), deadline_s)
         took_s = round(self.clock.now_s() - begun_s, 4)
         log.info(
@@ -98,13 +107,9 @@
             stored=stored.value,
             took_s=took_s,
         )
-        match stored:
-            case Stored.YES:
-                return Accepted()
-            case Stored.NO:
-                return NotAccepted("store_unavailable", RETRY_STORE_S)
-            case Stored.UNKNOWN:
-                return Unknown("store_gave_no_answer")
+        outcome = _submitted(stored)
+        self._answered("submit", outcome, begun_s)
+        return outcome
 
     async def _known(self, job_id: str) -> bool | None:
         """Tell whether a job exists; nothing if that cannot be known now."""
@@ -116,6 +121,12 @@
 
     async def query(self, job_id: str) -> Queried:
         """Return a job's status."""
+        begun_s = self.clock.now_s()
+        outcome = await self._query(job_id)
+        self._answered("query", outcome, begun_s)
+        return outcome
+
+    async def _query(self, job_id: str) -> Queried:
         known = await self._known(job_id)
         if known is None:
             log.warning("query: view too old", job=job_id, age_s=self.jobs.age_s())
@@ -125,6 +136,12 @@
 
     async def cancel(self, job_id: str, deadline_s: float) -> Cancelled:
         """Store a cancellation; the holder ends what runs."""
+        begun_s = self.clock.now_s()
+        outcome = await self._cancel(job_id, deadline_s)
+        self._answered("cancel", outcome, begun_s)
+        return outcome
+
+    async def _cancel(self, job_id: str, deadline_s: float) -> Cancelled:
         known = await self._known(job_id)
         if known is None:
             return NotAccepted("view_too_old", RETRY_STORE_S)
@@ -135,14 +152,19 @@
             return Accepted()
         stored = await self.appender.put(cancel_record(job_id), deadline_s)
         log.info("cancel: answered", job=job_id, stored=stored.value)
-        match stored:
-            case Stored.YES:
-                return Accepted()
-            case Stored.NO:
-                return NotAccepted("store_unavailable", RETRY_STORE_S)
-            case Stored.UNKNOWN:
-                return Unknown("store_gave_no_answer")
+        return _submitted(stored)
 
     def pending(self, queue_name: str) -> int | None:
         """Count the jobs that wait; nothing if the view is too old."""
         return self.ledger.pending(queue_name) if self.fresh() else None
+
+
+def _submitted(stored: Stored) -> Submitted:
+    """Return what a caller may be told of a record."""
+    match stored:
+        case Stored.YES:
+            return Accepted()
+        case Stored.NO:
+            return NotAccepted("store_unavailable", RETRY_STORE_S)
+        case Stored.UNKNOWN:
+            return Unknown("store_gave_no_answer")
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -24,6 +24,7 @@
 
 from .leadership import HOLDER_KEY, HolderRecord, encode_holder
 from .ledger import CANCEL_MARK, INTERFERENCE_KEY, Change, Ledger
+from .metrics import MeteredWorker, Metrics
 from .ports import (
     AdvicePort,
     Appended,
@@ -72,6 +73,7 @@
         advice: AdvicePort | None,
         epoch: int,
         claimed_at_s: float,
+        metrics: Metrics,
     ) -> None:
         """Begin with what the log says; ``claimed_at_s`` is when it was asked."""
         self.settings = settings
@@ -80,6 +82,7 @@
         self.ledger = ledger
         self.make_worker = make_worker
         self.advice = advice
+        self.metrics = metrics
         self.epoch = epoch
         self.cell = Scheduler(settings.cell, self._log_note)
         self.lost = asyncio.Event()
@@ -94,6 +97,7 @@
         self._releasing = False
 
     def _log_note(self, note: Note) -> None:
+        self.metrics.noted(note)
         log.info(note.event, job=note.job_id, epoch=self.epoch, **note.detail)
 
     # What the instance tells the holder
@@ -155,7 +159,7 @@
         self.wake()
 
     def _open(self, listing: WorkerListing) -> None:
-        port = self.make_worker(listing, self.epoch)
+        port = MeteredWorker(self.make_worker(listing, self.epoch), self.metrics)
         session = Session(self, listing.worker_id, port)
         self._sessions[listing.worker_id] = session
         self._spawn(self._run_session(session))
@@ -217,6 +221,7 @@
     async def run(self) -> None:
         """Decide and store until the cell is lost or released."""
         log.info("holder: began", epoch=self.epoch, jobs=len(self.ledger.jobs))
+        self.metrics.holding.set(1)
         try:
             while not self.lost.is_set() and not self._releasing:
                 await self._turn()
@@ -237,6 +242,7 @@
         log.info("holder: released", epoch=self.epoch)
 
     async def _close(self) -> None:
+        self.metrics.holding.set(0)
         self.lost.set()
         tasks = list(self._tasks)
         for task in tasks:
@@ -334,7 +340,9 @@
         if now_s < self._summary_at_s:
             return
         self._summary_at_s = now_s + SUMMARY_EVERY_S
-        log.info("cell: state", epoch=self.epoch, **asdict(summary(self.cell, now_s)))
+        state = summary(self.cell, now_s)
+        self.metrics.summed_up(state)
+        log.info("cell: state", epoch=self.epoch, **asdict(state))
 
     def _forgotten(self, now_s: float) -> list[Keyed]:
         if now_s < self._forget_at_s:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -11,14 +11,16 @@
 
 import structlog
 
+from hornbeampaddle.cell.reports import NoAnswer
 from hornbeampaddle.cell.workers import WorkerListing
 
 from .appender import Appender
 from .callers import Callers
-from .follower import Follower
+from .follower import Follower, Handler
 from .holder import PRODUCER_NAME, Holder
 from .leadership import HOLDER_KEY, HolderRecord, Leadership, encode_holder
 from .ledger import Ledger
+from .metrics import MeteredStore, Metrics
 from .ports import (
     AdvicePort,
     Appended,
@@ -26,7 +28,6 @@
     Codec,
     Configuration,
     Keyed,
-    NoAnswer,
     Producer,
     StorePort,
     Topic,
@@ -56,7 +57,8 @@
         """Wire the parts; nothing runs before ``run``."""
         self.settings = settings
         self.clock = clock
-        self.store = store
+        self.metrics = Metrics()
+        self.store = MeteredStore(store, self.metrics)
         self.codec = codec
         self.make_worker = make_worker
         self.advice = advice
@@ -68,13 +70,19 @@
         self.jobs = self._follow(Topic.JOBS, self._take_jobs)
         self.progress = self._follow(Topic.PROGRESS, self._take_progress)
         self.operator = self._follow(Topic.OPERATOR, self._take_operator)
-        self.appender = Appender(store, Topic.JOBS, clock, settings)
+        self.appender = Appender(self.store, Topic.JOBS, clock, settings)
         self.callers = Callers(
-            settings, clock, self.ledger, self.jobs, self.progress, self.appender
+            settings,
+            clock,
+            self.ledger,
+            self.jobs,
+            self.progress,
+            self.appender,
+            self.metrics,
         )
         self._workers_whole = False
 
-    def _follow(self, topic: Topic, handler) -> Follower:  # noqa: ANN001
+    def _follow(self, topic: Topic, handler: Handler) -> Follower:
         follower = Follower(self.store, topic, self.clock, handler)
         follower.wait_s = self.settings.read_wait_s
         if topic is not Topic.OPERATOR:
@@ -95,6 +103,7 @@
                 group.create_task(follower.run())
             group.create_task(self.appender.run())
             group.create_task(self._watch())
+            group.create_task(self.metrics.watch_loop())
 
     async def stop(self) -> None:
         """Say that no new callers are wanted, and let the cell go."""
@@ -242,6 +251,7 @@
             self.advice,
             epoch,
             fenced_at_s,
+            self.metrics,
         )
         await self._hold(holder)
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/logs.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/logs.py
@@ -9,6 +9,8 @@
 import asyncio
 import os
 from collections import deque
+from collections.abc import Callable, MutableMapping
+from typing import Any
 
 import msgspec
 import structlog
@@ -34,6 +36,7 @@
         self.descriptor = descriptor
         self.dropped = 0
         self.dropped_total = 0
+        self.on_drop: Callable[[], None] | None = None
         self._lines: deque[bytes] = deque()
         self._size_bytes = 0
         self._counts: dict[str, int] = {}
@@ -46,6 +49,8 @@
         limit = EVENT_LINES_PER_S * FLUSH_S
         if count > limit or self._size_bytes + len(line) > BUFFER_BYTES:
             self.dropped += 1
+            if self.on_drop is not None:
+                self.on_drop()
             return
         self._lines.append(line)
         self._size_bytes += len(line)
@@ -113,7 +118,9 @@
     """Send all logs of this process through one writer."""
     writer = LogWriter(descriptor)
 
-    def render(_: object, level: str, fields: dict) -> tuple[tuple, dict]:
+    def render(
+        _: object, level: str, fields: MutableMapping[str, Any]
+    ) -> tuple[tuple[Any, ...], dict[str, Any]]:
         event = str(fields.pop("event"))
         line = {"event": event, "level": level, "instance": instance, **fields}
         return (event, _encode(line) + b"\n"), {}
--- /dev/null
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
@@ -0,0 +1,231 @@
+"""
+Count and time what an instance does, for its metrics address.
+
+Names follow the conventions of Prometheus: a unit as suffix, ``_total`` for
+counters. The ports to the store and to workers are counted by wrappers, so that
+no caller of a port has to remember to.
+"""
+
+import asyncio
+import time
+from collections.abc import Sequence
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from hornbeampaddle.cell.effects import Note
+from hornbeampaddle.cell.progress import Run
+from hornbeampaddle.cell.reports import HoldOutcome, OrderOutcome, Refused
+from hornbeampaddle.cell.summary import Summary
+
+from .ports import (
+    AppendOutcome,
+    Keyed,
+    NewestOutcome,
+    Producer,
+    ReadOutcome,
+    StorePort,
+    Topic,
+    WorkerPort,
+)
+
+# Seconds; from a fast answer of the store to a caller's whole deadline.
+LATENCY_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30)
+LAG_EVERY_S = 0.5
+
+
+class Metrics:
+    """All counters, gauges and histograms of one instance."""
+
+    def __init__(self) -> None:
+        """Start at zero, in a registry of its own."""
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "hornbeampaddle_requests_total",
+            "Answers to callers",
+            ("call", "outcome"),
+        )
+        self.request_seconds = self._histogram(
+            "hornbeampaddle_request_seconds", "Time to answer a caller", ("call",)
+        )
+        self.store_calls = self._counter(
+            "hornbeampaddle_store_calls_total",
+            "Calls to the store",
+            ("call", "outcome"),
+        )
+        self.store_seconds = self._histogram(
+            "hornbeampaddle_store_append_seconds", "Time of an append", ("topic",)
+        )
+        self.worker_calls = self._counter(
+            "hornbeampaddle_worker_calls_total",
+            "Calls to workers",
+            ("call", "outcome"),
+        )
+        self.decisions = self._counter(
+            "hornbeampaddle_decisions_total",
+            "Decisions and changes of belief of the holder, by reason",
+            ("event", "reason"),
+        )
+        self.wait_seconds = self._histogram(
+            "hornbeampaddle_task_wait_seconds",
+            "Time from a task's turn to the decision where it starts",
+            (),
+        )
+        self.job_seconds = self._histogram(
+            "hornbeampaddle_job_seconds", "Age of a job at its end", ("status",)
+        )
+        self.loop_lag_seconds = self._histogram(
+            "hornbeampaddle_loop_lag_seconds", "How late timers fire", ()
+        )
+        self.holding = self._gauge(
+            "hornbeampaddle_holding", "1 while this instance holds the cell", ()
+        )
+        self.tasks = self._gauge(
+            "hornbeampaddle_tasks", "Tasks of the cell", ("kind", "state")
+        )
+        self.workers = self._gauge(
+            "hornbeampaddle_workers", "Workers of the cell", ("state",)
+        )
+        self.log_lines_dropped = self._counter(
+            "hornbeampaddle_log_lines_dropped_total", "Log lines not written", ()
+        )
+
+    def _counter(self, name: str, text: str, labels: Sequence[str]) -> Counter:
+        return Counter(name, text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str, labels: Sequence[str]) -> Gauge:
+        return Gauge(name, text, labels, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, labels: Sequence[str]) -> Histogram:
+        return Histogram(
+            name, text, labels, registry=self.registry, buckets=LATENCY_BUCKETS_S
+        )
+
+    def text(self) -> bytes:
+        """Return everything in the text format."""
+        return generate_latest(self.registry)
+
+    def answered(self, call: str, outcome: str, took_s: float) -> None:
+        """Count an answer to a caller."""
+        self.requests.labels(call, outcome).inc()
+        self.request_seconds.labels(call).observe(took_s)
+
+    def noted(self, note: Note) -> None:
+        """Count a decision of the holder."""
+        detail = note.detail
+        reason = next((str(detail[k]) for k in REASON_FIELDS if k in detail), "")
+        self.decisions.labels(note.event, reason).inc()
+        if note.event == "start":
+            self.wait_seconds.observe(float(str(detail["waited_s"])))
+        if note.event == "job_finished":
+            age_s = float(str(detail["age_s"]))
+            self.job_seconds.labels(str(detail["status"])).observe(age_s)
+
+    def summed_up(self, summary: Summary) -> None:
+        """Set the gauges of the cell."""
+        for kind in ("lasting", "filler", "plain"):
+            self.tasks.labels(kind, "waiting").set(summary.waiting.get(kind, 0))
+            self.tasks.labels(kind, "running").set(summary.running.get(kind, 0))
+        self.workers.labels("usable").set(summary.usable_workers)
+        self.workers.labels("silent").set(summary.silent_workers)
+        self.workers.labels("resting").set(summary.resting_workers)
+        self.workers.labels("over_target").set(summary.over_target_workers)
+
+    async def watch_loop(self) -> None:
+        """Measure for ever how late timers fire."""
+        while True:
+            begun_s = time.monotonic()
+            await asyncio.sleep(LAG_EVERY_S)
+            lag_s = max(0.0, time.monotonic() - begun_s - LAG_EVERY_S)
+            self.loop_lag_seconds.observe(lag_s)
+
+
+# The fields of a note that say why, the first that is there.
+REASON_FIELDS = ("why", "reason", "how", "status")
+
+
+def outcome_name(outcome: object) -> str:
+    """Return a label for how a call ended."""
+    if isinstance(outcome, Refused):
+        return f"refused_{outcome.reason.value}"
+    return type(outcome).__name__.lower()
+
+
+class MeteredStore:
+    """A store port that counts its calls."""
+
+    def __init__(self, store: StorePort, metrics: Metrics) -> None:
+        """Wrap a store."""
+        self._store = store
+        self._metrics = metrics
+
+    async def append(
+        self,
+        topic: Topic,
+        records: Sequence[Keyed],
+        producer: Producer | None,
+        at_offset: int | None,
+    ) -> AppendOutcome:
+        """Append all records or none; no record at all only raises the epoch."""
+        begun_s = time.monotonic()
+        outcome = await self._store.append(topic, records, producer, at_offset)
+        took_s = time.monotonic() - begun_s
+        self._metrics.store_seconds.labels(topic.value).observe(took_s)
+        self._metrics.store_calls.labels("append", outcome_name(outcome)).inc()
+        return outcome
+
+    async def read(self, topic: Topic, offset: int, wait_s: float) -> ReadOutcome:
+        """Read from an offset; wait for a record if there is none."""
+        outcome = await self._store.read(topic, offset, wait_s)
+        self._metrics.store_calls.labels("read", outcome_name(outcome)).inc()
+        return outcome
+
+    async def newest(self, topic: Topic) -> NewestOutcome:
+        """Read the newest record of each key."""
+        outcome = await self._store.newest(topic)
+        self._metrics.store_calls.labels("newest", outcome_name(outcome)).inc()
+        return outcome
+
+
+class MeteredWorker:
+    """A worker port that counts its calls."""
+
+    def __init__(self, worker: WorkerPort, metrics: Metrics) -> None:
+        """Wrap a worker."""
+        self._worker = worker
+        self._calls = metrics.worker_calls
+
+    def close(self) -> None:
+        """Drop the connections."""
+        self._worker.close()
+
+    async def start(self, run: Run, payload: str, deadline_s: float) -> OrderOutcome:
+        """Start an attempt."""
+        outcome = await self._worker.start(run, payload, deadline_s)
+        self._calls.labels("start", outcome_name(outcome)).inc()
+        return outcome
+
+    async def stop(self, run: Run) -> OrderOutcome:
+        """End an attempt."""
+        outcome = await self._worker.stop(run)
+        self._calls.labels("stop", outcome_name(outcome)).inc()
+        return outcome
+
+    async def pace(self, run: Run, percent: int) -> OrderOutcome:
+        """Let an attempt work at a share of its speed."""
+        outcome = await self._worker.pace(run, percent)
+        self._calls.labels("pace", outcome_name(outcome)).inc()
+        return outcome
+
+    async def report(
+        self, last_seen: int, deadline_s: float | None, wait_s: float
+    ) -> HoldOutcome:
+        """Renew the lease, acknowledge ends, and read what is there."""
+        outcome = await self._worker.report(last_seen, deadline_s, wait_s)
+        self._calls.labels("report", outcome_name(outcome)).inc()
+        return outcome
--- a/packages/hornbeampaddle/hornbeampaddle/cell/jobs.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/jobs.py
@@ -17,7 +17,7 @@
     job_id: str
     occurrence: int
     step: int
-    index: int
+    position: int
 
 
 class StepKey(NamedTuple):
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -149,7 +149,7 @@
         if steps is None or key.step >= len(steps):
             return None
         tasks = steps[key.step].tasks
-        return tasks[key.index] if key.index < len(tasks) else None
+        return tasks[key.position] if key.position < len(tasks) else None
 
     def runs(self) -> list[Run]:
         """Return every attempt that has not ended."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -13,7 +13,7 @@
 from ..resources import NOTHING
 from . import dispatch, moving, pacing
 from .dispatch import AdviceBook
-from .effects import Decision, Note, StopOrder
+from .effects import Decision, Note, PaceOrder, StopOrder
 from .interference import Interference
 from .jobs import Job, Step, TaskKey
 from .progress import JobState, JobStatus, Run, RunPhase, Task, encode, restore
@@ -296,6 +296,12 @@
         worker.note_end(True)
         if task.done:
             return
+        detail: dict[str, object] = {
+            "task": task.key,
+            "run": task.last_run,
+            "worker": worker.worker_id,
+        }
+        self.note(Note("run_done", task.key.job_id, detail))
         if state.occurrences[task.key.occurrence][task.key.step].step.gang:
             self._gang_done(state, task, now_s)
         task.done = True
@@ -596,6 +602,8 @@
         dispatch.place(self, decision, now_s, wall_s)
         decision.stops = self._take_stops(now_s)
         decision.paces = self._paces.take()
+        for order in decision.paces:
+            self._note_pace(order)
         for job_id in self.dirty:
             state = self.jobs.get(job_id)
             if state is not None:
@@ -604,6 +612,17 @@
         self._close_finished(now_s)
         return decision
 
+    def _note_pace(self, order: PaceOrder) -> None:
+        worker = self.workers.get(order.worker_id)
+        over = worker is not None and worker.over_since_s is not None
+        detail: dict[str, object] = {
+            "task": order.run.key,
+            "worker": order.worker_id,
+            "percent": order.percent,
+            "why": "neighbour_over_target" if over else "pressure",
+        }
+        self.note(Note("pace", order.run.key.job_id, detail))
+
     def _take_stops(self, now_s: float) -> list[StopOrder]:
         """Return the stops for workers that can be asked; keep the others."""
         ready: list[StopOrder] = []
