--- a/features/cell.feature
+++ b/features/cell.feature
@@ -209,3 +209,14 @@
       | 4    |
       | 5    |
       | 6    |
+
+  Scenario: A job that disturbs everybody still gets on while the cell is mostly free
+    # A batch user waits for ever in a cell with most of its room free: every worker serves
+    # an image that the job's image disturbs, so no worker is good enough for it.
+    Given a cell of 3 instances and 4 workers
+    And the image "heavy" disturbs the image "serving" and "light" does not
+    And a lasting job "ac01" of 4 tasks of the image "serving" is at work
+    When 10 filling jobs each of the images "heavy" and "light" are handed in over 10 s
+    And 4 s pass in the cell
+    Then no job has nothing at work
+    And no promise of the cell was broken
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -422,3 +422,17 @@
         if not isinstance(status, JobStatus) or not status.final
     }
     assert not left, left
+
+
+@then("no job has nothing at work")
+def all_at_work(context):
+    world = context.world
+
+    async def idle():
+        names = [n for n in world.accepted if n not in context.lasting]
+        states = {name: await world.status(name) for name in names}
+        open_ = [name for name, state in states.items() if not state.final]
+        busy = {key.job_id for w in world.workers.values() for key in w.runs}
+        return [name for name in open_ if name not in busy]
+
+    assert not play(context, idle()), play(context, idle())
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -196,10 +196,6 @@
         age_s = self.clock.now_s() - self._stored_at_s
         return age_s < lapse_s and not self.lost.is_set()
 
-    def report_wait_s(self) -> float:
-        """Return how long a report waits for an end."""
-        return self.settings.cell.report_wait_s
-
     def take_report(self, worker_id: str, report: Report) -> None:
         """Take in a report, and turn the loop."""
         self.cell.report(worker_id, report)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -65,7 +65,14 @@
             if not await self._take(outcome):
                 await asyncio.sleep(SILENT_PAUSE_S)
                 continue
-            wait_s = FIRST_WAIT_S if first else self.holder.report_wait_s()
+            wait_s = FIRST_WAIT_S if first else self._wait_s()
+
+    def _wait_s(self) -> float:
+        settings = self.holder.cell.settings
+        worker = self.holder.cell.workers.get(self.worker_id)
+        if worker is not None and worker.over_since_s is not None:
+            return settings.report_wait_over_s
+        return settings.report_wait_s
 
     async def _take(self, outcome: object) -> bool:
         match outcome:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -12,6 +12,7 @@
 from .effects import AdviceQuestion, Decision, Note
 from .jobs import StepKey, TaskKey
 from .placing import Ranking, choose_slow, suits
+from .preempting import make_room
 from .progress import JobState, JobStatus, Run, StepState, Task
 from .workers import WorkerState
 
@@ -26,6 +27,13 @@
 # A filler waits so long for a worker where it disturbs nobody before it starts
 # at a lower pace; after 1.5 s already, it cost more than it gained.
 SLOW_AFTER_S = 6.0
+# Slower than this share of its speed, a filler would only hold memory.
+SLOW_SHARE_MIN = 0.25
+# While less than this share of the processors is reserved, no job is left with
+# nothing at work for longer than this: callers count on it from half on.
+IDLE_CELL_RATIO = 0.6
+IDLE_JOB_AFTER_S = 1.2
+FIRST_PACE_MIN_PERCENT = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,17 +126,18 @@
     due_s = state.accepted_at_s + objective_s
     chance = 0
     if not job.lasting and not job.repeat_count:
-        chance = _chance(state, objective_s, now_s)
+        chance = _chance(state, now_s)
     return (job.queue.priority, job.lasting, chance, due_s)
 
 
-def _chance(state: JobState, objective_s: float, now_s: float) -> int:
+def _chance(state: JobState, now_s: float) -> int:
     """
     Return 0 for a job that can still be on time, 1 for late, 2 for neither.
 
     When the queue is long, the first in line are those that are just too late:
     serving them first makes every one behind them late as well.
     """
+    objective_s = state.job.objective_s()
     end_s = now_s + remaining_chain_s(state) - state.accepted_at_s
     if end_s <= objective_s:
         return 0
@@ -173,7 +182,7 @@
     for task in step.waiting():
         worker = ranking.choose(task.key, task.last_worker_id)
         if worker is None:
-            _place_slow(cell, decision, state, step, workers, now_s)
+            _no_room(cell, decision, state, step, workers, now_s)
             return
         if step.step.filler and not _has_spare(worker, step):
             return
@@ -181,6 +190,21 @@
         ranking.booked(worker)
 
 
+def _no_room(
+    cell: "Scheduler",
+    decision: Decision,
+    state: JobState,
+    step: StepState,
+    workers: list[WorkerState],
+    now_s: float,
+) -> None:
+    """Look for another way for tasks that found no worker."""
+    if step.step.filler:
+        _place_slow(cell, decision, state, step, workers, now_s)
+    elif not step.step.lasting and _chance(state, now_s) == 0:
+        make_room(cell, state, step, now_s)
+
+
 def _place_slow(
     cell: "Scheduler",
     decision: Decision,
@@ -192,14 +216,22 @@
     """Place one filler that disturbs wherever it goes, at a pace that does not."""
     waited_s = now_s - (step.ready_at_s or now_s)
     waiting = step.waiting()
-    if not step.step.filler or not waiting or waited_s < SLOW_AFTER_S:
+    if not waiting or waited_s < IDLE_JOB_AFTER_S:
+        return
+    share_min = SLOW_SHARE_MIN
+    if not state.runs() and cell.use_ratio() < IDLE_CELL_RATIO:
+        # Guards against a job that waits for ever in a cell with most of its
+        # room free, because every worker serves an image that it disturbs.
+        share_min = 0.0
+    elif waited_s < SLOW_AFTER_S:
         return
-    place = choose_slow(step.step, workers, cell.model)
+    place = choose_slow(step.step, workers, cell.model, share_min)
     if place is None:
         return
     worker, share = place
     _start(cell, decision, state, step, waiting[0], worker, {}, now_s)
-    decision.starts[-1].first_pace_percent = round(100 * share)
+    percent = max(FIRST_PACE_MIN_PERCENT, round(100 * share))
+    decision.starts[-1].first_pace_percent = percent
 
 
 def _has_spare(worker: WorkerState, step: StepState) -> bool:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
@@ -9,7 +9,7 @@
 
 The tasks of one job share the load of its users, wherever they run. What the
 fillers do not explain, in most of a job's tasks alike, is that load: its own
-level. A job that is over its target by its own load cannot be helped.
+level. It is taken off before the slopes are fitted.
 """
 
 import math
@@ -48,12 +48,6 @@
 LEVEL_MIN = math.log(0.1)
 # The noise of a fitted slope; harmless pairs come out between 0 and this.
 SLOPE_NOISE = 0.7
-# Undisturbed tails above this (1.2 times the target) show a job that is over it
-# by its own load; that holds for so long, as the load swings within seconds.
-OVER_BY_ITSELF = math.log(1.2)
-LOST_FOR_S = 2.5
-# A tail is undisturbed if the fillers use less than this share of the worker.
-CLEAN_SHARE = 0.005
 # Bounds on memory: images beyond these are treated by the prior.
 SERVING_IMAGES_MAX = 64
 FILLING_IMAGES_MAX = 64
@@ -161,7 +155,6 @@
         self._fits: dict[str, _Fit] = {}
         self._solve_at_s = float("-inf")
         self._residuals: dict[str, dict[TaskKey, tuple[float, float]]] = {}
-        self._lost_until_s: dict[str, float] = {}
 
     def observe(
         self, readings: list[Reading], uses: dict[str, float], now_s: float
@@ -182,8 +175,6 @@
             residual = level - self.pressure(reading.image, uses)
             rows = self._residuals.setdefault(reading.key.job_id, {})
             rows[reading.key] = (now_s, residual)
-            if sum(uses.values()) < CLEAN_SHARE:
-                self._note_clean(reading.key.job_id, level, now_s)
 
     def _fit(self, serving: str) -> _Fit | None:
         fit = self._fits.get(serving)
@@ -205,19 +196,6 @@
             return PRIOR_LEVEL, 0
         return fresh[int(OWN_QUANTILE * (len(fresh) - 1))], len(fresh)
 
-    def _note_clean(self, job_id: str, level: float, now_s: float) -> None:
-        # Only tails beside which no filler works count here. A slope that is
-        # taken too low would make the fillers' doing look like the users' load,
-        # and releasing the fillers would confirm it.
-        if level < OVER_BY_ITSELF:
-            self._lost_until_s.pop(job_id, None)
-        else:
-            self._lost_until_s[job_id] = now_s + LOST_FOR_S
-
-    def lost_by_itself(self, job_id: str, now_s: float) -> bool:
-        """Tell whether a job is clearly over its target by its own load."""
-        return self._lost_until_s.get(job_id, now_s) > now_s
-
     def solve(self, now_s: float) -> None:
         """Fit again, if the last time was long ago."""
         if now_s < self._solve_at_s + SOLVE_EVERY_S:
@@ -230,9 +208,6 @@
         self._forget_old(now_s)
 
     def _forget_old(self, now_s: float) -> None:
-        for job_id, until_s in list(self._lost_until_s.items()):
-            if until_s < now_s:
-                del self._lost_until_s[job_id]
         for job_id, rows in list(self._residuals.items()):
             for key, (at_s, _) in list(rows.items()):
                 if now_s - at_s > OWN_AGE_S:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
@@ -43,8 +43,7 @@
         worker.held_back_cpu_millis = _held_back(worker)
         readings = _readings(worker)
         self.model.observe(readings, uses, now_s)
-        helped = [r for r in readings if not self._lost(r, now_s)]
-        worst = max(helped, key=lambda reading: reading.level, default=None)
+        worst = max(readings, key=lambda reading: reading.level, default=None)
         self._note_over(worker, worst, now_s)
         fillers = [run for run in worker.runs.values() if _paceable(run)]
         if not fillers or now_s - worker.paced_at_s < SETTLE_S:
@@ -57,13 +56,7 @@
         ):
             self._slow_down(worker, fillers, worst, now_s)
         else:
-            self._speed_up(worker, fillers, helped, now_s)
-
-    def _lost(self, reading: Reading, now_s: float) -> bool:
-        # A job that its own users' load keeps over the target gains nothing
-        # from fillers that stand still: on days of high load that idled a third
-        # of the processors left to fillers.
-        return self.model.lost_by_itself(reading.key.job_id, now_s)
+            self._speed_up(worker, fillers, readings, now_s)
 
     def _note_over(
         self, worker: WorkerState, worst: Reading | None, now_s: float
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -19,11 +19,6 @@
 # much together, at full speed: alone, tails reach 0.72 of their target when the
 # users' load is highest, and 0.72 x e^0.2 is 0.88.
 PRESSURE_MAX = 0.2
-# A filler that disturbs everywhere works at no less than this share of its speed:
-# slower, it would only hold memory.
-SLOW_SHARE_MIN = 0.25
-# A worker where a task is over its target takes fillers only as the last one.
-OVER_TARGET_MILLIS = 100_000
 # Pressure below that bound still counts, so that harmless pairs are preferred
 # while both have processors to spare.
 PRESSURE_MILLIS = 100_000
@@ -126,12 +121,7 @@
     share = step.need.cpu_millis / worker.listing.capacity.cpu_millis
     slopes = (model.slope(image, step.image) for image in worker.serving)
     pressure = share * max(slopes, default=0.0)
-    return _filler_room(worker) - pressure * PRESSURE_MILLIS
-
-
-def _filler_room(worker: WorkerState) -> float:
-    spare = worker.spare_cpu_millis()
-    return spare if worker.over_since_s is None else spare - OVER_TARGET_MILLIS
+    return worker.spare_cpu_millis() - pressure * PRESSURE_MILLIS
 
 
 def allowed_share(
@@ -142,6 +132,10 @@
 
     ``placed`` tells that its need is part of the worker's demand already.
     """
+    if worker.over_since_s is not None:
+        # What starts beside a task that is over its target works on while the
+        # others stand still, and keeps it there.
+        return 0.0
     share = step.need.cpu_millis / worker.listing.capacity.cpu_millis
     allowed = 1.0
     for image in worker.serving:
@@ -154,21 +148,20 @@
 
 
 def choose_slow(
-    step: Step, workers: Iterable[WorkerState], model: Interference
+    step: Step, workers: Iterable[WorkerState], model: Interference, share_min: float
 ) -> tuple[WorkerState, float] | None:
     """Return the worker that lets a disturbing filler work fastest, and how fast."""
-    best: tuple[float, str, WorkerState] | None = None
+    best: tuple[float, float, str, WorkerState] | None = None
     for worker in workers:
-        if not step.charge.fits_in(worker.free()) or worker.over_since_s is not None:
-            continue
-        if worker.spare_cpu_millis() < step.need.cpu_millis:
+        if not step.charge.fits_in(worker.free()):
             continue
-        entry = (allowed_share(step, worker, model), worker.worker_id, worker)
+        share = allowed_share(step, worker, model)
+        entry = (share, worker.spare_cpu_millis(), worker.worker_id, worker)
         if best is None or entry > best:
             best = entry
-    if best is None or best[0] < SLOW_SHARE_MIN:
+    if best is None or best[0] < share_min:
         return None
-    return best[2], best[0]
+    return best[3], best[0]
 
 
 def _same_share(image: str, worker: WorkerState) -> float:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -215,6 +215,12 @@
         if worker is not None:
             worker.silent = True
 
+    def use_ratio(self) -> float:
+        """Return the share of the usable workers' processors that is reserved."""
+        workers = [w for w in self.workers.values() if w.reported and not w.gone]
+        total = sum(w.listing.capacity.cpu_millis for w in workers)
+        return sum(w.taken.cpu_millis for w in workers) / total if total else 1.0
+
     # What workers answer
 
     def report(self, worker_id: str, report: Report) -> None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -52,6 +52,8 @@
     # ... and after so long all fillers beside it stand still: the operator
     # tolerates 4 s, of which readings and orders take up to 1.5 s.
     silence_after_s: float = 0.9
+    # Reports of a worker where a task is over its target come this often.
+    report_wait_over_s: float = 0.4
     # How far ahead of an occurrence's time it may start; clocks differ.
     early_s: float = 0.0
     # Finished jobs are forgotten after so long: callers ask for 120 s.
