Log the store's loss and return once each, and back off

Cause: a holder without the store wrote a line and made a call every 58 ms, 40 of each in one outage of 2.2 s; the one line that matters drowned.

Change: one line when it is lost, one when it stores again with how long it was gone and how many tries that took; pauses grow from 50 to 300 ms.

Ruled out: dropping by rate in the writer, which would drop the first line too.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -48,8 +48,10 @@
 PRODUCER_NAME = "holder"
 # A turn without any event: leases and due times are looked at this often.
 IDLE_TURN_S = 0.1
-# Between tries of an append that the store refused.
+# Between tries of an append that the store refused: short at first, for the
+# holder has 1.5 s, then longer, for every call counts against a common limit.
 RETRY_S = 0.05
+RETRY_MAX_S = 0.3
 # Finished jobs are looked for this often, and dropped so many at a time.
 FORGET_EVERY_S = 5.0
 FORGET_COUNT = 100
@@ -95,6 +97,7 @@
         self._summary_at_s = claimed_at_s
         self._learned_at_s = claimed_at_s + LEARNED_EVERY_S
         self._releasing = False
+        self._unstored_tries = 0
 
     def _log_note(self, note: Note) -> None:
         self.metrics.noted(note)
@@ -371,20 +374,36 @@
                     self.lose("the log has taken a higher epoch")
                 case Unavailable() | NoAnswer():
                     self._note_failed(outcome, sent_at_s)
-                    await asyncio.sleep(RETRY_S)
+                    await asyncio.sleep(self._retry_s())
                 case _:
                     log.error("holder: unexpected", outcome=repr(outcome))
                     self.lose("the log gave an unexpected answer")
         return False
 
     def _note_failed(self, outcome: Unavailable | NoAnswer, sent_at_s: float) -> None:
-        age_s = round(sent_at_s - self._stored_at_s, 3)
-        log.warning(
-            "holder: not stored", epoch=self.epoch, age_s=age_s, **asdict(outcome)
-        )
+        if self._unstored_tries == 0:
+            age_s = round(sent_at_s - self._stored_at_s, 3)
+            log.warning(
+                "holder: not stored", epoch=self.epoch, age_s=age_s, **asdict(outcome)
+            )
+        self._unstored_tries += 1
+
+    def _retry_s(self) -> float:
+        return min(RETRY_MAX_S, RETRY_S * 2 ** (self._unstored_tries - 1))
+
+    def _note_stored(self, sent_at_s: float) -> None:
+        if self._unstored_tries:
+            log.info(
+                "holder: stores again",
+                epoch=self.epoch,
+                gone_s=round(sent_at_s - self._stored_at_s, 3),
+                tries=self._unstored_tries,
+            )
+        self._unstored_tries = 0
 
     def _stored(self, records: list[Keyed], sent_at_s: float) -> None:
         self._sequence += 1
+        self._note_stored(sent_at_s)
         self._stored_at_s = sent_at_s
         for record in records:
             if record.key != HOLDER_KEY:
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/main.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/main.py
@@ -1,5 +1,6 @@
 """Be the binary ``hornbeampaddle``: operators' and callers' commands."""
 
+import os
 import sys
 from dataclasses import dataclass
 
@@ -59,3 +60,8 @@
         sys.exit(error.code)
     except KeyboardInterrupt:
         sys.exit(130)
+    except BrokenPipeError:
+        # The reader has seen enough, as ``head`` has. What is still buffered
+        # must not be written at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(141)
