Soak the real programs with faults from outside

Cause: every proof so far was in simulated time; sockets, signals and start-up were only met in single scenarios.

Change: the stand-ins speak the platform's words over HTTP; a soak starts entry processes on loopback and breaks them by a seed: kills, terms, pauses, hang-ups, links that delay, reset, go silent or one way, a store that refuses, is silent, loses answers or acts late, a log without history. It checks what workers and callers saw. A seed of 6 s runs in the tests.

Ruled out: one process with fake sockets, which the walks already are.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/installed
 REPORTS := $(VENV)/reports
 
-.PHONY: demo test lint model bench capacity soak clean
+.PHONY: demo test lint model bench capacity walks soak clean
 
 $(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -26,7 +26,8 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/python -m bench.report --check
-	$(BIN)/mypy packages model bench
+	MYPYPATH=platform:platform/standins $(BIN)/mypy packages model bench \
+		platform/hornbeampaddle_platform platform/standins/hornbeampaddle_platform_standins
 
 bench: $(STAMP)
 	$(BIN)/python -m bench.rest
@@ -43,11 +44,19 @@
 model: $(STAMP)
 	$(BIN)/python -m model.check docs/model-table.md
 
-# Walk through SOAK_COUNT seeds from SOAK_FIRST on.
-SOAK_FIRST ?= 10000
-SOAK_COUNT ?= 500
+# Walk through WALKS seeds from WALK_FIRST on, in simulated time.
+WALK_FIRST ?= 10000
+WALKS ?= 500
+walks: $(STAMP)
+	PYTHONHASHSEED=0 PYTHONPATH=features $(BIN)/python -m support.soak $(WALK_FIRST) $(WALKS)
+	PYTHONHASHSEED=0 PYTHONPATH=features $(BIN)/python -m support.cell_walks $(WALK_FIRST) $(WALKS)
+
+# Break the real programs from outside: SEEDS runs from SEED on.
+SEED ?= 1
+SEEDS ?= 5
+SECONDS ?= 20
 soak: $(STAMP)
-	PYTHONHASHSEED=0 PYTHONPATH=features $(BIN)/python -m support.soak $(SOAK_FIRST) $(SOAK_COUNT)
+	$(BIN)/python platform/soak/soak.py --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
 
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,11 @@
+Feature: The real programs under faults from outside
+  Entry processes on loopback, with signals, broken links and a faulty store by a seed.
+  Each seed that ever failed stays here with a line on its cause.
+
+  Scenario Outline: Seed <seed>
+    When the soak runs seed <seed> for 6 s
+    Then it finds no problem
+
+    Examples:
+      | seed |
+      | 1    |
--- /dev/null
+++ b/features/support/cell_walks.py
@@ -0,0 +1,54 @@
+"""Walk cells through many seeds: ``python -m support.cell_walks FIRST COUNT``."""
+
+import asyncio
+import sys
+from concurrent.futures import ProcessPoolExecutor
+
+import structlog
+
+from hornbeampaddle.cell.progress import JobStatus
+
+from .cell_walk import new_world, walk
+from .virtual_loop import VirtualLoop
+
+PROCESSES = 4
+
+
+def _drop(logger, method, fields):
+    raise structlog.DropEvent
+
+
+def one(seed):
+    """Play one seed; return it with the broken promises and the open jobs."""
+    structlog.configure(processors=[_drop])
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+
+    async def go():
+        world = new_world(seed)
+        await walk(world)
+        states = {name: await world.status(name) for name in world.accepted}
+        await world.close()
+        open_ = [
+            name
+            for name, state in states.items()
+            if not isinstance(state, JobStatus) or not state.final
+        ]
+        return world.judge.broken[:3], open_[:3]
+
+    return seed, *loop.run_until_complete(go())
+
+
+def main(first, count):
+    bad = 0
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        for seed, broken, open_ in pool.map(one, range(first, first + count)):
+            if broken or open_:
+                bad += 1
+                print(f"seed {seed}: broken {broken}, open {open_}")
+    print(f"{count} walks of cells, {bad} broke a promise or left a job open")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -267,6 +267,16 @@
         self.ends = [end for end in self.ends if end.position > last_seen]
         return None
 
+    async def wait_for_end(self, wait_s: float) -> None:
+        """Wait until an end is listed, or for as long as asked."""
+        if self.ends or not wait_s:
+            return
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.changed.wait()
+        except TimeoutError:
+            pass
+
     def rows(self) -> tuple[RunningRow, ...]:
         """Return what runs, as a report lists it."""
         rows = []
@@ -360,12 +370,7 @@
         )
         if not isinstance(outcome, Done):
             return outcome
-        if not self.worker.ends and wait_s:
-            try:
-                async with asyncio.timeout(wait_s):
-                    await self.worker.changed.wait()
-            except TimeoutError:
-                pass
+        await self.worker.wait_for_end(wait_s)
         if not self.worker.alive:
             return await self._silence()
         return Report(
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_client.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_client.py
@@ -154,10 +154,11 @@
     pooled: _Pooled, request: Request, response_bytes: int, traffic: HttpTraffic
 ) -> Response | NoResponse | CutShort:
     state = h11.Connection(h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_BYTES)
+    named = dict(request.headers)
     headers = [
-        ("host", "worker"),
+        ("host", named.pop("host", "worker")),
         ("content-length", str(len(request.body))),
-        *request.headers.items(),
+        *named.items(),
     ]
     head = h11.Request(method=request.method, target=request.path, headers=headers)
     chunks = [state.send(head), state.send(h11.Data(data=request.body))]
