Let lasting tasks run again on workers that rest

Change: where no other worker has room, lasting tasks go to workers that rest.

Ruled out: making room itself (the task had room elsewhere all the time).

--- a/features/cell.feature
+++ b/features/cell.feature
@@ -220,3 +220,12 @@
     And 4 s pass in the cell
     Then no job has nothing at work
     And no promise of the cell was broken
+
+  Scenario: A lasting task runs again although every worker with room rests
+    # A watcher stays away for seconds with room for it: its worker failed twice by chance,
+    # rests for 6 s, and no other has room.
+    Given a cell of 3 instances and 2 workers
+    And a lasting job "ac02" of 6 tasks is at work
+    When every worker rests and a task of "ac02" fails
+    Then 6 tasks of "ac02" are at work within 2 s
+    And no promise of the cell was broken
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -10,6 +10,7 @@
 from hornbeampaddle.cell.dispatch import Allowance
 from hornbeampaddle.cell.jobs import Advice, Job, Queue
 from hornbeampaddle.cell.progress import JobStatus
+from hornbeampaddle.cell.reports import EndKind
 from hornbeampaddle_cell.callers import Accepted, Gone, NotAccepted
 from hornbeampaddle_standins.cell.store import StoreFault
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
@@ -436,3 +437,22 @@
         return [name for name in open_ if name not in busy]
 
     assert not play(context, idle()), play(context, idle())
+
+
+@when('every worker rests and a task of "{name}" fails')
+def rest_all(context, name):
+    world = context.world
+    cell = world.instances[world.holder()].holder.cell
+    for worker in cell.workers.values():
+        worker.rest_until_s = context.loop.time() + 30.0
+    worker = next(w for w in world.workers.values() if w.runs)
+    worker._end(next(iter(worker.runs)), EndKind.FAILED)
+
+
+@then('{tasks:d} tasks of "{name}" are at work within {seconds_s:g} s')
+def at_work_within(context, tasks, name, seconds_s):
+    world = context.world
+    play(context, asyncio.sleep(0.3))
+    assert play(
+        context, world.until(lambda: running(world, name) == tasks, seconds_s)
+    ), running(world, name)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -80,8 +80,6 @@
         return
     usable = [w for w in cell.workers.values() if w.usable(now_s)]
     for _, state, step in ready:
-        if not usable:
-            return
         _place_step(cell, decision, state, step, usable, now_s)
 
 
@@ -172,7 +170,7 @@
     if state.job.queue.advice is not None:
         tickets = _tickets(cell, decision, step, workers, now_s)
         workers = [w for w in workers if w.worker_id in tickets]
-    if not workers:
+    if not workers and not step.step.lasting:
         return
     if step.step.gang:
         _place_gang(cell, decision, state, step, workers, tickets, now_s)
@@ -201,10 +199,47 @@
     """Look for another way for tasks that found no worker."""
     if step.step.filler:
         _place_slow(cell, decision, state, step, workers, now_s)
-    elif not step.step.lasting and _chance(state, now_s) == 0:
+    elif step.step.lasting:
+        _place_on_resting(cell, decision, state, step, now_s)
+    elif _chance(state, now_s) == 0:
         make_room(cell, state, step, now_s)
 
 
+def _place_on_resting(
+    cell: "Scheduler",
+    decision: Decision,
+    state: JobState,
+    step: StepState,
+    now_s: float,
+) -> None:
+    """
+    Place lasting tasks on workers that rest, where no other has room.
+
+    A worker rests after two failures in a row, which chance alone brings to one
+    worker in twenty. A lasting task has no limit of attempts to lose there, and
+    its users lose more by a wait of seconds than by another try.
+    """
+    service = cell.services.get(state.job.queue.name, state.job.queue.service)
+    if state.job.queue.advice is not None:
+        return
+    resting = [
+        w
+        for w in cell.workers.values()
+        if w.present()
+        and w.resting(now_s)
+        and w.listing.service == service
+        and suits(step.step, w)
+    ]
+    ranking = Ranking(step.step, cell.model, _used(step))
+    ranking.fill(resting)
+    for task in step.waiting():
+        worker = ranking.choose(task.key, task.last_worker_id)
+        if worker is None:
+            return
+        _start(cell, decision, state, step, task, worker, {}, now_s)
+        ranking.booked(worker)
+
+
 def _place_slow(
     cell: "Scheduler",
     decision: Decision,
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -129,13 +129,19 @@
             if not count:
                 del self.serving[step.image]
 
-    def usable(self, now_s: float) -> bool:
-        """Tell whether a new attempt may be placed here."""
+    def present(self) -> bool:
+        """Tell whether the worker is listed, answers and stays."""
         if not self.listed or not self.reported or self.gone:
             return False
-        if self.silent or self.listing.draining:
-            return False
-        return now_s >= self.rest_until_s
+        return not self.silent and not self.listing.draining
+
+    def resting(self, now_s: float) -> bool:
+        """Tell whether the worker is left alone for a while."""
+        return now_s < self.rest_until_s
+
+    def usable(self, now_s: float) -> bool:
+        """Tell whether a new attempt may be placed here."""
+        return self.present() and not self.resting(now_s)
 
     def note_end(self, well: bool) -> None:
         """Count an end that says something about the worker itself."""
