--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -17,7 +17,7 @@
 from hornbeampaddle.cell.dispatch import Allowance
 from hornbeampaddle.cell.effects import AdviceQuestion, Decision, Note
 from hornbeampaddle.cell.progress import RunPhase
-from hornbeampaddle.cell.reports import NoAnswer, Report
+from hornbeampaddle.cell.reports import Report
 from hornbeampaddle.cell.scheduler import Scheduler
 from hornbeampaddle.cell.summary import summary
 from hornbeampaddle.cell.workers import WorkerListing
@@ -27,31 +27,22 @@
 from .metrics import MeteredWorker, Metrics
 from .ports import (
     AdvicePort,
-    Appended,
     Clock,
     Configuration,
     Keyed,
-    OutOfSequence,
     Producer,
     StorePort,
-    Superseded,
     Topic,
-    Unavailable,
     WorkerFactory,
 )
+from .progress_log import ProgressLog
 from .session import Session
 from .settings import InstanceSettings
 
 log = structlog.get_logger()
 
-# The name under which every holder appends; the epoch tells them apart.
-PRODUCER_NAME = "holder"
 # A turn without any event: leases and due times are looked at this often.
 IDLE_TURN_S = 0.1
-# Between tries of an append that the store refused: short at first, for the
-# holder has 1.5 s, then longer, for every call counts against a common limit.
-RETRY_S = 0.05
-RETRY_MAX_S = 0.3
 # Finished jobs are looked for this often, and dropped so many at a time.
 FORGET_EVERY_S = 5.0
 FORGET_COUNT = 100
@@ -88,8 +79,9 @@
         self.epoch = epoch
         self.cell = Scheduler(settings.cell, self._log_note)
         self.lost = asyncio.Event()
-        self._sequence = 0
-        self._stored_at_s = claimed_at_s
+        self.log = ProgressLog(
+            settings, clock, store, ledger, epoch, claimed_at_s, self.lose
+        )
         self._sessions: dict[str, Session] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._woken = asyncio.Event()
@@ -97,7 +89,6 @@
         self._summary_at_s = claimed_at_s
         self._learned_at_s = claimed_at_s + LEARNED_EVERY_S
         self._releasing = False
-        self._unstored_tries = 0
 
     def _log_note(self, note: Note) -> None:
         self.metrics.noted(note)
@@ -196,12 +187,12 @@
         return self._lives(cell.holder_lapse_s + cell.renew_on_s)
 
     def _lives(self, lapse_s: float) -> bool:
-        age_s = self.clock.now_s() - self._stored_at_s
+        age_s = self.clock.now_s() - self.log.stored_at_s
         return age_s < lapse_s and not self.lost.is_set()
 
     def take_report(self, worker_id: str, report: Report) -> None:
         """Take in a report, and turn the loop."""
-        self.cell.report(worker_id, report)
+        self.cell.intake.report(worker_id, report)
         self.wake()
 
     def lose(self, why: str) -> None:
@@ -209,6 +200,7 @@
         if not self.lost.is_set():
             log.warning("holder: lost", epoch=self.epoch, why=why)
         self.lost.set()
+        self.log.stop()
         self.wake()
 
     def wake(self) -> None:
@@ -236,13 +228,14 @@
 
     async def _release(self) -> None:
         value = encode_holder(HolderRecord("", self.epoch, self.settings.name))
-        await self._store([Keyed(HOLDER_KEY, value)])
+        await self.log.append([Keyed(HOLDER_KEY, value)])
         self.lost.set()
         log.info("holder: released", epoch=self.epoch)
 
     async def _close(self) -> None:
         self.metrics.holding.set(0)
         self.lost.set()
+        self.log.stop()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -267,7 +260,7 @@
         if records or unacked or self._heartbeat_due(now_s):
             if not records:
                 records.append(self._heartbeat())
-            if not await self._store(records):
+            if not await self.log.append(records):
                 return
         for worker, end in ends:
             self._acknowledge(worker.worker_id, end)
@@ -321,7 +314,7 @@
         self.wake()
 
     def _heartbeat_due(self, now_s: float) -> bool:
-        return now_s - self._stored_at_s >= self.settings.cell.heartbeat_s
+        return now_s - self.log.stored_at_s >= self.settings.cell.heartbeat_s
 
     def _heartbeat(self) -> Keyed:
         record = HolderRecord(self.settings.instance_id, self.epoch, self.settings.name)
@@ -357,58 +350,6 @@
         records = [Keyed(job_id, None), Keyed(CANCEL_MARK + job_id, None)]
         await self.store.append(Topic.JOBS, records, producer, None)
 
-    async def _store(self, records: list[Keyed]) -> bool:
-        """Append under this epoch until it is done; false if the cell is lost."""
-        while not self.lost.is_set():
-            sent_at_s = self.clock.now_s()
-            producer = Producer(PRODUCER_NAME, self.epoch, self._sequence)
-            outcome = await self.store.append(Topic.PROGRESS, records, producer, None)
-            match outcome:
-                case Appended():
-                    self._stored(records, sent_at_s)
-                    return True
-                case OutOfSequence(expected) if expected == self._sequence + 1:
-                    self._stored(records, sent_at_s)
-                    return True
-                case Superseded():
-                    self.lose("the log has taken a higher epoch")
-                case Unavailable() | NoAnswer():
-                    self._note_failed(outcome, sent_at_s)
-                    await asyncio.sleep(self._retry_s())
-                case _:
-                    log.error("holder: unexpected", outcome=repr(outcome))
-                    self.lose("the log gave an unexpected answer")
-        return False
-
-    def _note_failed(self, outcome: Unavailable | NoAnswer, sent_at_s: float) -> None:
-        if self._unstored_tries == 0:
-            age_s = round(sent_at_s - self._stored_at_s, 3)
-            log.warning(
-                "holder: not stored", epoch=self.epoch, age_s=age_s, **asdict(outcome)
-            )
-        self._unstored_tries += 1
-
-    def _retry_s(self) -> float:
-        return min(RETRY_MAX_S, RETRY_S * 2 ** (self._unstored_tries - 1))
-
-    def _note_stored(self, sent_at_s: float) -> None:
-        if self._unstored_tries:
-            log.info(
-                "holder: stores again",
-                epoch=self.epoch,
-                gone_s=round(sent_at_s - self._stored_at_s, 3),
-                tries=self._unstored_tries,
-            )
-        self._unstored_tries = 0
-
-    def _stored(self, records: list[Keyed], sent_at_s: float) -> None:
-        self._sequence += 1
-        self._note_stored(sent_at_s)
-        self._stored_at_s = sent_at_s
-        for record in records:
-            if record.key != HOLDER_KEY:
-                self.ledger.take_progress(record)
-
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -17,7 +17,7 @@
 from .appender import Appender
 from .callers import Callers
 from .follower import Follower, Handler
-from .holder import PRODUCER_NAME, Holder
+from .holder import Holder
 from .leadership import HOLDER_KEY, HolderRecord, Leadership, encode_holder
 from .ledger import Ledger
 from .metrics import MeteredStore, Metrics
@@ -33,6 +33,7 @@
     Topic,
     WorkerFactory,
 )
+from .progress_log import PRODUCER_NAME
 from .settings import InstanceSettings
 
 log = structlog.get_logger()
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -141,7 +141,7 @@
                 self.holder.lose("a start was refused for its token")
                 return
             now_s = self.holder.clock.now_s()
-            pause_s = cell.start_answered(run, outcome, now_s)
+            pause_s = cell.orders.start_answered(run, outcome, now_s)
             self.holder.wake()
             if pause_s is None:
                 return
@@ -163,7 +163,7 @@
                 return
             outcome = await self.port.stop(order.run)
             now_s = self.holder.clock.now_s()
-            if not self.holder.cell.stop_answered(order, outcome, now_s):
+            if not self.holder.cell.orders.stop_answered(order, outcome, now_s):
                 return
             await asyncio.sleep(STOP_PAUSE_S)
 
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -0,0 +1,242 @@
+"""
+Take in what workers report: what runs, what ended, what is missing.
+
+A report is everything that one worker has. Ends count once, by the number of
+their run; a run that the cell does not know is stopped; a run that the worker
+does not know is given up.
+"""
+
+from typing import TYPE_CHECKING
+
+from .effects import Note, StopOrder
+from .jobs import Step, TaskKey
+from .progress import JobState, JobStatus, Run, RunPhase, Task
+from .reports import EndedRow, EndKind, Report, RunningRow
+from .workers import WorkerState
+
+if TYPE_CHECKING:
+    from .scheduler import Scheduler
+
+# A run that is still reported so long after it should have stopped is told again.
+STOP_REPEAT_S = 0.4
+
+
+class Intake:
+    """The part of a cell's scheduler that reads reports."""
+
+    def __init__(self, cell: "Scheduler") -> None:
+        """Change the state of ``cell``."""
+        self.cell = cell
+
+    def report(self, worker_id: str, report: Report) -> None:
+        """Take in everything that one worker says it has."""
+        worker = self.cell.workers.get(worker_id)
+        if worker is None:
+            return
+        now_s = report.received_at_s
+        worker.clock.observe(report.clock_s, now_s)
+        first = not worker.reported
+        worker.reported = True
+        worker.silent = False
+        worker.last_report_at_s = now_s
+        listed = set()
+        for ended in report.ended:
+            listed.add(ended.key)
+            if ended.position > worker.seen_end:
+                self._take_end(worker, ended, now_s)
+        if report.ended:
+            worker.seen_end = max(worker.seen_end, report.ended[-1].position)
+        for row in report.running:
+            listed.add(row.key)
+            self._take_running(worker, row, now_s)
+        self._find_missing(worker, report, listed)
+        if first:
+            detail: dict[str, object] = {
+                "worker": worker_id,
+                "running": len(report.running),
+            }
+            self.cell.note(Note("worker_reported", "", detail))
+        self.cell.pacer.observe(worker, now_s)
+
+    def _take_end(self, worker: WorkerState, row: EndedRow, now_s: float) -> None:
+        state = self.cell.jobs.get(row.key.job_id)
+        task = state.task(row.key) if state is not None else None
+        if state is None or task is None:
+            return
+        run = task.run
+        ours = (
+            run is not None
+            and run.number == row.number
+            and run.worker_id == worker.worker_id
+        )
+        booked = worker.runs.get(row.key)
+        if booked is not None and booked.number <= row.number:
+            worker.remove(booked)
+        self.cell.dirty.add(row.key.job_id)
+        if row.how is EndKind.DONE:
+            self._task_done(state, task, run, worker, now_s)
+            return
+        if row.how is EndKind.FAILED:
+            self._count_failure(state, task, row.number, now_s)
+        if not ours or run is None:
+            return
+        detail: dict[str, object] = {
+            "task": row.key,
+            "run": row.number,
+            "worker": worker.worker_id,
+            "how": row.how.value,
+            "asked": run.stop_reason,
+        }
+        self.cell.note(Note("run_ended", row.key.job_id, detail))
+        task.run = None
+        task.last_worker_id = worker.worker_id
+        if row.checkpoint:
+            task.checkpoint = row.checkpoint
+        if row.how is EndKind.FAILED:
+            worker.note_end(False)
+            self._maybe_rest(worker, now_s)
+
+    def _task_done(
+        self,
+        state: JobState,
+        task: Task,
+        run: Run | None,
+        worker: WorkerState,
+        now_s: float,
+    ) -> None:
+        worker.note_end(True)
+        if task.done:
+            return
+        detail: dict[str, object] = {
+            "task": task.key,
+            "run": task.last_run,
+            "worker": worker.worker_id,
+        }
+        self.cell.note(Note("run_done", task.key.job_id, detail))
+        if state.occurrences[task.key.occurrence][task.key.step].step.gang:
+            self._gang_done(state, task, now_s)
+        task.done = True
+        task.checkpoint = ""
+        task.run = None
+        if run is not None and run.key in self._runs_on(run.worker_id):
+            # An attempt that was given up has ended well after all.
+            self.cell.stop(run, "already_done")
+        if state.all_done() and not state.status.final:
+            self.cell.finish(state, JobStatus.COMPLETED, now_s, "all_done")
+
+    def _runs_on(self, worker_id: str) -> dict[TaskKey, Run]:
+        worker = self.cell.workers.get(worker_id)
+        return worker.runs if worker is not None else {}
+
+    def _gang_done(self, state: JobState, task: Task, now_s: float) -> None:
+        # The members of a gang end well together: one end stands for all.
+        steps = state.occurrences[task.key.occurrence]
+        for member in steps[task.key.step].tasks:
+            member.done = True
+            if member is not task and member.run is not None:
+                other = self.cell.workers.get(member.run.worker_id)
+                if other is not None:
+                    other.remove(member.run)
+                member.run = None
+
+    def _count_failure(
+        self, state: JobState, task: Task, number: int, now_s: float
+    ) -> None:
+        step = state.occurrences[task.key.occurrence][task.key.step]
+        if step.step.lasting or number in task.failed_runs:
+            return
+        task.failed_runs.append(number)
+        used = step.failures(task) >= state.job.queue.attempts_max
+        if used and not state.status.final:
+            self.cell.finish(state, JobStatus.FAILED, now_s, "attempts_used")
+
+    def _maybe_rest(self, worker: WorkerState, now_s: float) -> None:
+        many = len(worker.recent_ends) >= 4 and sum(worker.recent_ends) * 2 <= len(
+            worker.recent_ends
+        )
+        if worker.failures_in_row >= self.cell.settings.failures_in_row or many:
+            worker.rest_until_s = now_s + self.cell.settings.rest_s
+            worker.recent_ends.clear()
+            worker.failures_in_row = self.cell.settings.failures_in_row - 1
+            detail: dict[str, object] = {
+                "worker": worker.worker_id,
+                "until_s": worker.rest_until_s,
+            }
+            self.cell.note(Note("worker_rests", "", detail))
+
+    def _take_running(self, worker: WorkerState, row: RunningRow, now_s: float) -> None:
+        run = worker.runs.get(row.key)
+        if run is None or run.number != row.number:
+            self._stop_stray(worker, row, now_s)
+            return
+        if run.phase < RunPhase.RUNNING:
+            run.phase = RunPhase.RUNNING
+            run.confirmed_at_s = now_s
+            run.progressed_at_s = now_s
+        if row.checkpoint:
+            run.checkpoint = row.checkpoint
+        if row.progress_percent != run.progress_percent:
+            run.progress_percent = row.progress_percent
+            run.progressed_at_s = now_s
+        if run.step.tail_target_s:
+            run.tail_s = row.measure / 1000
+        else:
+            run.used_cpu_millis = int(row.measure)
+        if self.cell.jobs[row.key.job_id].status.final:
+            self.cell.stop(run, "job_ended")
+        self._repeat_stop(run, now_s)
+        self._stop_if_stuck(worker, run, now_s)
+
+    def _repeat_stop(self, run: Run, now_s: float) -> None:
+        # Guards against a stop that never reached the worker: it was ordered
+        # before the worker could be asked, or every try of it was lost. The run
+        # would go on for as long as its lease is renewed.
+        late = now_s - run.stop_sent_at_s > self.cell.settings.stop_s + STOP_REPEAT_S
+        if run.phase is RunPhase.STOPPING and late:
+            run.stop_sent_at_s = now_s
+            self.cell.stops.append(StopOrder(run, run.worker_id, run.stop_reason))
+
+    def _stop_stray(self, worker: WorkerState, row: RunningRow, now_s: float) -> None:
+        # An order of an earlier holder, or one that was carried out late, whose
+        # task has moved on. Its room is taken until its end is listed.
+        step = self._step_of(row.key)
+        if step is None:
+            return
+        stray = Run(row.key, row.number, worker.worker_id, step, step.charge)
+        if row.key not in worker.runs:
+            worker.add(stray)
+            stray.phase = RunPhase.RUNNING
+            stray.confirmed_at_s = now_s
+        self.cell.stop(stray, "superseded")
+
+    def _step_of(self, key: TaskKey) -> Step | None:
+        state = self.cell.jobs.get(key.job_id)
+        if state is None or key.step >= len(state.job.steps):
+            return None
+        return state.job.steps[key.step]
+
+    def _stop_if_stuck(self, worker: WorkerState, run: Run, now_s: float) -> None:
+        if run.step.lasting or run.step.gang or run.phase is not RunPhase.RUNNING:
+            return
+        if run.pace_percent < 100:
+            run.progressed_at_s = now_s
+        if run.progress_percent >= 99:
+            return
+        if now_s - run.progressed_at_s > self.cell.settings.stall_s:
+            worker.note_end(False)
+            self._maybe_rest(worker, now_s)
+            self.cell.stop(run, "no_progress")
+
+    def _find_missing(
+        self, worker: WorkerState, report: Report, listed: set[TaskKey]
+    ) -> None:
+        """Release the attempts that the worker neither runs nor lists as ended."""
+        for run in list(worker.runs.values()):
+            if run.key in listed:
+                continue
+            inherited = run.phase is RunPhase.INHERITED
+            # The report was asked for under this holder's token: an order of an
+            # earlier holder that has not arrived by now is refused.
+            confirmed = run.confirmed_at_s < report.sent_at_s
+            if inherited or confirmed:
+                self.cell.release(run, report.received_at_s, "not_on_worker")
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
@@ -0,0 +1,128 @@
+"""
+Take in what became of orders to workers.
+
+An order without an answer may have been carried out, or may be later. Its room
+stays booked, and the same order is sent again until an answer settles it.
+"""
+
+from typing import TYPE_CHECKING
+
+from .effects import Note, StopOrder
+from .progress import Run, RunPhase
+from .reports import Done, NoAnswer, OrderOutcome, OtherIncarnation, Reason, Refused
+from .workers import WorkerState
+
+if TYPE_CHECKING:
+    from .scheduler import Scheduler
+
+# Starts without an answer are sent again at once, then after growing pauses.
+RESEND_BASE_S = 0.1
+RESEND_MAX_S = 1.0
+
+
+class Orders:
+    """The part of a cell's scheduler that settles orders."""
+
+    def __init__(self, cell: "Scheduler") -> None:
+        """Change the state of ``cell``."""
+        self.cell = cell
+
+    def start_answered(
+        self, run: Run, outcome: OrderOutcome, now_s: float
+    ) -> float | None:
+        """
+        Take in what became of a start.
+
+        Returns the pause in seconds after which the same start is sent again,
+        or nothing if that is not needed.
+        """
+        worker = self.cell.workers.get(run.worker_id)
+        if worker is None or worker.runs.get(run.key) is not run:
+            return None
+        match outcome:
+            case Done(clock_s):
+                worker.clock.observe(clock_s, now_s)
+                if run.phase < RunPhase.RUNNING:
+                    run.phase = RunPhase.RUNNING
+                    run.progressed_at_s = now_s
+                if run.confirmed_at_s == float("inf"):
+                    run.confirmed_at_s = now_s
+                    self.cell.pacer.begin(worker, run, now_s)
+                return None
+            case NoAnswer():
+                return self._resend_after_s(run)
+            case OtherIncarnation():
+                self.cell.worker_ended(run.worker_id, now_s, "replaced")
+                return None
+            case Refused(reason, clock_s):
+                return self._start_refused(worker, run, reason, clock_s, now_s)
+
+    def _resend_after_s(self, run: Run) -> float | None:
+        # The order may have been carried out, or may be later. Sent again with
+        # the same number it is idempotent, and its answer settles both.
+        run.unanswered += 1
+        if run.phase >= RunPhase.RUNNING:
+            return None
+        return min(RESEND_MAX_S, RESEND_BASE_S * 2 ** (run.unanswered - 1))
+
+    def _start_refused(
+        self,
+        worker: WorkerState,
+        run: Run,
+        reason: Reason,
+        clock_s: float,
+        now_s: float,
+    ) -> float | None:
+        if clock_s:
+            worker.clock.observe(clock_s, now_s)
+        detail: dict[str, object] = {
+            "task": run.key,
+            "run": run.number,
+            "worker": worker.worker_id,
+            "reason": reason.value,
+            "unanswered": run.unanswered,
+        }
+        self.cell.note(Note("start_refused", run.key.job_id, detail))
+        if reason is Reason.EXPIRED:
+            return RESEND_BASE_S
+        if reason is Reason.OUTDATED:
+            # It has run and ended: its end is in a report, or was in one.
+            run.phase = RunPhase.RUNNING
+            run.confirmed_at_s = now_s + self.cell.settings.answer_timeout_s
+            return None
+        if reason is Reason.FENCED:
+            return None
+        if reason is Reason.TICKET:
+            self.cell.advice.drop(run.key)
+        if reason in (Reason.UNWELL, Reason.NO_ROOM):
+            worker.rest_until_s = max(
+                worker.rest_until_s, now_s + self.cell.settings.unwell_s
+            )
+        if run.unanswered:
+            # An earlier copy of the order may still be carried out; an answered
+            # stop of this run makes that harmless.
+            self.cell.stop(run, "unsettled_start")
+            return None
+        self.cell.release(run, now_s, f"refused_{reason.value}")
+        return None
+
+    def stop_answered(
+        self, order: StopOrder, outcome: OrderOutcome, now_s: float
+    ) -> bool:
+        """Take in what became of a stop; return whether to send it again."""
+        worker = self.cell.workers.get(order.worker_id)
+        if worker is None or worker.runs.get(order.run.key) is not order.run:
+            return False
+        match outcome:
+            case Done():
+                if order.run.confirmed_at_s > now_s:
+                    # Refused from now on, or ending: the reports tell which.
+                    order.run.confirmed_at_s = now_s + self.cell.settings.stop_s
+                return False
+            case NoAnswer():
+                return True
+            case OtherIncarnation():
+                self.cell.worker_ended(order.worker_id, now_s, "replaced")
+                return False
+            case _:
+                return False
