--- /dev/null
+++ b/features/support/cell_player.py
@@ -0,0 +1,120 @@
+"""Play a load against the scheduler alone: no instance, no store, no network."""
+
+from dataclasses import dataclass, field
+
+from hornbeampaddle.cell.jobs import Job, Queue, Step
+from hornbeampaddle.cell.progress import JobStatus, Run, RunPhase
+from hornbeampaddle.cell.reports import Done, EndedRow, EndKind, Report, RunningRow
+from hornbeampaddle.cell.scheduler import Scheduler
+from hornbeampaddle.cell.settings import CellSettings
+from hornbeampaddle.cell.workers import WorkerListing
+from hornbeampaddle.machines import Address
+from hornbeampaddle.resources import Resources
+
+GIB = 2**30
+TICK_S = 0.1
+STOP_S = 0.3
+URGENT = Queue("urgent", "compute", 0, 4, 1.5, 0.25)
+BATCH = Queue("batch", "compute", 2, 2, 2.0, 1.0)
+LASTING = Queue("lasting", "compute", 0, 3, 2.2, 2.5)
+
+
+@dataclass
+class Player:
+    """A cell whose workers do exactly what they are told."""
+
+    now_s: float = 100.0
+    cell: Scheduler = field(default_factory=lambda: Scheduler(CellSettings()))
+    work_s: dict[str, float] = field(default_factory=dict)
+    done_s: dict[tuple, float] = field(default_factory=dict)
+    ends: dict[str, list[EndedRow]] = field(default_factory=dict)
+    stops: list[tuple[float, Run]] = field(default_factory=list)
+    finished_s: dict[str, float] = field(default_factory=dict)
+
+    def add_workers(self, count, cpu_millis):
+        for number in range(count):
+            name = f"w{number}"
+            room = Resources(cpu_millis, 512 * GIB, 0)
+            address = Address("127.0.0.1", 1)
+            listing = WorkerListing(name, "compute", address, "dc-1", room)
+            self.cell.list_worker(listing, self.now_s)
+            self.ends[name] = []
+        self._report()
+
+    def submit(self, job_id, queue, step, work_s):
+        job = Job(job_id, queue, "p", (step,), 0.0)
+        self.work_s[job_id] = work_s
+        self.cell.add_job(job, None, self.now_s, self.now_s)
+
+    def tick(self):
+        """Let a tenth of a second pass."""
+        decision = self.cell.decide(self.now_s, self.now_s)
+        for run in decision.starts:
+            run.phase = RunPhase.SENDING
+            self.cell.orders.start_answered(run, Done(self.now_s), self.now_s)
+        for order in decision.stops:
+            self.cell.orders.stop_answered(order, Done(self.now_s), self.now_s)
+            self.stops.append((self.now_s + STOP_S, order.run))
+        self.now_s += TICK_S
+        self._work()
+        self._report()
+        for job_id, state in self.cell.jobs.items():
+            if state.status is JobStatus.COMPLETED:
+                self.finished_s.setdefault(job_id, self.now_s)
+
+    def play(self, seconds_s):
+        for _ in range(round(seconds_s / TICK_S)):
+            self.tick()
+
+    def _work(self):
+        for worker in self.cell.workers.values():
+            fillers = [r for r in worker.runs.values() if r.step.filler]
+            wanted = sum(run.step.need.cpu_millis for run in fillers)
+            left = max(0.0, worker.spare_cpu_millis() + wanted)
+            speed = min(1.0, left / wanted) if wanted else 1.0
+            for run in list(worker.runs.values()):
+                self._advance(worker, run, speed if run.step.filler else 1.0)
+        due = [run for at_s, run in self.stops if at_s <= self.now_s]
+        self.stops = [(at_s, run) for at_s, run in self.stops if at_s > self.now_s]
+        for run in due:
+            worker = self.cell.workers[run.worker_id]
+            if worker.runs.get(run.key) is run:
+                self._end(worker, run, EndKind.STOPPED)
+
+    def _advance(self, worker, run, speed):
+        if run.phase is not RunPhase.RUNNING or run.step.lasting:
+            return
+        key = (run.key, run.number)
+        self.done_s[key] = self.done_s.get(key, 0.0) + TICK_S * speed
+        if self.done_s[key] >= self.work_s[run.key.job_id]:
+            self._end(worker, run, EndKind.DONE)
+
+    def _end(self, worker, run, how):
+        position = worker.seen_end + len(self.ends[worker.worker_id]) + 1
+        row = EndedRow(position, run.key, run.number, how, "")
+        self.ends[worker.worker_id].append(row)
+
+    def _report(self):
+        for name, worker in list(self.cell.workers.items()):
+            ended, self.ends[name] = tuple(self.ends[name]), []
+            gone = {row.key for row in ended}
+            rows = tuple(
+                RunningRow(run.key, run.number, "", self.now_s % 97, 1.0)
+                for run in worker.runs.values()
+                if run.phase is not RunPhase.RECORDING and run.key not in gone
+            )
+            report = Report(self.now_s, self.now_s, self.now_s, rows, ended)
+            self.cell.intake.report(name, report)
+            self.cell.lease_deadline(name, self.now_s)
+
+    def on_time(self, prefix, objective_s, submitted_s):
+        """Count the jobs of a kind that were done within their objective."""
+        return sum(
+            1
+            for job_id, at_s in self.finished_s.items()
+            if job_id.startswith(prefix) and at_s - submitted_s[job_id] <= objective_s
+        )
+
+
+def step(count, cpu_millis, estimate_s=1.0, **more):
+    return Step(count, Resources(cpu_millis, GIB, 0), estimate_s, **more)
