Hold the platform's border against bad input

Cause: the border's decoding had no test of its own.

Ruled out: fuzzing whole HTTP requests here; bad_input.feature does it for the listener that both borders share.

Before: no scenario.

--- /dev/null
+++ b/features/platform_border.feature
@@ -0,0 +1,32 @@
+Feature: The platform's border decodes what is good and refuses the rest
+  Requests go through the real border into an instance of a played cell.
+
+  Scenario Outline: <what>
+    Given a cell of 3 instances and 4 workers
+    When the border gets <method> "<path>" for host "<host>" with <body>
+    Then it answers <status>
+    And nothing more than a good job was stored
+
+    Examples:
+      | what                                | method | path                     | host | body             | status |
+      | a good job                          | POST   | /urgent/00000000000000aa | host | a job            | 200    |
+      | the same with a port in the host    | POST   | /urgent/00000000000000aa | host:80 | a job         | 200    |
+      | a path of no queue                  | POST   | /nothing/00000000000000aa | host | a job           | 404    |
+      | a host of no queue                  | POST   | /urgent/00000000000000aa | else | a job            | 404    |
+      | an id that is too short             | POST   | /urgent/00aa             | host | a job            | 404    |
+      | an id that is no hexadecimal        | POST   | /urgent/00000000000000zz | host | a job            | 404    |
+      | no JSON                             | POST   | /urgent/00000000000000aa | host | garbage          | 400    |
+      | a number for a text                 | POST   | /urgent/00000000000000aa | host | a wrong type     | 400    |
+      | no steps                            | POST   | /urgent/00000000000000aa | host | no steps         | 400    |
+      | a step of no tasks                  | POST   | /urgent/00000000000000aa | host | an empty step    | 400    |
+      | a step that waits for itself        | POST   | /urgent/00000000000000aa | host | a circle         | 400    |
+      | a step that waits for a later one   | POST   | /urgent/00000000000000aa | host | a later step     | 400    |
+      | a query for an unknown job          | GET    | /urgent/00000000000000bb | host | nothing          | 410    |
+      | a cancellation of an unknown job    | DELETE | /urgent/00000000000000bb | host | nothing          | 410    |
+      | a count                             | GET    | /urgent/                 | host | nothing          | 200    |
+      | a count of no queue                 | GET    | /nothing/                | host | nothing          | 404    |
+      | another method                      | PUT    | /urgent/00000000000000aa | host | a job            | 405    |
+
+  Scenario: Records go through the wire unchanged
+    # Any key and value, also empty ones and bytes that look like lengths.
+    Then any keyed records are the same after the wire
