Measure what each fault costs a cell

Change: make gaps plays ten faults, ten seeds each, under a steady load.

Ruled out: measuring them in real time, which the load of the machine moves.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/installed
 REPORTS := $(VENV)/reports
 
-.PHONY: demo test lint model bench capacity walks soak clean
+.PHONY: demo test lint model bench gaps capacity walks soak clean
 
 $(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -35,6 +35,10 @@
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.takeover
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.spread
 
+# What each fault costs a cell, in simulated time (about 2 minutes).
+gaps: $(STAMP)
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.cell_gaps
+
 # Measure all slopes (about 6 minutes), then write the tables and the plot.
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/bench/cell_gaps.py
@@ -0,0 +1,164 @@
+"""
+Measure, in simulated time, what a fault costs a cell under steady load.
+
+Real instances on the stand-ins; a small job comes every 0.2 s. For each fault:
+the longest span without a new start while jobs wait, the runs that were lost
+though their workers lived, and whether a promise was broken.
+"""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import structlog
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "features"))
+
+from support.cell_walk import build, plain  # noqa: E402
+from support.virtual_loop import VirtualLoop  # noqa: E402
+
+from hornbeampaddle_standins.cell.store import StoreFault  # noqa: E402
+from hornbeampaddle_standins.cell.world import URGENT, World  # noqa: E402
+
+SEEDS = 10
+BEFORE_S = 10.0
+AFTER_S = 25.0
+JOB_EVERY_S = 0.2
+OUTAGE_S = 5.0
+
+
+@dataclass(frozen=True)
+class Cost:
+    """What one fault cost one run."""
+
+    gap_s: float
+    lost_runs: int
+    broken: int
+
+
+async def _nothing(world: World) -> None:
+    """No fault: the base that the others are held against."""
+
+
+async def _kill_holder(world: World) -> None:
+    name = world.holder()
+    assert name is not None
+    await world.kill(name)
+
+
+async def _stop_holder(world: World) -> None:
+    name = world.holder()
+    assert name is not None
+    await world.instances[name].stop()
+
+
+async def _turn_away(world: World) -> None:
+    world.store.faults[world.holder() or ""] = StoreFault.REFUSES
+
+
+async def _silence_holder(world: World) -> None:
+    world.store.faults[world.holder() or ""] = StoreFault.SILENT
+
+
+async def _kill_all(world: World) -> None:
+    for name in list(world.instances):
+        await world.kill(name)
+    await asyncio.sleep(1.0)
+    for number in range(3):
+        world.start_instance(f"i{number}")
+
+
+def _store(fault: StoreFault) -> Callable[[World], Awaitable[None]]:
+    async def act(world: World) -> None:
+        world.store.faults[""] = fault
+        await asyncio.sleep(OUTAGE_S)
+        world.store.faults.clear()
+
+    return act
+
+
+async def _slow(world: World) -> None:
+    world.store.answer_s *= 60
+    await asyncio.sleep(OUTAGE_S)
+    world.store.answer_s /= 60
+
+
+FAULTS: dict[str, Callable[[World], Awaitable[None]]] = {
+    "none": _nothing,
+    "holder killed": _kill_holder,
+    "holder told to stop": _stop_holder,
+    "holder turned away by the store": _turn_away,
+    "holder's store is silent": _silence_holder,
+    "all instances killed for 1 s": _kill_all,
+    "store refuses all for 5 s": _store(StoreFault.REFUSES),
+    "store silent to all for 5 s": _store(StoreFault.SILENT),
+    "store loses all answers for 5 s": _store(StoreFault.LOSES_ANSWERS),
+    "store 60 times slower for 5 s": _slow,
+}
+
+
+async def _load(world: World) -> None:
+    number = 0
+    while True:
+        await asyncio.sleep(JOB_EVERY_S)
+        number += 1
+        names = world.served()
+        if names:
+            job_id = f"{number:016x}"
+            asyncio.create_task(
+                world.submit(job_id, URGENT, plain(2, 500), via=names[0])
+            )
+
+
+async def _play(seed: int, fault: Callable[[World], Awaitable[None]]) -> Cost:
+    world = World(seed, work_s=2.0)
+    await build(world, 3, 6)
+    loop = asyncio.get_running_loop()
+    load = asyncio.create_task(_load(world))
+    await asyncio.sleep(BEFORE_S)
+    begun_s = loop.time()
+    await fault(world)
+    await asyncio.sleep(AFTER_S)
+    load.cancel()
+    await asyncio.sleep(10.0)
+    starts = world.judge.started_at_s
+    within = [at_s for at_s in starts if begun_s - 1 < at_s < begun_s + AFTER_S]
+    gaps = [after - before for before, after in zip(within, within[1:], strict=False)]
+    lost = world.judge.starts - len(world.judge.done)
+    broken = len(world.judge.broken)
+    await world.close()
+    return Cost(max(gaps, default=AFTER_S), lost, broken)
+
+
+def _drop(logger: object, method: str, fields: object) -> dict[str, object]:
+    raise structlog.DropEvent
+
+
+def _one(seed: int, fault: Callable[[World], Awaitable[None]]) -> Cost:
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(_play(seed, fault))
+    finally:
+        loop.close()
+
+
+def main() -> None:
+    """Print a table: median and longest gap, lost runs, broken promises."""
+    structlog.configure(processors=[_drop])
+    print("| fault | gap, median s | longest s | runs lost | promises broken |")
+    print("| --- | --- | --- | --- | --- |")
+    for name, fault in FAULTS.items():
+        costs = [_one(seed, fault) for seed in range(SEEDS)]
+        gaps = sorted(cost.gap_s for cost in costs)
+        lost = sum(cost.lost_runs for cost in costs)
+        broken = sum(cost.broken for cost in costs)
+        print(
+            f"| {name} | {gaps[SEEDS // 2]:.2f} | {gaps[-1]:.2f} | {lost} | {broken} |"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -47,11 +47,13 @@
     cancelled_at_s: dict[str, float] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     starts: int = 0
+    started_at_s: list[float] = field(default_factory=list)
     over_target_s: float = 0.0
 
     def began(self, key: TaskKey, now_s: float) -> None:
         """Note that a run began."""
         self.starts += 1
+        self.started_at_s.append(now_s)
         if self.running.get(key, 0):
             self.broken.append(f"{now_s:.3f}: {key} runs twice")
         if key in self.done:
