Read the log of jobs whole before holding a cell

The new holder had read the log of progress up to the fence, but its connection to the log of jobs was silent; ends of jobs that it did not know were acknowledged and ignored, and the tasks started again when the jobs arrived.

Change: after the fence the log of jobs is read once whole, or the cell is not held.

Ruled out: the old holder (its append was refused by epoch), a late claim (its condition held, as that holder was paused), acknowledgements before storing.

--- a/features/cell.feature
+++ b/features/cell.feature
@@ -229,3 +229,18 @@
     When every worker rests and a task of "ac02" fails
     Then 6 tasks of "ac02" are at work within 2 s
     And no promise of the cell was broken
+
+  Scenario: A new holder that has not heard of a job waits until it has
+    # A check runs twice. The connection on which an instance reads the log of jobs is
+    # silent; the holder dies, and that instance takes the cell over. A task of a job that
+    # it does not know ends, its end is acknowledged and ignored, and when the job arrives
+    # its task is started again.
+    Given a cell of 2 instances and 4 workers
+    When the other instance reads no jobs
+    And a job "ac03" of 1 steps of 4 tasks is handed in at the holder
+    And the holder dies
+    And 3 s pass in the cell
+    And the other instance reads jobs again
+    Then the job "ac03" is shown as completed within 20 s
+    And no promise of the cell was broken
+    And no task was started more often than needed
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -12,6 +12,7 @@
 from hornbeampaddle.cell.progress import JobStatus
 from hornbeampaddle.cell.reports import EndKind
 from hornbeampaddle_cell.callers import Accepted, Gone, NotAccepted
+from hornbeampaddle_cell.ports import Topic
 from hornbeampaddle_standins.cell.store import StoreFault
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
 
@@ -456,3 +457,23 @@
     assert play(
         context, world.until(lambda: running(world, name) == tasks, seconds_s)
     ), running(world, name)
+
+
+@when("the other instance reads no jobs")
+def unread_jobs(context):
+    world = context.world
+    context.other = next(n for n in world.instances if n != world.holder())
+    world.store.unread.add((context.other, Topic.JOBS))
+
+
+@when("the other instance reads jobs again")
+def read_jobs(context):
+    context.world.store.unread.clear()
+
+
+@when('a job "{name}" of {steps:d} steps of {tasks:d} tasks is handed in at the holder')
+def hand_in_at_holder(context, name, steps, tasks):
+    # The silence of reads takes a second to begin: the one on its way is answered.
+    play(context, asyncio.sleep(1.5))
+    submit_job(context, name, steps, tasks, URGENT, context.world.holder())
+    play(context, asyncio.sleep(0.3))
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -237,6 +237,13 @@
             if self.clock.now_s() - sent_at_s > patience_s:
                 return None
             await self.progress.catch_up(patience_s)
+        # Guards against a job that this instance has not heard of: its task's end
+        # would be acknowledged without being taken in, and when the job arrived
+        # its task would run a second time. Whatever an earlier holder started was
+        # in the log of jobs before the fence, so one whole look after it suffices.
+        if not await self.jobs.catch_up(patience_s):
+            log.warning("fence: the log of jobs cannot be read", epoch=epoch)
+            return None
         return sent_at_s if self.leadership.epoch <= epoch else None
 
     async def _try_hold(self, epoch: int) -> None:
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
@@ -110,6 +110,8 @@
         default_factory=lambda: {topic: KeyedLog() for topic in Topic}
     )
     faults: dict[str, StoreFault] = field(default_factory=dict)
+    # Reads of a log that one instance gets no answer to.
+    unread: set[tuple[str, Topic]] = field(default_factory=set)
     answer_s: float = ANSWER_S
     late_s: float = 3.0
     appends: int = 0
@@ -205,6 +207,8 @@
         log = self.store.logs[topic]
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
+            if (self.name, topic) in self.store.unread:
+                return await self._silence()
             refused = await self._refused()
             if refused is not None:
                 return refused
