Let operators set thresholds; split dispatch; exchange tolerant tasks too

Exchanges of serving tasks looked for partners among the tasks whose leaving opens their worker.

A step with advice, or with none of its few workers free, marked its need as without room for all others in the same decision; only steps that may run anywhere do now.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -34,3 +34,20 @@
       | 1       | drained | 2      |
       | 2       | drained | 2      |
       | 3       | filled  | 3      |
+
+  Scenario Outline: Thresholds that an operator sets: <what>
+    # A slip of the unit would let leases live for hours; every error is named at once.
+    When thresholds are read from <text>
+    Then <outcome>
+
+    Examples:
+      | what              | text                                                     | outcome                                                          |
+      | nothing           | {}                                                       | they are the defaults                                            |
+      | one of each       | {"cell": {"lease_s": 6}, "instance": {"stale_s": 2}}     | the lease is 6 s and a view is stale after 2 s                   |
+      | a whole number    | {"cell": {"failures_in_row": 3}}                         | a worker rests after 3 failures                                  |
+      | a slip of unit    | {"cell": {"lease_s": 8000}}                              | the file is refused for "lease_s is 8000"                        |
+      | two errors        | {"cell": {"lease": 8}, "instance": {"stale_s": 0}}       | the file is refused for "cell.lease is not known; instance.stale" |
+      | an unknown part   | {"cells": {}}                                            | the file is refused for "cells"                                  |
+      | a text            | {"cell": {"lease_s": "8"}}                               | the file is refused for "Expected"                               |
+      | what is told      | {"instance": {"cores": 8}}                               | the file is refused for "instance.cores is not known"            |
+      | no JSON           | {                                                        | the file is refused for "truncated"                              |
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -49,3 +49,11 @@
     Then batch callers get at least 0.14 of what they are owed
     And no more than 0.02 if fillers wait for workers where they disturb nobody
     And fillers kept no serving task over its target for 4 s
+
+  Scenario: A step that may run on few workers hides no room from others
+    # A batch job waits beside free workers: in the same decision, a step with advice found
+    # both of its workers full, and whatever asks for as much was taken to have no room.
+    Given 4 workers of 16 cores
+    And advice for a queue names two workers that are full
+    When a job of that queue and a plain one of the same size are handed in
+    Then the plain job is at work
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -7,7 +7,7 @@
 from support.cell_walk import build, new_world, plain, walk
 from support.virtual_loop import VirtualLoop
 
-from hornbeampaddle.cell.dispatch import Allowance
+from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.jobs import Advice, Job, Queue
 from hornbeampaddle.cell.progress import JobStatus
 from hornbeampaddle.cell.reports import EndKind
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -1,9 +1,14 @@
 """Steps that drive the configuration record by record."""
 
+import tempfile
+from pathlib import Path
+
 from behave import given, then, when
 
 from hornbeampaddle.configuration import Configuration, Stale, Void
 from hornbeampaddle.records import ConfigChange, ConfigSnapshot, SetDrain
+from hornbeampaddle_cell.overrides import OverrideError, apply, read_overrides
+from hornbeampaddle_cell.settings import InstanceSettings
 
 RACK = "rack:r0"
 
@@ -75,3 +80,39 @@
 @then("the rack is filled at offset {offset:d}")
 def filled_at(context, offset):
     _check(context, False, offset)
+
+
+@when("thresholds are read from {text}")
+def read_thresholds(context, text):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = Path(folder.name, "settings.json")
+    path.write_text(text)
+    context.error = ""
+    usual = InstanceSettings("i0-1", "i0", "dc-1", 1.0)
+    try:
+        context.settings = apply(usual, read_overrides(path))
+    except OverrideError as error:
+        context.error = str(error)
+
+
+@then("they are the defaults")
+def defaults(context):
+    assert context.settings == InstanceSettings("i0-1", "i0", "dc-1", 1.0)
+
+
+@then("the lease is {lease_s:d} s and a view is stale after {stale_s:d} s")
+def both_set(context, lease_s, stale_s):
+    assert context.settings.cell.lease_s == lease_s
+    assert context.settings.stale_s == stale_s
+
+
+@then("a worker rests after {count:d} failures")
+def whole(context, count):
+    assert context.settings.cell.failures_in_row == count
+    assert isinstance(context.settings.cell.failures_in_row, int)
+
+
+@then('the file is refused for "{text}"')
+def file_refused(context, text):
+    assert text in context.error, context.error
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -1,12 +1,15 @@
 """Steps that play loads against the scheduler alone."""
 
+from dataclasses import replace
 from unittest.mock import patch
 
 from behave import given, then, when
 from support.cell_player import BATCH, LASTING, URGENT, Player, step
 
-from hornbeampaddle.cell import dispatch, separating
+from hornbeampaddle.cell import advice, dispatch, separating, urgency
 from hornbeampaddle.cell import workers as workers_module
+from hornbeampaddle.cell.advice import Allowance
+from hornbeampaddle.cell.jobs import Advice, StepKey
 from hornbeampaddle_standins.cell.demand import Demand, DemandSettings
 from hornbeampaddle_standins.cell.emulator import Emulator
 
@@ -92,7 +95,7 @@
 
 @then("by due times alone at most {count:d} of them are on time")
 def without_chance(context, count):
-    with patch.object(dispatch, "_chance", lambda state, now_s: 0):
+    with patch.object(urgency, "chance_of", lambda state, now_s: 0):
         on_time = context.play()
     assert on_time <= count, on_time
 
@@ -177,3 +180,35 @@
     with patch.object(workers_module, "PLACE_SLACK", float("inf")):
         got = context.play().earnings()["batch"].ratio
     assert got <= ratio, got
+
+
+@given("advice for a queue names two workers that are full")
+def advised_full(context):
+    context.player = player = prepared(context)
+    names = sorted(player.cell.workers)[:2]
+    for name in names:
+        full = step(1, 16_000, worker_label=name, lasting=True)
+        listing = player.cell.workers[name].listing
+        labels = listing.labels | {name}
+        player.cell.list_worker(replace(listing, labels=labels), player.now_s)
+        player.submit(f"full-{name}", LASTING, full, 1e9)
+    player.play(1.0)
+    context.allowed = dict.fromkeys(names, "ticket")
+
+
+@when("a job of that queue and a plain one of the same size are handed in")
+def two_jobs(context):
+    player = context.player
+    advised = replace(URGENT, name="advised", advice=Advice(0.01, 0.001))
+    player.submit("advised", advised, step(1, 4_000), 1.0)
+    allowance = Allowance(context.allowed, player.now_s + 60)
+    with patch.object(advice, "_fits", lambda step, worker: True):
+        player.cell.advice.answer(StepKey("advised", 0, 0), allowance, player.now_s)
+        player.submit("plain", BATCH, step(1, 4_000), 1.0)
+        player.tick()
+
+
+@then("the plain job is at work")
+def plain_runs(context):
+    assert context.player.cell.jobs["plain"].runs()
+    assert not context.player.cell.jobs["advised"].runs()
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -14,7 +14,7 @@
 import msgspec
 import structlog
 
-from hornbeampaddle.cell.dispatch import Allowance
+from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.effects import AdviceQuestion, Decision, Note
 from hornbeampaddle.cell.progress import RunPhase
 from hornbeampaddle.cell.reports import Report
@@ -142,9 +142,9 @@
         self.wake()
 
     def list_workers(
-        self, listed: Sequence[WorkerListing], gone: Sequence[str], whole: bool
+        self, listed: Sequence[WorkerListing], gone: Sequence[str]
     ) -> None:
-        """Take in changes of the list of workers, or the whole list."""
+        """Take in changes of the list of workers."""
         now_s = self.clock.now_s()
         for listing in listed:
             self.cell.list_worker(listing, now_s)
@@ -152,10 +152,6 @@
                 self._open(listing)
         for worker_id in gone:
             self.cell.unlist_worker(worker_id)
-        if whole:
-            names = {listing.worker_id for listing in listed}
-            for worker_id in set(self.cell.workers) - names:
-                self.cell.unlist_worker(worker_id)
         self.wake()
 
     def _open(self, listing: WorkerListing) -> None:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -333,7 +333,7 @@
             else:
                 listed[record.key] = listing
         gone = [worker_id for worker_id in gone if worker_id not in listed]
-        self.holder.list_workers(list(listed.values()), gone, whole=False)
+        self.holder.list_workers(list(listed.values()), gone)
 
     def _reloaded(self, names: set[str]) -> None:
         """Take in that the list was read whole: others are no longer in it."""
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import Protocol
 
-from hornbeampaddle.cell.dispatch import Allowance
+from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.jobs import Queue, StepKey
 from hornbeampaddle.cell.progress import Run
 from hornbeampaddle.cell.reports import HoldOutcome, NoAnswer, OrderOutcome
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
@@ -11,15 +11,14 @@
     """
     What one instance is told at its start.
 
-    ``instance_id`` names this life of the process. ``cores`` and ``link_mbps``
-    describe its machine.
+    ``instance_id`` names this life of the process. ``cores`` describes
+    its machine.
     """
 
     instance_id: str
     name: str
     data_centre: str
     cores: float
-    link_mbps: float
     # Where this process listens for its peers; without it they are not used.
     peer_address: Address | None = None
     cell: CellSettings = field(default_factory=CellSettings)
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from hornbeampaddle.cell.dispatch import Allowance
+from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.jobs import Job, Queue, Step, StepKey
 from hornbeampaddle.cell.progress import JobStatus, Run
 from hornbeampaddle.cell.settings import CellSettings
@@ -170,7 +170,7 @@
         self.lives += 1
         address = Address(name, 1) if self.relays else None
         settings = InstanceSettings(
-            f"{name}-{self.lives}", name, "dc-1", 1.0, 1000.0, address, CellSettings()
+            f"{name}-{self.lives}", name, "dc-1", 1.0, address, CellSettings()
         )
 
         def make_worker(listing: WorkerListing, token: int) -> WorkerAccess:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -1,28 +1,24 @@
-"""
-Place the tasks whose turn has come, the most urgent job first.
-
-Order: priority of the queue, then jobs that end before jobs that last, then
-jobs that can still be on time, then the time by which a job should be done.
-"""
+"""Place the tasks whose turn has come, the most urgent job first."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..resources import Resources
-from .effects import AdviceQuestion, Decision, Note
-from .jobs import Step, StepKey, TaskKey
+from .advice import tickets
+from .effects import Decision, Note
+from .gangs import begin_run, choose_workers
+from .jobs import Step
 from .placing import Ranking, choose_slow, suits
 from .preempting import make_room
 from .progress import JobState, JobStatus, Run, StepState, Task
 from .separating import step_count
+from .urgency import chance_of, urgency
 from .workers import WorkerState
 
 if TYPE_CHECKING:
     from .scheduler import Scheduler
 
-# A job is worth little after its objective and nothing after three times that.
-WORTHLESS_AFTER_RATIO = 3.0
 # A filler is placed while the workers' spare processors cover this share of
 # its need; beyond that it would only slow those that came before it.
 FILLER_SPARE_RATIO = 0.5
@@ -38,43 +34,6 @@
 FIRST_PACE_MIN_PERCENT = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Allowance:
-    """Which workers may run a step, each with its ticket, until when."""
-
-    tickets: dict[str, str]
-    valid_until_s: float
-
-
-@dataclass(slots=True)
-class AdviceBook:
-    """Advice that was given, and questions that are open."""
-
-    given: dict[StepKey, Allowance] = field(default_factory=dict)
-    asked: set[StepKey] = field(default_factory=set)
-    rested: dict[StepKey, float] = field(default_factory=dict)
-
-    def answer(self, step: StepKey, allowance: Allowance | None, now_s: float) -> None:
-        """Take in an answer; nothing means that none came."""
-        self.asked.discard(step)
-        if allowance is None or not allowance.tickets:
-            self.rested[step] = now_s + ADVICE_PAUSE_S
-        if allowance is not None:
-            self.given[step] = allowance
-
-    def drop(self, key: TaskKey) -> None:
-        """Forget the advice on a task's step; a worker did not accept it."""
-        self.given.pop(StepKey(*key[:3]), None)
-
-    def may_ask(self, step: StepKey, now_s: float) -> bool:
-        """Tell whether a question on this step may be sent now."""
-        return step not in self.asked and self.rested.get(step, 0.0) <= now_s
-
-
-# The service of advice answers one question at a time for each caller.
-ADVICE_PAUSE_S = 0.3
-
-
 @dataclass(slots=True)
 class Misfits:
     """
@@ -123,16 +82,16 @@
         if state.status.final:
             continue
         _open_due(cell, state, wall_s)
-        urgency = None
+        order = None
         for steps in state.occurrences.values():
             for step in steps:
                 if not _turn_has_come(steps, step):
                     continue
                 if step.ready_at_s is None:
                     step.ready_at_s = now_s
-                if urgency is None:
-                    urgency = _urgency(state, now_s)
-                yield urgency, state, step
+                if order is None:
+                    order = urgency(state, now_s)
+                yield order, state, step
 
 
 def _open_due(cell: "Scheduler", state: JobState, wall_s: float) -> None:
@@ -151,42 +110,6 @@
     return all(steps[number].done for number in step.step.after)
 
 
-def _urgency(state: JobState, now_s: float) -> tuple[int, bool, int, float]:
-    job = state.job
-    objective_s = job.objective_s()
-    due_s = state.accepted_at_s + objective_s
-    chance = 0
-    if not job.lasting and not job.repeat_count:
-        chance = _chance(state, now_s)
-    return (job.queue.priority, job.lasting, chance, due_s)
-
-
-def _chance(state: JobState, now_s: float) -> int:
-    """
-    Return 0 for a job that can still be on time, 1 for late, 2 for neither.
-
-    When the queue is long, the first in line are those that are just too late:
-    serving them first makes every one behind them late as well.
-    """
-    objective_s = state.job.objective_s()
-    end_s = now_s + remaining_chain_s(state) - state.accepted_at_s
-    if end_s <= objective_s:
-        return 0
-    return 1 if end_s <= WORTHLESS_AFTER_RATIO * objective_s else 2
-
-
-def remaining_chain_s(state: JobState) -> float:
-    """Return the estimated length of the longest chain of steps not yet done."""
-    steps = state.occurrences.get(0)
-    if steps is None:
-        return state.job.chain_s()
-    ends: list[float] = []
-    for step in steps:
-        begin_s = max((ends[number] for number in step.step.after), default=0.0)
-        ends.append(begin_s if step.done else begin_s + step.step.estimate_s)
-    return max(ends, default=0.0)
-
-
 def _place_step(
     cell: "Scheduler",
     decision: Decision,
@@ -200,14 +123,14 @@
     workers = [
         w for w in usable if w.listing.service == service and suits(step.step, w)
     ]
-    tickets: dict[str, str] = {}
+    granted: dict[str, str] = {}
     if state.job.queue.advice is not None:
-        tickets = _tickets(cell, decision, step, workers, now_s)
-        workers = [w for w in workers if w.worker_id in tickets]
+        granted = tickets(cell, decision, step, workers, now_s)
+        workers = [w for w in workers if w.worker_id in granted]
     if not workers and not step.step.lasting:
         return
     if step.step.gang:
-        _place_gang(cell, decision, state, step, workers, tickets, now_s)
+        _start_gang(cell, decision, state, step, workers, granted, now_s)
         return
     ranking = Ranking(step.key.job_id, step.step, cell.model, _used(step))
     hopeless = misfits.covers(service, step.step)
@@ -220,12 +143,13 @@
             continue
         worker = ranking.choose(task.key, task.last_worker_id)
         if worker is None:
-            misfits.add(service, step.step)
+            if state.job.queue.advice is None:
+                misfits.add(service, step.step)
             _no_room(cell, decision, state, step, workers, now_s)
             return
         if step.step.filler and not _has_spare(worker, step):
             return
-        _start(cell, decision, state, step, task, worker, tickets, now_s)
+        _start(cell, decision, state, step, task, worker, granted, now_s)
         ranking.booked(worker)
 
 
@@ -264,7 +188,7 @@
         _place_slow(cell, decision, state, step, workers, now_s)
     elif step.step.lasting:
         _place_on_resting(cell, decision, state, step, now_s)
-    elif _chance(state, now_s) == 0:
+    elif chance_of(state, now_s) == 0:
         make_room(cell, state, step, now_s)
 
 
@@ -345,86 +269,23 @@
     return used
 
 
-def _tickets(
-    cell: "Scheduler",
-    decision: Decision,
-    step: StepState,
-    workers: list[WorkerState],
-    now_s: float,
-) -> dict[str, str]:
-    allowance = cell.advice.given.get(step.key)
-    if allowance is not None and allowance.valid_until_s > now_s:
-        with_room = {w.worker_id for w in workers if _fits(step, w)}
-        if with_room & allowance.tickets.keys():
-            return allowance.tickets
-    if cell.advice.may_ask(step.key, now_s):
-        room = [w.worker_id for w in workers if _fits(step, w)]
-        asked = tuple(room[: cell.settings.advice_workers])
-        if asked:
-            cell.advice.asked.add(step.key)
-            decision.questions.append(AdviceQuestion(step.key, asked))
-    return {}
-
-
-def _fits(step: StepState, worker: WorkerState) -> bool:
-    return step.step.charge.fits_in(worker.free())
-
-
-def _place_gang(
+def _start_gang(
     cell: "Scheduler",
     decision: Decision,
     state: JobState,
     step: StepState,
     workers: list[WorkerState],
-    tickets: dict[str, str],
+    granted: dict[str, str],
     now_s: float,
 ) -> None:
-    """Place all members at once, on one rack if that is asked for, or none."""
     if any(task.run is not None for task in step.tasks):
         return
-    for group in _gang_rooms(step, workers):
-        chosen = _trial(cell, step, group)
-        if chosen is not None:
-            break
-    else:
+    chosen = choose_workers(cell, step, workers)
+    if chosen is None:
         return
-    number = max(task.last_run for task in step.tasks) + 1
-    checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
+    begin_run(step)
     for task, worker in zip(step.tasks, chosen, strict=True):
-        task.last_run = number - 1
-        task.checkpoint = checkpoint
-        _start(cell, decision, state, step, task, worker, tickets, now_s)
-
-
-def _gang_rooms(
-    step: StepState, workers: list[WorkerState]
-) -> Iterator[list[WorkerState]]:
-    if step.step.one_rack:
-        for rack in sorted({w.listing.rack for w in workers}):
-            yield [w for w in workers if w.listing.rack == rack]
-    yield workers
-
-
-def _trial(
-    cell: "Scheduler", step: StepState, workers: list[WorkerState]
-) -> list[WorkerState] | None:
-    """Book each member for a moment; return the workers, or nothing."""
-    ranking = Ranking(step.key.job_id, step.step, cell.model, {})
-    ranking.fill(workers)
-    booked: list[tuple[WorkerState, Run]] = []
-    for task in step.tasks:
-        worker = ranking.choose(task.key, task.last_worker_id)
-        if worker is None:
-            break
-        run = Run(task.key, 0, worker.worker_id, step.step, step.step.charge)
-        worker.add(run)
-        booked.append((worker, run))
-        ranking.booked(worker)
-    for worker, run in booked:
-        worker.remove(run)
-    if len(booked) < len(step.tasks):
-        return None
-    return [worker for worker, _ in booked]
+        _start(cell, decision, state, step, task, worker, granted, now_s)
 
 
 def _start(
@@ -434,13 +295,13 @@
     step: StepState,
     task: Task,
     worker: WorkerState,
-    tickets: dict[str, str],
+    granted: dict[str, str],
     now_s: float,
 ) -> None:
     task.last_run += 1
     run = Run(task.key, task.last_run, worker.worker_id, step.step, step.step.charge)
     run.checkpoint = task.checkpoint
-    run.ticket = tickets.get(worker.worker_id, "")
+    run.ticket = granted.get(worker.worker_id, "")
     run.placed_at_s = now_s
     task.run = run
     worker.add(run)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -12,7 +12,7 @@
 from ..machines import Address
 from ..resources import NOTHING
 from . import dispatch, moving, pacing
-from .dispatch import AdviceBook
+from .advice import AdviceBook
 from .effects import Decision, Note, PaceOrder, StopOrder
 from .intake import Intake
 from .interference import Interference
@@ -41,7 +41,6 @@
         self.workers: dict[str, WorkerState] = {}
         self.open_jobs: dict[str, JobState] = {}
         self.dirty: set[str] = set()
-        self.forgotten: list[str] = []
         self.advice = AdviceBook()
         self.services: dict[str, str] = {}
         self.note = note or _ignore
--- a/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
@@ -35,8 +35,10 @@
 # Room stays reserved for so long: a stop, its report and a start take 1 s, with one
 # answer lost 2 s.
 RESERVED_S = 2.5
-# Tasks that are compared with one another, at most: their number squared is looked at.
-CANDIDATES_MAX = 60
+# Tasks that are compared, at most: those that close most of their worker, with those
+# that are at home on an open worker and sit on a closed one.
+LEAVING_MAX = 30
+PARTNERS_MAX = 60
 
 
 @dataclass(slots=True)
@@ -179,7 +181,7 @@
             for candidate in _candidates_of(worker, mix, now_s)
         ]
         found.sort(key=lambda candidate: candidate.gain_millis, reverse=True)
-        return found[:CANDIDATES_MAX]
+        return found
 
 
 def _candidates_of(worker: WorkerState, mix: Mix, now_s: float) -> Iterator[Candidate]:
@@ -233,9 +235,18 @@
 
 
 def _best(candidates: list[Candidate], mix: Mix) -> Exchange | None:
+    """
+    Return the exchange that opens most.
+
+    A worker rarely gains by losing a tolerant task, so the partners are not those
+    that gain most by themselves.
+    """
     best: Exchange | None = None
-    for number, left in enumerate(candidates):
-        for right in candidates[number + 1 :]:
+    partners = sorted(
+        candidates, key=lambda partner: _misplaced_ratio(partner, mix), reverse=True
+    )[:PARTNERS_MAX]
+    for left in candidates[:LEAVING_MAX]:
+        for right in partners:
             exchange = _exchange(left, right, mix)
             if exchange is None:
                 continue
@@ -260,6 +271,15 @@
     return Mix(shares, cell.model)
 
 
+def _misplaced_ratio(candidate: Candidate, mix: Mix) -> float:
+    """Return how much more open a task's image is than its worker."""
+    place = candidate.place
+    image = candidate.run.step.image
+    if not place.spare_millis:
+        return 0.0
+    return mix.open_ratio(image, image) - place.value_millis / place.spare_millis
+
+
 def _may_move(run: Run, now_s: float) -> bool:
     step = run.step
     if not step.tail_target_s or run.phase is not RunPhase.RUNNING:
