Specify how a cell passes from holder to holder, and check it

The protocol between holder, successor, log and workers had no model of its own; model/ specified only the older engine's. The new one has one task, one worker that the first holder chose and one more, with orders that arrive late, leases, tokens, a fence and a frozen holder.

--- a/features/model.feature
+++ b/features/model.feature
@@ -11,6 +11,7 @@
       | specification | states |
       | takeover      | 1000   |
       | slots         | 100    |
+      | cell          | 700    |
 
   Scenario Outline: <specification> needs <guard>
     When the checker explores "<specification>" without "<guard>"
@@ -35,3 +36,10 @@
       | slots         | doubt_counts_as_used      |
       | slots         | borrower_checks_deadline  |
       | slots         | loan_settled_by_report    |
+      | cell          | record_before_start       |
+      | cell          | holder_lapses             |
+      | cell          | low_token_refused         |
+      | cell          | late_start_refused        |
+      | cell          | leases_waited_out         |
+      | cell          | fence_before_read         |
+      | cell          | end_recorded_before_acknowledged |
--- a/features/steps/walk_steps.py
+++ b/features/steps/walk_steps.py
@@ -3,10 +3,10 @@
 from behave import then, when
 from support.walk import walk
 
-from model import slots, takeover
+from model import cell, slots, takeover
 from model.check import check
 
-MODULES = {"takeover": takeover, "slots": slots}
+MODULES = {"takeover": takeover, "slots": slots, "cell": cell}
 
 
 @when("a walk with seed {seed:d} is taken")
--- /dev/null
+++ b/model/cell.py
@@ -0,0 +1,226 @@
+"""
+Specify how a task passes from one holder of a cell to the next.
+
+The log, the first holder, its successor, the worker that the first holder chose and
+another worker take steps in any order. Orders stay on their way for as long as the
+checker likes; the successor may or may not reach the first worker. Time is counted in
+ticks of a clock that all share, but for the margins that the product adds for clocks
+that run slow.
+"""
+
+from dataclasses import dataclass, replace
+
+from minicheck import Protocol
+
+# A lease that is granted now, how long a holder may give orders after its last stored
+# record, and after how much silence another may claim: longer than that.
+LEASE = 4
+LAPSE = 1
+CLAIM = 2
+# The successor counts leases from its fence, and some ticks more than one.
+WAIT = LEASE + 1
+
+NOTHING = 0
+# What the log says of the task.
+STARTED = 1
+DONE = 2
+# What the first worker lists of its end.
+LISTED = 1
+FORGOTTEN = 2
+# How far the successor is.
+CLAIMED = 1
+FENCED = 2
+HOLDS = 3
+# What the first worker told the successor.
+SAW_RUN = 1
+SAW_END = 2
+SAW_NOTHING = 3
+
+FIELDS = (
+    "epoch",  # the highest that the log has taken
+    "record",  # of the task, in the log
+    "silence",  # ticks since the first holder stored something
+    "lapse_left",  # ticks in which the first holder may give orders
+    "first_sent",  # it has sent the start
+    "first_saw_end",  # it has seen the end
+    "order",  # the start is on its way
+    "order_left",  # ticks until that order's deadline
+    "token",  # the highest that the first worker has seen
+    "running",  # the first worker runs the task
+    "lease_left",  # ticks of that run's lease
+    "end",  # what the first worker lists of the end
+    "next_phase",  # how far the successor is
+    "next_read",  # the record as the successor read it
+    "next_saw",  # what the first worker told the successor
+    "next_wait",  # ticks until every inherited lease has passed
+    "running_there",  # the other worker runs the task, for the successor
+    "acknowledged",  # the end was acknowledged to the worker
+)
+
+
+@dataclass(frozen=True)
+class Guards:
+    """The guards of the protocol; all are set in the product."""
+
+    record_before_start: bool = True
+    holder_lapses: bool = True
+    low_token_refused: bool = True
+    late_start_refused: bool = True
+    leases_waited_out: bool = True
+    fence_before_read: bool = True
+    end_recorded_before_acknowledged: bool = True
+
+
+@dataclass(frozen=True)
+class State:
+    """One state, by field."""
+
+    epoch: int = 1
+    record: int = NOTHING
+    silence: int = 0
+    lapse_left: int = LAPSE
+    first_sent: int = 0
+    first_saw_end: int = 0
+    order: int = 0
+    order_left: int = 0
+    token: int = 1
+    running: int = 0
+    lease_left: int = 0
+    end: int = NOTHING
+    next_phase: int = 0
+    next_read: int = NOTHING
+    next_saw: int = NOTHING
+    next_wait: int = 0
+    running_there: int = 0
+    acknowledged: int = 0
+
+    def values(self) -> tuple[int, ...]:
+        """Return the state as the checker keeps it."""
+        return tuple(getattr(self, name) for name in FIELDS)
+
+
+Steps = list[tuple[str, State]]
+
+
+def _down(left: int) -> int:
+    return max(0, left - 1)
+
+
+def _time(s: State) -> Steps:
+    lapsed = s.running and s.lease_left <= 1
+    after = replace(
+        s,
+        silence=min(CLAIM, s.silence + 1),
+        lapse_left=_down(s.lapse_left),
+        order_left=_down(s.order_left),
+        lease_left=_down(s.lease_left),
+        running=0 if lapsed else s.running,
+        next_wait=_down(s.next_wait),
+    )
+    return [("tick", after)]
+
+
+def _stored(s: State, record: int) -> State:
+    """Return the state after the first holder stored a record: a sign of life."""
+    return replace(s, record=record, silence=0, lapse_left=LAPSE)
+
+
+def _first(s: State, guards: Guards) -> Steps:
+    steps: Steps = []
+    stores = s.epoch == 1
+    orders = s.lapse_left > 0 or not guards.holder_lapses
+    if stores and s.record == NOTHING:
+        steps.append(("first stores the start", _stored(s, STARTED)))
+    recorded = s.record == STARTED or not guards.record_before_start
+    if recorded and not s.first_sent and orders and s.record != DONE:
+        sent = replace(s, first_sent=1, order=1, order_left=LEASE)
+        steps.append(("first sends the start", sent))
+    if s.running and orders and s.token == 1:
+        steps.append(("first renews", replace(s, lease_left=LEASE)))
+    if s.end == LISTED and s.token == 1 and not s.first_saw_end:
+        steps.append(("first sees the end", replace(s, first_saw_end=1)))
+    if s.first_saw_end and stores and s.record == STARTED:
+        steps.append(("first stores the end", _stored(s, DONE)))
+    recorded = s.record == DONE or not guards.end_recorded_before_acknowledged
+    if s.first_saw_end and recorded and s.end == LISTED and s.token == 1:
+        gone = replace(s, end=FORGOTTEN, acknowledged=1)
+        steps.append(("first acknowledges the end", gone))
+    return steps
+
+
+def _worker(s: State, guards: Guards) -> Steps:
+    steps: Steps = []
+    if s.order:
+        steps.append(("the start is lost", replace(s, order=0)))
+        fenced = s.token > 1 and guards.low_token_refused
+        late = s.order_left == 0 and guards.late_start_refused
+        if not fenced and not late and not s.running and s.end == NOTHING:
+            begun = replace(s, order=0, running=1, lease_left=max(1, s.order_left))
+            steps.append(("worker starts", begun))
+    if s.running:
+        steps.append(("worker is done", replace(s, running=0, end=LISTED)))
+    return steps
+
+
+def _next(s: State, guards: Guards) -> Steps:
+    steps: Steps = []
+    if not s.next_phase and s.silence >= CLAIM:
+        steps.append(("next claims", replace(s, next_phase=CLAIMED)))
+    if s.next_phase == CLAIMED:
+        fenced = replace(s, epoch=2, next_phase=FENCED, next_wait=WAIT)
+        steps.append(("next fences", fenced))
+        if not guards.fence_before_read:
+            read = replace(s, next_phase=HOLDS, next_read=s.record, next_wait=WAIT)
+            steps.append(("next reads the log", read))
+    if s.next_phase == FENCED:
+        read = replace(s, next_phase=HOLDS, next_read=s.record)
+        steps.append(("next reads the log", read))
+    if s.next_phase >= FENCED and s.next_saw in (NOTHING, SAW_RUN):
+        steps.append(("next asks the worker", replace(s, token=2, next_saw=_seen(s))))
+    if s.next_phase == HOLDS and _may_start(s, guards):
+        steps.append(("next starts elsewhere", replace(s, running_there=1)))
+    return steps
+
+
+def _seen(s: State) -> int:
+    if s.running:
+        return SAW_RUN
+    return SAW_END if s.end == LISTED else SAW_NOTHING
+
+
+def _may_start(s: State, guards: Guards) -> bool:
+    if s.next_read == DONE or s.running_there or s.next_saw in (SAW_RUN, SAW_END):
+        return False
+    if s.next_read == NOTHING or s.next_saw == SAW_NOTHING:
+        return True
+    return s.next_wait == 0 or not guards.leases_waited_out
+
+
+def protocol(guards: Guards) -> Protocol:
+    """Return the specification with some guards, for the checker."""
+
+    def transitions(values: tuple[int, ...]) -> list[tuple[str, tuple[int, ...]]]:
+        s = State(*values)
+        steps = [
+            *_time(s),
+            *_first(s, guards),
+            *_worker(s, guards),
+            *_next(s, guards),
+        ]
+        return [(label, after.values()) for label, after in steps]
+
+    return Protocol(
+        name="cell",
+        candidate=False,
+        fields=FIELDS,
+        initial=State().values(),
+        transitions=transitions,
+        invariants={
+            "a task never runs twice at a time": lambda d: (
+                d["running"] + d["running_there"] <= 1
+            ),
+            "no run after an acknowledged end": lambda d: (
+                not (d["acknowledged"] and d["running_there"])
+            ),
+        },
+    )
--- a/model/check.py
+++ b/model/check.py
@@ -7,10 +7,10 @@
 
 from minicheck import check_safety
 
-from . import slots, takeover
+from . import cell, slots, takeover
 
 MAX_STATES = 2_000_000
-SPECIFICATIONS = (takeover, slots)
+SPECIFICATIONS = (takeover, slots, cell)
 
 
 @dataclass(frozen=True)
