Count a task that comes back to reserved room for its step's limit

A task that came back from an exchange was started where its room was reserved without the ranking of the same decision hearing of it, so another task of its step was placed there too. Ruled out: the check on choosing an exchange and the one at the start, which both count what is being stopped.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -57,3 +57,10 @@
     And advice for a queue names two workers that are full
     When a job of that queue and a plain one of the same size are handed in
     Then the plain job is at work
+
+  Scenario: A task that comes back to its reserved room counts for its step's limit
+    # Two watchers of one calendar sat on one worker that may have one: one came back where
+    # its room was reserved, and the other was placed in the same decision without seeing it.
+    Given 4 workers of 16 cores
+    When two tasks of a step with at most one on a worker wait, the first with room reserved
+    Then no worker has more than one of them
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -4,12 +4,13 @@
 from unittest.mock import patch
 
 from behave import given, then, when
-from support.cell_player import BATCH, LASTING, URGENT, Player, step
+from support.cell_player import BATCH, GIB, LASTING, URGENT, Player, step
 
 from hornbeampaddle.cell import advice, dispatch, separating, urgency
 from hornbeampaddle.cell import workers as workers_module
 from hornbeampaddle.cell.advice import Allowance
-from hornbeampaddle.cell.jobs import Advice, StepKey
+from hornbeampaddle.cell.jobs import Advice, StepKey, TaskKey
+from hornbeampaddle.resources import Resources
 from hornbeampaddle_standins.cell.demand import Demand, DemandSettings
 from hornbeampaddle_standins.cell.emulator import Emulator
 
@@ -212,3 +213,26 @@
 def plain_runs(context):
     assert context.player.cell.jobs["plain"].runs()
     assert not context.player.cell.jobs["advised"].runs()
+
+
+@when(
+    "two tasks of a step with at most one on a worker wait, the first with room reserved"
+)
+def reserved_and_not(context):
+    context.player = player = prepared(context)
+    player.submit("watch", LASTING, step(2, 4_000, lasting=True, per_worker_max=1), 1e9)
+    key = TaskKey("watch", 0, 0, 0)
+    charge = Resources(4_000, GIB, 0)
+    worker = player.cell.workers["w0"]
+    worker.hold(charge)
+    reservation = separating.Reservation("w0", charge, player.now_s + 2.0)
+    player.cell.separator._reserved[key] = reservation
+    player.tick()
+
+
+@then("no worker has more than one of them")
+def one_each(context):
+    runs = context.player.cell.jobs["watch"].runs()
+    workers = [run.worker_id for run in runs]
+    assert len(workers) == 2, workers
+    assert len(set(workers)) == 2, workers
--- a/features/support/cell_walk.py
+++ b/features/support/cell_walk.py
@@ -135,4 +135,5 @@
 
 
 def new_world(seed):
-    return World(seed, work_s=1.5, fail_ratio=0.02)
+    """Return the world of a seed; in every other one instances relay for each other."""
+    return World(seed, work_s=1.5, fail_ratio=0.02, relays=seed % 2 == 0)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -139,7 +139,10 @@
     for task in step.waiting():
         home = cell.separator.reserved(task.key)
         if home is not None:
-            _start_at_home(cell, decision, state, step, task, home, now_s)
+            if _start_at_home(cell, decision, state, step, task, home, now_s):
+                # Guards against more tasks of a step on one worker than it allows:
+                # the ranking would not see this one.
+                ranking.booked(home)
             continue
         worker = ranking.choose(task.key, task.last_worker_id)
         if worker is None:
@@ -161,18 +164,19 @@
     task: Task,
     home: WorkerState,
     now_s: float,
-) -> None:
-    """Start a task where room is reserved for it, once that room is free."""
+) -> bool:
+    """Start a task where room is reserved for it, once it is free; tell if it did."""
     if not home.usable(now_s):
         cell.separator.settle(task.key)
-        return
-    charge = step.step.charge
-    if not charge.fits_in(home.listing.capacity - home.taken):
-        return
+        return False
+    if not step.step.charge.fits_in(home.listing.capacity - home.taken):
+        return False
     cell.separator.settle(task.key)
     most = step.step.per_worker_max
-    if not most or step_count(home, task.key) < most:
-        _start(cell, decision, state, step, task, home, {}, now_s)
+    if most and step_count(home, task.key) >= most:
+        return False
+    _start(cell, decision, state, step, task, home, {}, now_s)
+    return True
 
 
 def _no_room(
