--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -62,5 +62,5 @@
     # Two watchers of one calendar sat on one worker that may have one: one came back where
     # its room was reserved, and the other was placed in the same decision without seeing it.
     Given 4 workers of 16 cores
-    When two tasks of a step with at most one on a worker wait, the first with room reserved
+    When two tasks that may not share a worker wait, one with its room reserved
     Then no worker has more than one of them
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -215,9 +215,7 @@
     assert not context.player.cell.jobs["advised"].runs()
 
 
-@when(
-    "two tasks of a step with at most one on a worker wait, the first with room reserved"
-)
+@when("two tasks that may not share a worker wait, one with its room reserved")
 def reserved_and_not(context):
     context.player = player = prepared(context)
     player.submit("watch", LASTING, step(2, 4_000, lasting=True, per_worker_max=1), 1e9)
