Say from logs where the time of each queue's jobs goes

Nobody could say in which stage a late job lost its time; the table that was asked for had to be put together by hand. `hornbeampaddle budget` cuts each job into stored, placed, run, handed over and shown, with median and 95th percentile by queue, from logs in any order.

--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from hornbeampaddle_cell import logs
+from hornbeampaddle_cli.budget import budget
 from hornbeampaddle_cli.story import one_line, parse, tell
 
 # Loggers keep the writer that they met first, so all scenarios share one.
@@ -79,3 +80,50 @@
         context.log.flush()
     noted = [json.loads(x) for x in data.splitlines() if x.startswith(b"{")]
     assert noted and noted[0]["lines"] > 0, noted
+
+
+@then(
+    'the budget of queue "{queue}" counts {stored:d} stored, {placed:d} placed, '
+    "{runs:d} run, {handed:d} handed over"
+)
+def counts(context, queue, stored, placed, runs, handed):
+    stages = budget(parse(LINES))
+    context.stages = {s.stage: s for s in stages if s.queue == queue}
+    found = {name: stage.count for name, stage in context.stages.items()}
+    wanted = {"stored": stored, "placed": placed, "run": runs, "handed over": handed}
+    assert {name: found[name] for name in wanted} == wanted, found
+
+
+@when("the budget is read from the lines of such a job, the last first")
+def read_one_job(context):
+    begun = {"job": "a", "instance": "i0"}
+    rows = [
+        (10.01, "submit: answered", {"queue": "q", "stored": "yes", "took_s": 0.01}),
+        (10.21, "start", {"task": ["a", 0, 0, 0], "run": 1}),
+        (11.21, "run_done", {"task": ["a", 0, 0, 0], "run": 1}),
+        (11.71, "start", {"task": ["a", 0, 1, 0], "run": 1}),
+        (13.71, "run_done", {"task": ["a", 0, 1, 0], "run": 1}),
+        (13.81, "job_finished", {"status": "completed", "age_s": 3.81}),
+    ]
+    texts = [
+        json.dumps({"event": event, **begun, **fields, "timestamp": at_s})
+        for at_s, event, fields in reversed(rows)
+    ]
+    context.stages = {stage.stage: stage for stage in budget(parse(texts))}
+
+
+@then(
+    "its stages are {stored:g}, {placed:g}, {run:g}, {handed:g}, {shown:g} "
+    "and {whole:g} s"
+)
+def one_job_stages(context, stored, placed, run, handed, shown, whole):
+    wanted = {
+        "stored": stored,
+        "placed": placed,
+        "run": run,
+        "handed over": handed,
+        "shown": shown,
+        "whole": whole,
+    }
+    found = {name: stage.median_s for name, stage in context.stages.items()}
+    assert found == wanted, found
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -35,3 +35,17 @@
     When 20000 lines are written
     Then each took less than 0.1 ms and the memory stayed bounded
     And the reader finds how many lines were dropped
+
+  Scenario: Where the time of a queue's jobs goes
+    # Callers wait longer than their work takes, and nobody can say in which stage.
+    Given a cell of 3 instances and 4 workers
+    And its log is kept
+    When a job "ba04" of 3 steps of 4 tasks is handed in
+    Then the job "ba04" is shown as completed within 25 s
+    And the budget of queue "urgent" counts 1 stored, 1 placed, 12 run, 2 handed over
+
+  Scenario: The stages of one job
+    # 0.01 s to be stored, 0.2 s to a worker, two steps of 1 s and 2 s with 0.5 s between
+    # them, 0.1 s to be shown: the reader has to find each where it was.
+    When the budget is read from the lines of such a job, the last first
+    Then its stages are 0.01, 0.2, 1, 0.5, 0.1 and 3.81 s
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/commands/trace.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/commands/trace.py
@@ -1,15 +1,13 @@
 """Print one request's story from log files, the cause first."""
 
 import json
-import sys
-from collections.abc import Iterator
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from typing import Annotated
 
 import cappa
 
-from ..errors import UserError
+from ..logfiles import read_texts
 from ..story import one_line, parse, tell
 
 
@@ -28,7 +26,7 @@
 
     def __call__(self) -> None:
         """Read, derive the cause, print."""
-        story = tell(parse(self._texts()), self.job_id)
+        story = tell(parse(read_texts(self.files)), self.job_id)
         if self.json:
             print(json.dumps(asdict(story)))
             return
@@ -36,14 +34,3 @@
         lines = sorted(story.lines + story.around, key=lambda x: x["timestamp"])
         for line in lines:
             print(one_line(line, lines[0]["timestamp"]))
-
-    def _texts(self) -> Iterator[str]:
-        if not self.files:
-            yield from sys.stdin
-            return
-        for path in self.files:
-            try:
-                with path.open(encoding="utf-8", errors="replace") as file:
-                    yield from file
-            except OSError as error:
-                raise UserError(f"cannot read {path}: {error.strerror}") from error
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/main.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/main.py
@@ -6,6 +6,7 @@
 
 import cappa
 
+from .commands.budget import Budget
 from .commands.config import Config
 from .commands.confirm import Confirm
 from .commands.demo import Demo
@@ -47,6 +48,7 @@
         | Submit
         | CancelJob
         | Trace
+        | Budget
         | Demo
     ]
 
