--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/installed
 REPORTS := $(VENV)/reports
 
-.PHONY: demo test lint model bench gaps capacity walks soak clean
+.PHONY: demo test lint model bench gaps policy capacity walks soak clean
 
 $(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -39,6 +39,11 @@
 gaps: $(STAMP)
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.cell_gaps
 
+# What callers get by the scheduler's decisions alone (about 30 s); ARGS="--seeds 8
+# --load tight --set placing.KIN_MILLIS=0" compares a changed threshold.
+policy: $(STAMP)
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.policy $(ARGS)
+
 # Measure all slopes (about 6 minutes), then write the tables and the plot.
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,149 @@
+"""
+Play the scheduler alone against drawn loads and print what callers get.
+
+The emulator's day of a seed is the same for every policy, so a changed threshold is
+compared seed by seed: ``--set placing.KIN_MILLIS=0`` sets a constant of a module of
+``hornbeampaddle.cell``, ``--set settings.pace_below_slack=1.3`` a field of the cell's
+settings.
+"""
+
+import argparse
+import importlib
+import statistics
+import time
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
+from typing import Any
+
+from hornbeampaddle.cell.settings import CellSettings
+from hornbeampaddle_standins.cell.demand import Demand, DemandSettings
+from hornbeampaddle_standins.cell.emulator import Emulator
+
+PROCESSES = 4
+PLAY_S = 50.0
+SETTLE_S = 8.0
+LOADS = {
+    "usual": DemandSettings(),
+    "tight": DemandSettings(pressing_ratio=0.8, batch_per_s=4.0, load=0.5),
+    "pressing": DemandSettings(pressing_ratio=1.0, batch_per_s=4.0, serving_jobs=22),
+    "large": DemandSettings(
+        workers=246,
+        worker_cpu_millis=64_000,
+        rack_size=20,
+        serving_jobs=90,
+        serving_width=14,
+        serving_cpu_millis=10_000,
+        batch_per_s=14.4,
+        batch_width=20,
+        batch_cpu_millis=7_000,
+        urgent_per_s=6,
+        urgent_width=10,
+        urgent_cpu_millis=11_000,
+    ),
+}
+KINDS = ("urgent", "serving", "batch")
+
+
+@dataclass(frozen=True)
+class Change:
+    """A constant or a setting to play with, and its value."""
+
+    module: str
+    name: str
+    value: float
+
+
+@dataclass(frozen=True)
+class Played:
+    """What one day gave: shares of the credits owed, and seconds."""
+
+    load: str
+    seed: int
+    total: float
+    by_kind: dict[str, float]
+    longest_over_s: float
+    decision_ms: float
+
+
+def change(text: str) -> Change:
+    """Read ``MODULE.NAME=VALUE``."""
+    path, _, value = text.partition("=")
+    module, _, name = path.partition(".")
+    return Change(module, name, float(value))
+
+
+def _settings(changes: list[Change]) -> CellSettings:
+    settings = CellSettings()
+    for item in changes:
+        if item.module == "settings":
+            value: Any = item.value
+            settings = replace(settings, **{item.name: value})
+            continue
+        module = importlib.import_module(f"hornbeampaddle.cell.{item.module}")
+        kind = type(getattr(module, item.name))
+        setattr(module, item.name, kind(item.value))
+    return settings
+
+
+def play(load: str, seed: int, changes: list[Change]) -> Played:
+    """Play one day."""
+    emulator = Emulator(Demand(seed, LOADS[load]), _settings(changes))
+    took_s: list[float] = []
+    decide = emulator.cell.decide
+
+    def timed(now_s: float, wall_s: float):  # type: ignore[no-untyped-def]
+        begun_s = time.perf_counter()
+        decision = decide(now_s, wall_s)
+        took_s.append(time.perf_counter() - begun_s)
+        return decision
+
+    emulator.cell.decide = timed  # type: ignore[method-assign]
+    emulator.play(PLAY_S)
+    emulator.settle(SETTLE_S)
+    earnings = emulator.earnings()
+    return Played(
+        load,
+        seed,
+        emulator.total(),
+        {kind: earnings[kind].ratio for kind in KINDS if kind in earnings},
+        emulator.longest_over_s,
+        1000 * statistics.fmean(took_s),
+    )
+
+
+def _row(load: str, days: list[Played]) -> str:
+    shares = [statistics.fmean(day.total for day in days)]
+    for kind in KINDS:
+        shares.append(statistics.fmean(day.by_kind.get(kind, 0.0) for day in days))
+    cells = [f"{share:.3f}" for share in shares]
+    longest_s = max(day.longest_over_s for day in days)
+    decision_ms = statistics.fmean(day.decision_ms for day in days)
+    return (
+        f"| {load} | {len(days)} | {' | '.join(cells)} | {longest_s:.1f} "
+        f"| {decision_ms:.1f} |"
+    )
+
+
+def main() -> None:
+    """Play all seeds of the loads that were asked for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--load", action="append", choices=sorted(LOADS))
+    parser.add_argument("--seeds", type=int, default=4)
+    parser.add_argument("--set", action="append", type=change, default=[])
+    options = parser.parse_args()
+    loads = options.load or ["usual", "tight", "pressing"]
+    print("| load | days | total | urgent | serving | batch | longest over s | ms |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        for load in loads:
+            days = pool.map(
+                play,
+                [load] * options.seeds,
+                range(1, options.seeds + 1),
+                [options.set] * options.seeds,
+            )
+            print(_row(load, list(days)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
