Do not call refused what the store may have done

Found by reading the relay: after an append without an answer, three peers that were refused made the whole call look refused, and the caller was told 503 for a job that may be stored and run. The first outcome stands now; the scenario was red before.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -62,3 +62,11 @@
     When the store is silent for everybody for 5 s
     Then every instance has read the store again within 2.5 s
     And no promise of the cell was broken
+
+  Scenario: What the store may have done is not called refused because peers were
+    # A caller was told that its job never runs, and it ran: the store had taken the record
+    # and its answer was lost, then three peers were refused, and the last word counted.
+    Given a relay whose store does not answer
+    And its peers are refused by the store
+    When a numbered append goes through it
+    Then its outcome is that no answer came
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -11,7 +11,7 @@
 from hornbeampaddle.machines import Address
 from hornbeampaddle_cell.callers import Accepted
 from hornbeampaddle_cell.peers import PeerBook, peer_record
-from hornbeampaddle_cell.ports import Appended, Keyed, Producer, Topic
+from hornbeampaddle_cell.ports import Appended, Keyed, Producer, Topic, Unavailable
 from hornbeampaddle_cell.relay import Relay, encode_outcome
 from hornbeampaddle_standins.cell.world import BATCH, SkewedClock, World
 from hornbeampaddle_wire.peer_requests import PeerChannel
@@ -250,3 +250,23 @@
         )
 
     assert play(context, world.until(fresh, within_s))
+
+
+@given("its peers are refused by the store")
+def refused_peers(context):
+    async def refuse(address, data, timeout_s):
+        return encode_outcome(Unavailable("refused"))
+
+    context.peers.call = refuse
+
+
+@when("a numbered append goes through it")
+def numbered_append(context):
+    producer = Producer("i0-1", 1, 0)
+    append = context.relay.append(Topic.JOBS, [Keyed("job", b"1")], producer, None)
+    context.outcome = context.loop.run_until_complete(append)
+
+
+@then("its outcome is that no answer came")
+def no_answer(context):
+    assert isinstance(context.outcome, NoAnswer), context.outcome
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -200,7 +200,14 @@
         if isinstance(outcome, NoAnswer) and not repeatable:
             return outcome
         relayed = await self._relayed(ask, timeout_s)
-        return relayed if relayed is not None else outcome
+        if relayed is None:
+            return outcome
+        if isinstance(outcome, NoAnswer) and isinstance(relayed, Unavailable):
+            # Guards against a job that runs though its caller was told that it never
+            # will: the store may have done what it did not answer, whatever the peers
+            # say of their own tries.
+            return outcome
+        return relayed
 
     def _served(self) -> None:
         self._direct_at_s = float("-inf")
