--- a/features/platform_border.feature
+++ b/features/platform_border.feature
@@ -43,3 +43,15 @@
       | fields that nobody knows   | read, and peers are listened to |
       | no address of the store    | refused with its path           |
       | no settings at all         | refused with its path           |
+
+  Scenario Outline: <what> in the store does not end an instance
+    # All instances would end at once, and again at each start: each reads the same record.
+    # Bytes that are no JSON raise another error than JSON of a wrong form.
+    Given a record of <what> from the operator and from a worker
+    Then neither is taken and both are logged
+
+    Examples:
+      | what                   |
+      | bytes that are no JSON |
+      | no bytes of a text     |
+      | JSON of a wrong form   |
--- a/features/steps/border_steps.py
+++ b/features/steps/border_steps.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from unittest.mock import patch
 
+import structlog
 from behave import given, then, when
 from hypothesis import given as any_of
 from hypothesis import settings
@@ -23,6 +24,7 @@
     read_boot,
 )
 from hornbeampaddle_platform.ingress import Ingress  # noqa: E402
+from hornbeampaddle_platform.records import Records  # noqa: E402
 from hornbeampaddle_platform.store import decode_records, encode_record  # noqa: E402
 from hornbeampaddle_wire.http_messages import Request  # noqa: E402
 
@@ -126,3 +128,23 @@
         assert context.path in str(error), error
     else:
         raise AssertionError("the settings were taken")
+
+
+RECORDS = {
+    "bytes that are no JSON": b"{routes",
+    "no bytes of a text": b'{"version": "\xff"}',
+    "JSON of a wrong form": b'{"version": "seven"}',
+}
+
+
+@given("a record of {what} from the operator and from a worker")
+def bad_record(context, what):
+    context.value = RECORDS[what]
+
+
+@then("neither is taken and both are logged")
+def not_taken(context):
+    with structlog.testing.capture_logs() as lines:
+        assert Records().configuration(Keyed("config", context.value)) is None
+        assert Records().worker(Keyed("i-1", context.value)) is None
+    assert [line["log_level"] for line in lines] == ["error", "error"], lines
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
@@ -68,6 +68,7 @@
         ledger: Ledger,
         jobs: Follower,
         progress: Follower,
+        operator: Follower,
         appender: Appender,
         metrics: Metrics,
     ) -> None:
@@ -77,6 +78,7 @@
         self.ledger = ledger
         self.jobs = jobs
         self.progress = progress
+        self.operator = operator
         self.appender = appender
         self.metrics = metrics
 
@@ -97,6 +99,14 @@
             log.info("submit: repeated", job=job.job_id)
             self._answered("submit", Accepted(), begun_s)
             return Accepted()
+        if self.operator.age_s() >= self.settings.stale_s:
+            # Guards against a job that runs on a queue which was closed, or for a
+            # service which it left, while this instance could not read of it.
+            age_s = round(self.operator.age_s(), 3)
+            log.warning("submit: configuration too old", job=job.job_id, age_s=age_s)
+            outcome: Submitted = NotAccepted("configuration_too_old", RETRY_STORE_S)
+            self._answered("submit", outcome, begun_s)
+            return outcome
         job = replace(job, accepted_at_s=self.clock.wall_s())
         stored = await self.appender.put(job_record(job), deadline_s)
         took_s = round(self.clock.now_s() - begun_s, 4)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
@@ -4,6 +4,10 @@
 A follower survives everything that the store does: it begins again from the
 newest records when its place in the log has expired, and retries for ever with
 a pause that grows.
+
+Its view is complete as of a time: that at which the last read which reached the log's
+end was sent. An answer may be old when it is read, because the store was slow or this
+machine was suspended meanwhile, so the time of its arrival says nothing.
 """
 
 import asyncio
@@ -14,7 +18,17 @@
 
 from hornbeampaddle.cell.reports import NoAnswer
 
-from .ports import Batch, Clock, Expired, Keyed, Newest, StorePort, Topic, Unavailable
+from .ports import (
+    Batch,
+    Clock,
+    Expired,
+    Keyed,
+    Newest,
+    Span,
+    StorePort,
+    Topic,
+    Unavailable,
+)
 
 log = structlog.get_logger()
 
@@ -23,6 +37,12 @@
 RETRY_BASE_S = 0.05
 RETRY_MAX_S = 0.4
 
+# One read of a log returns about so many bytes: below a second on a link of 10 Mbit/s.
+READ_BYTES = 1024 * 1024
+# A read of a log whose records replace one another: about one record. The rest of what
+# it is behind by is never read.
+REPLACING_READ_BYTES = 64 * 1024
+
 Handler = Callable[[Sequence[Keyed]], None]
 
 
@@ -39,6 +59,9 @@
         self.handler = handler
         self.pause_s = 0.0
         self.wait_s = 1.0
+        # Whether every record replaces what came before it under the same key, so that
+        # only the newest records matter.
+        self.replacing = False
         self.offset: int | None = None
         self.complete_at_s = float("-inf")
         self.on_reload: Callable[[set[str]], None] | None = None
@@ -49,9 +72,14 @@
         self.random = Random()
 
     def age_s(self) -> float:
-        """Return how long ago this view was complete."""
+        """Return how long ago this view was certainly complete."""
         return self.clock.now_s() - self.complete_at_s
 
+    @property
+    def lost(self) -> bool:
+        """Tell whether the last read failed."""
+        return self._lost_at_s is not None
+
     async def run(self) -> None:
         """Follow the log until cancelled."""
         while True:
@@ -69,13 +97,18 @@
             pass
 
     async def catch_up(self, timeout_s: float) -> bool:
-        """Read now; return whether the view was complete after this call."""
+        """
+        Read now; return whether the view is complete as of this call, or later.
+
+        Guards against a read that was sent before the call: it may have been answered
+        before what the caller has to know was stored.
+        """
         begun_s = self.clock.now_s()
         self._complete.clear()
         self._poked.set()
         try:
             async with asyncio.timeout(timeout_s):
-                while self.complete_at_s <= begun_s:
+                while self.complete_at_s < begun_s:
                     await self._complete.wait()
                     self._complete.clear()
         except TimeoutError:
@@ -83,6 +116,7 @@
         return True
 
     async def _load(self) -> bool:
+        sent_at_s = self.clock.now_s()
         outcome = await self.store.newest(self.topic)
         match outcome:
             case Newest(records, end_offset):
@@ -90,7 +124,7 @@
                 if self.on_reload is not None:
                     self.on_reload({record.key for record in records})
                 self.offset = end_offset
-                self._good()
+                self._good(sent_at_s)
                 return True
             case Unavailable(detail) | NoAnswer(detail):
                 self._bad(detail)
@@ -101,14 +135,19 @@
         wait_s = 0.0 if self._poked.is_set() else self.wait_s
         self._poked.clear()
         sent_at_s = self.clock.now_s()
-        outcome = await self.store.read(self.topic, self.offset, wait_s)
+        size_max_bytes = REPLACING_READ_BYTES if self.replacing else READ_BYTES
+        span = Span(self.offset, wait_s, size_max_bytes)
+        outcome = await self.store.read(self.topic, span)
         match outcome:
             case Batch(records, next_offset, end_offset):
-                self.offset = next_offset
-                if records:
-                    self.handler(records)
+                self._take(records, next_offset)
                 if next_offset >= end_offset:
-                    self._good(sent_at_s)
+                    self._good(self._asked_at_s(sent_at_s, span, records))
+                elif self.replacing:
+                    # Guards against reading what was replaced long ago, record by
+                    # record, while an answer is given from the one that it is at: a
+                    # configuration came into force seconds late on a narrow link.
+                    self.offset = None
                 return True
             case Expired():
                 self.offset = None
@@ -117,14 +156,31 @@
                 self._bad(detail)
         return False
 
-    def _good(self, at_s: float | None = None) -> None:
+    def _take(self, records: Sequence[Keyed], next_offset: int) -> None:
+        self.offset = next_offset
+        if self.replacing:
+            records = list({record.key: record for record in records}.values())
+        if records:
+            self.handler(records)
+
+    def _asked_at_s(
+        self, sent_at_s: float, span: Span, records: Sequence[Keyed]
+    ) -> float:
+        """Return a time at which the log certainly ended where a read says it does."""
+        waited_out = self.clock.now_s() >= sent_at_s + span.wait_s
+        if not records and waited_out:
+            # The store looked again after its wait, and there was nothing.
+            return sent_at_s + span.wait_s
+        return sent_at_s
+
+    def _good(self, complete_at_s: float) -> None:
         now_s = self.clock.now_s()
         if self._lost_at_s is not None:
             gone_s = round(now_s - self._lost_at_s, 3)
             log.info("store: regained", topic=self.topic.value, gone_s=gone_s)
             self._lost_at_s = None
         self._failures = 0
-        self.complete_at_s = now_s
+        self.complete_at_s = complete_at_s
         self._complete.set()
 
     def _bad(self, detail: str) -> None:
@@ -132,6 +188,9 @@
         if self._lost_at_s is None:
             self._lost_at_s = self.clock.now_s()
             log.warning("store: lost", topic=self.topic.value, detail=detail)
+        if self.replacing:
+            # What came meanwhile has replaced what this place in the log leads to.
+            self.offset = None
 
     def _backoff_s(self) -> float:
         limit_s = min(RETRY_MAX_S, RETRY_BASE_S * 2**self._failures)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -36,6 +36,7 @@
 )
 from .progress_log import PRODUCER_NAME
 from .relay import PeerCaller, Relay
+from .routing import Routing
 from .settings import InstanceSettings
 
 log = structlog.get_logger()
@@ -73,12 +74,13 @@
         self.advice = advice
         self.ledger = Ledger()
         self.leadership = Leadership(settings, Random())
-        self.configuration: Configuration | None = None
         self.holder: Holder | None = None
         self.stopping = False
         self.jobs = self._follow(Topic.JOBS, self._take_jobs)
         self.progress = self._follow(Topic.PROGRESS, self._take_progress)
         self.operator = self._follow(Topic.OPERATOR, self._take_operator)
+        self.routing = Routing(settings, self.operator)
+        self.metrics.watch_configuration(self.routing)
         self.appender = Appender(self.store, Topic.JOBS, clock, settings)
         self.callers = Callers(
             settings,
@@ -86,15 +88,17 @@
             self.ledger,
             self.jobs,
             self.progress,
+            self.operator,
             self.appender,
             self.metrics,
         )
-        self._workers_whole = False
 
     def _follow(self, topic: Topic, handler: Handler) -> Follower:
         follower = Follower(self.store, topic, self.clock, handler)
         follower.wait_s = self.settings.read_wait_s
-        if topic is not Topic.OPERATOR:
+        if topic is Topic.OPERATOR:
+            follower.replacing = True
+        else:
             follower.pause_s = self.settings.standby_read_s
         return follower
 
@@ -121,10 +125,19 @@
             stored = isinstance(outcome, Appended)
             await asyncio.sleep(RENEW_S if stored else self.settings.stale_s)
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self.routing.configuration
+
     def ready(self) -> bool:
         """Tell whether new callers are well served here."""
         if self.stopping or self.configuration is None:
             return False
+        # Guards against an instance that has the logs of jobs through its peers but not
+        # the operator's, and serves callers by a configuration of long ago.
+        if self.operator.age_s() >= self.settings.stale_s:
+            return False
         return self.callers.fresh() and not self.appender.stuck()
 
     async def run(self) -> None:
@@ -188,10 +201,8 @@
                 self._configure(configuration)
 
     def _configure(self, configuration: Configuration) -> None:
-        current = self.configuration
-        if current is not None and configuration.version <= current.version:
+        if not self.routing.take(configuration):
             return
-        self.configuration = configuration
         log.info(
             "configuration: in force",
             version=configuration.version,
@@ -303,6 +314,7 @@
         assert self.configuration is not None
         holder.configure(self.configuration)
         self.jobs.pause_s = 0.0
+        self.jobs.wait_s = self.settings.holder_read_wait_s
         self.progress.pause_s = self.settings.read_wait_s
         workers = self._follow(Topic.WORKERS, self._take_workers)
         workers.wait_s = 0.0
@@ -315,6 +327,7 @@
             following.cancel()
             self.holder = None
             self.jobs.pause_s = self.settings.standby_read_s
+            self.jobs.wait_s = self.settings.read_wait_s
             self.progress.pause_s = self.settings.standby_read_s
             # What others stored since then was not taken in: read it again.
             self.progress.offset = None
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
@@ -9,6 +9,7 @@
 import asyncio
 import time
 from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
 from prometheus_client import (
     CollectorRegistry,
@@ -29,11 +30,15 @@
     NewestOutcome,
     Producer,
     ReadOutcome,
+    Span,
     StorePort,
     Topic,
     WorkerPort,
 )
 
+if TYPE_CHECKING:
+    from .routing import Routing
+
 # Seconds; from a fast answer of the store to a caller's whole deadline.
 LATENCY_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30)
 LAG_EVERY_S = 0.5
@@ -91,6 +96,14 @@
         self.workers = self._gauge(
             "hornbeampaddle_workers", "Workers of the cell", ("state",)
         )
+        self.configuration_age_seconds = self._gauge(
+            "hornbeampaddle_configuration_age_seconds",
+            "How long ago the configuration in force was certainly the newest",
+            (),
+        )
+        self.configuration_version = self._gauge(
+            "hornbeampaddle_configuration_version", "The version in force", ()
+        )
         self.log_lines_dropped = self._counter(
             "hornbeampaddle_log_lines_dropped_total", "Log lines not written", ()
         )
@@ -136,6 +149,13 @@
         self.workers.labels("resting").set(summary.resting_workers)
         self.workers.labels("over_target").set(summary.over_target_workers)
 
+    def watch_configuration(self, routing: "Routing") -> None:
+        """Read off how old the configuration is whenever the text is asked for."""
+        self.configuration_age_seconds.set_function(routing.operator.age_s)
+        self.configuration_version.set_function(
+            lambda: routing.configuration.version if routing.configuration else 0
+        )
+
     async def watch_loop(self) -> None:
         """Measure for ever how late timers fire."""
         while True:
@@ -179,9 +199,9 @@
         self._metrics.store_calls.labels("append", outcome_name(outcome)).inc()
         return outcome
 
-    async def read(self, topic: Topic, offset: int, wait_s: float) -> ReadOutcome:
+    async def read(self, topic: Topic, span: Span) -> ReadOutcome:
         """Read from an offset; wait for a record if there is none."""
-        outcome = await self._store.read(topic, offset, wait_s)
+        outcome = await self._store.read(topic, span)
         self._metrics.store_calls.labels("read", outcome_name(outcome)).inc()
         return outcome
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
@@ -75,6 +75,20 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Span:
+    """
+    What a read of a log asks for.
+
+    It waits up to ``wait_s`` for a record at ``offset``, and returns records of about
+    ``size_max_bytes`` in all.
+    """
+
+    offset: int
+    wait_s: float
+    size_max_bytes: int
+
+
 AppendOutcome = (
     Appended | Conflict | Superseded | OutOfSequence | Unavailable | NoAnswer
 )
@@ -118,7 +132,7 @@
     ) -> AppendOutcome:
         """Append all records or none; no record at all only raises the epoch."""
 
-    async def read(self, topic: Topic, offset: int, wait_s: float) -> ReadOutcome:
+    async def read(self, topic: Topic, span: Span) -> ReadOutcome:
         """Read from an offset; wait for a record if there is none."""
 
     async def newest(self, topic: Topic) -> NewestOutcome:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 from typing import Protocol
 
 import msgspec
@@ -33,6 +34,7 @@
     OutOfSequence,
     Producer,
     ReadOutcome,
+    Span,
     StorePort,
     Superseded,
     Topic,
@@ -58,6 +60,10 @@
 # lost the store would hold it for the whole of a long read.
 PEER_READ_WAIT_S = 0.2
 
+# The newest configuration, with 1,700 routes, is 0.45 MB as it travels: 0.7 s on the
+# narrowest link, of 5 Mbit/s. With less, an instance there never gets it from a peer.
+PEER_NEWEST_S = 1.0
+
 
 class AppendAsk(msgspec.Struct, tag="append", frozen=True):
     """An append that a peer is to make."""
@@ -74,6 +80,7 @@
     topic: str
     offset: int
     wait_s: float
+    size_max_bytes: int
 
 
 class NewestAsk(msgspec.Struct, tag="newest", frozen=True):
@@ -161,11 +168,17 @@
         assert not isinstance(outcome, Batch | Expired | Newest)
         return outcome
 
-    async def read(self, topic: Topic, offset: int, wait_s: float) -> ReadOutcome:
+    async def read(self, topic: Topic, span: Span) -> ReadOutcome:
         """Read from an offset; wait for a record if there is none."""
+        wait_s = min(span.wait_s, PEER_READ_WAIT_S)
+        direct_span = span
+        if self._away_since_s is not None:
+            # A long read that stays unanswered costs its whole wait before a peer is
+            # asked; while the store is out of reach, that makes every view 2 s old.
+            direct_span = replace(span, wait_s=0.0)
         outcome = await self._call(
-            lambda: self.direct.read(topic, offset, wait_s),
-            ReadAsk(topic.value, offset, min(wait_s, PEER_READ_WAIT_S)),
+            lambda: self.direct.read(topic, direct_span),
+            ReadAsk(topic.value, span.offset, wait_s, span.size_max_bytes),
             PEER_READ_WAIT_S + PEER_MARGIN_S,
         )
         assert isinstance(outcome, ReadOutcome)
@@ -176,7 +189,7 @@
         outcome = await self._call(
             lambda: self.direct.newest(topic),
             NewestAsk(topic.value),
-            2 * PEER_MARGIN_S,
+            PEER_NEWEST_S,
         )
         assert isinstance(outcome, NewestOutcome)
         return outcome
@@ -275,7 +288,8 @@
                 records = [Keyed(key, value) for key, value in rows]
                 producer = Producer(*number) if number is not None else None
                 return await self.direct.append(topic, records, producer, at_offset)
-            case ReadAsk(offset=offset, wait_s=wait_s):
-                return await self.direct.read(topic, offset, wait_s)
+            case ReadAsk(offset=offset, wait_s=wait_s, size_max_bytes=size_max_bytes):
+                span = Span(offset, wait_s, size_max_bytes)
+                return await self.direct.read(topic, span)
             case NewestAsk():
                 return await self.direct.newest(topic)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
@@ -30,6 +30,13 @@
     # A read waits this long for a record. Twice this is still below the 2 s in
     # which a new configuration must be in force after a connection went silent.
     read_wait_s: float = 1.0
+    # The same for the holder's read of the log of jobs: an answer that was lost costs
+    # half a second less before new jobs are seen again, and an idle cell one call more
+    # a second.
+    holder_read_wait_s: float = 0.5
+    # "No such queue" is said by a configuration that was the newest so long ago or
+    # less: a new one has to be in force 2 s after it was stored.
+    configuration_recent_s: float = 1.8
     # An instance that could not read for so long says that it is not ready:
     # three reads have failed by then.
     stale_s: float = 2.5
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
@@ -18,6 +18,7 @@
     OutOfSequence,
     Producer,
     ReadOutcome,
+    Span,
     Superseded,
     Topic,
     Unavailable,
@@ -30,8 +31,6 @@
 CALLER_PATIENCE_S = 1.0
 # A store remembers the outcome of this many appends of each producer.
 REMEMBERED = 5
-# One read returns records of so many bytes in all, but always a whole one.
-READ_BYTES = 1024 * 1024
 # The records of a read of newest records travel as text.
 NEWEST_SIZE_RATIO = 4 / 3
 
@@ -213,31 +212,35 @@
         self.store.wake()
         return outcome
 
-    async def _silence(self, wait_s: float = 0.0) -> NoAnswer:
-        await asyncio.sleep(wait_s + CALLER_PATIENCE_S)
+    async def _silence(self, patience_s: float = CALLER_PATIENCE_S) -> NoAnswer:
+        await asyncio.sleep(patience_s)
         return NoAnswer("timed out")
 
-    async def _refused(self, wait_s: float = 0.0) -> Unavailable | NoAnswer | None:
+    async def _refused(
+        self, patience_s: float = CALLER_PATIENCE_S
+    ) -> Unavailable | NoAnswer | None:
         match self.store.fault(self.name):
             case StoreFault.REFUSES:
                 return Unavailable("refused")
             case StoreFault.SILENT:
-                return await self._silence(wait_s)
+                return await self._silence(patience_s)
         return None
 
-    async def read(self, topic: Topic, offset: int, wait_s: float) -> ReadOutcome:
+    async def read(self, topic: Topic, span: Span) -> ReadOutcome:
         """Read from an offset; wait for a record if there is none."""
+        offset, wait_s = span.offset, span.wait_s
         self.store.reads += 1
         await asyncio.sleep(self.store.answer_s / 2)
         log = self.store.logs[topic]
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
+            left_s = deadline_s - asyncio.get_running_loop().time()
+            patience_s = left_s + CALLER_PATIENCE_S
             if (self.name, topic) in self.store.unread:
-                return await self._silence(wait_s)
-            refused = await self._refused(wait_s)
+                return await self._silence(patience_s)
+            refused = await self._refused(patience_s)
             if refused is not None:
                 return refused
-            left_s = deadline_s - asyncio.get_running_loop().time()
             if log.end > offset or left_s <= 0:
                 break
             try:
@@ -248,7 +251,7 @@
         await asyncio.sleep(self.store.answer_s / 2)
         if offset < log.first:
             return Expired()
-        records = _page(log.records[offset:])
+        records = _page(log.records[offset:], span.size_max_bytes)
         batch = Batch(records, offset + len(records), log.end)
         if not await self._carried(_size_bytes(records)):
             return NoAnswer("timed out")
@@ -285,10 +288,10 @@
     return sum(len(record.key) + len(record.value or b"") for record in records)
 
 
-def _page(records: Sequence[Keyed]) -> list[Keyed]:
-    """Return the records that one read carries."""
+def _page(records: Sequence[Keyed], size_max_bytes: int) -> list[Keyed]:
+    """Return the records that one read carries: one at least."""
     page: list[Keyed] = []
-    left_bytes = READ_BYTES
+    left_bytes = size_max_bytes
     for record in records:
         left_bytes -= _size_bytes([record])
         if page and left_bytes < 0:
