--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from dataclasses import fields
 
 from behave import given, step, then, when
 from support.cell_walk import build, new_world, plain, walk
@@ -113,7 +114,10 @@
 
 @given('advice allows only the workers "{one}" and "{other}"')
 def advise(context, one, other):
+    context.asked = []
+
     def answer(step_key, worker_ids):
+        context.asked += worker_ids
         allowed = {name: "ticket" for name in worker_ids if name in (one, other)}
         return Allowance(allowed, 3.0)
 
@@ -181,6 +185,14 @@
     context.outcome = play(context, context.world.submit(job_id(name), URGENT, step_))
 
 
+@when(
+    'a gang job "{name}" of {tasks:d} tasks of {cores:d} cores is handed in for advice'
+)
+def hand_in_advised_gang(context, name, tasks, cores):
+    step_ = plain(tasks, cores * 1000, gang=True)
+    context.outcome = play(context, context.world.submit(job_id(name), ADVISED, step_))
+
+
 def record_runs(world):
     """Note every run that begins, with its time."""
     runs = []
@@ -370,6 +382,22 @@
     assert used and used <= {one, other}, used
 
 
+@then("nobody was asked again about a worker that may not run the step")
+def asked_once(context):
+    used = {name for name, w in context.world.workers.items() if w.highest}
+    others = [name for name in context.asked if name not in used]
+    assert others and len(others) == len(set(others)), others
+
+
+@then("no advice is kept {seconds_s:g} s later")
+def no_advice(context, seconds_s):
+    play(context, asyncio.sleep(seconds_s))
+    world = context.world
+    book = world.instances[world.holder()].holder.cell.advice
+    kept = {f.name: getattr(book, f.name) for f in fields(book)}
+    assert context.asked and not any(kept.values()), kept
+
+
 @then("every member had the same run number")
 def same_number(context):
     numbers = {run.number for _, run in context.runs}
