--- a/packages/hornbeampaddle/hornbeampaddle/cell/advice.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/advice.py
@@ -1,17 +1,26 @@
-"""Keep the advice of the service that says which workers may run a step."""
+"""
+Keep the advice of the service that says which workers may run a step.
 
+Which workers may run a step never changes during their lives; only tickets
+expire. So what was answered about a worker is kept until the step is done, and
+a question names only workers that nothing is known of, or whose ticket is over.
+"""
+
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .effects import AdviceQuestion, Decision
 from .jobs import StepKey, TaskKey
+from .placing import allowed_share
 from .progress import StepState
 from .workers import WorkerState
 
 if TYPE_CHECKING:
     from .scheduler import Scheduler
 
-# The service of advice answers one question at a time for each caller.
+# The service of advice answers one question at a time for each caller: after a
+# question without an answer it may be busy or away.
 ADVICE_PAUSE_S = 0.3
 
 
@@ -23,29 +32,74 @@
     valid_until_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """What a start on one worker carries, and until when."""
+
+    text: str
+    valid_until_s: float
+
+
+@dataclass(slots=True)
+class StepAdvice:
+    """
+    What is known of one step.
+
+    ``allowed`` holds the last ticket of each worker that may run the step,
+    ``refused`` the workers that may not, ``asked`` those of the open question.
+    """
+
+    allowed: dict[str, Ticket] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    asked: tuple[str, ...] = ()
+    rests_until_s: float = float("-inf")
+
+    def take(self, allowance: Allowance) -> None:
+        """Take in an answer beside those that came before."""
+        until_s = allowance.valid_until_s
+        for worker_id, text in allowance.tickets.items():
+            self.allowed[worker_id] = Ticket(text, until_s)
+        self.refused.update(set(self.asked) - allowance.tickets.keys())
+
+    def valid(self, now_s: float) -> dict[str, str]:
+        """Return the tickets that have not expired, by worker."""
+        return {
+            worker_id: ticket.text
+            for worker_id, ticket in self.allowed.items()
+            if ticket.valid_until_s > now_s
+        }
+
+    def keep(self, worker_ids: Collection[str]) -> None:
+        """Forget the workers that are gone; a lasting step outlives many."""
+        self.refused.intersection_update(worker_ids)
+        for worker_id in self.allowed.keys() - worker_ids:
+            del self.allowed[worker_id]
+
+
 @dataclass(slots=True)
 class AdviceBook:
     """Advice that was given, and questions that are open."""
 
-    given: dict[StepKey, Allowance] = field(default_factory=dict)
-    asked: set[StepKey] = field(default_factory=set)
-    rested: dict[StepKey, float] = field(default_factory=dict)
+    steps: dict[StepKey, StepAdvice] = field(default_factory=dict)
+
+    def about(self, step: StepKey) -> StepAdvice:
+        """Return what is known of a step."""
+        return self.steps.setdefault(step, StepAdvice())
 
     def answer(self, step: StepKey, allowance: Allowance | None, now_s: float) -> None:
         """Take in an answer; nothing means that none came."""
-        self.asked.discard(step)
-        if allowance is None or not allowance.tickets:
-            self.rested[step] = now_s + ADVICE_PAUSE_S
-        if allowance is not None:
-            self.given[step] = allowance
+        advice = self.about(step)
+        if allowance is None:
+            advice.rests_until_s = now_s + ADVICE_PAUSE_S
+        else:
+            advice.take(allowance)
+        advice.asked = ()
 
-    def drop(self, key: TaskKey) -> None:
-        """Forget the advice on a task's step; a worker did not accept it."""
-        self.given.pop(StepKey(*key[:3]), None)
-
-    def may_ask(self, step: StepKey, now_s: float) -> bool:
-        """Tell whether a question on this step may be sent now."""
-        return step not in self.asked and self.rested.get(step, 0.0) <= now_s
+    def drop(self, key: TaskKey, worker_id: str) -> None:
+        """Forget a worker's ticket for a task's step; it did not accept it."""
+        advice = self.steps.get(StepKey(*key[:3]))
+        if advice is not None:
+            advice.allowed.pop(worker_id, None)
 
 
 def tickets(
@@ -56,23 +110,76 @@
     now_s: float,
 ) -> dict[str, str]:
     """
-    Return the ticket of each worker that may run a step.
+    Return the ticket of each worker with room that may run a step.
+
+    While these have no room for all tasks that wait, a question about others
+    goes out with the decision.
+    """
+    advice = cell.advice.about(step.key)
+    valid = advice.valid(now_s)
+    room = [w for w in workers if _fits(step, w)]
+    open_ = [w for w in room if w.worker_id in valid]
+    may_ask = not advice.asked and advice.rests_until_s <= now_s
+    if may_ask and not _holds_all(cell, step, open_):
+        _ask(cell, decision, step, advice, room, valid)
+    return {w.worker_id: valid[w.worker_id] for w in open_}
+
+
+def _ask(
+    cell: "Scheduler",
+    decision: Decision,
+    step: StepState,
+    advice: StepAdvice,
+    room: list[WorkerState],
+    valid: dict[str, str],
+) -> None:
+    """
+    Ask about workers with room whose part in the step is not known.
+
+    Guards against a step that waits for ever beside workers that may run it:
+    the same first workers named in each question would hide all others. Each
+    worker that may not run the step is named once, so the questions come to
+    everyone, and then end.
+    """
+    advice.keep(cell.workers.keys())
+    names = [w.worker_id for w in room]
+    again = [name for name in names if name in advice.allowed and name not in valid]
+    known = advice.allowed.keys() | advice.refused
+    asked = again + [name for name in names if name not in known]
+    advice.asked = tuple(asked[: cell.settings.advice_workers])
+    if advice.asked:
+        decision.questions.append(AdviceQuestion(step.key, advice.asked))
+
+
+def _holds_all(cell: "Scheduler", step: StepState, workers: list[WorkerState]) -> bool:
+    """
+    Tell whether workers have room for every task of a step that waits.
 
-    Nothing is returned while no advice is there; the question goes out with the
-    decision.
+    Guards against a gang that waits for ever, or tasks that wait longer than
+    they must, because one allowed worker with room for some was found.
     """
-    allowance = cell.advice.given.get(step.key)
-    if allowance is not None and allowance.valid_until_s > now_s:
-        with_room = {w.worker_id for w in workers if _fits(step, w)}
-        if with_room & allowance.tickets.keys():
-            return allowance.tickets
-    if cell.advice.may_ask(step.key, now_s):
-        room = [w.worker_id for w in workers if _fits(step, w)]
-        asked = tuple(room[: cell.settings.advice_workers])
-        if asked:
-            cell.advice.asked.add(step.key)
-            decision.questions.append(AdviceQuestion(step.key, asked))
-    return {}
+    missing = len(step.waiting())
+    for worker in workers:
+        missing -= _slots(cell, step, worker, missing)
+        if missing <= 0:
+            return True
+    return False
+
+
+def _slots(cell: "Scheduler", step: StepState, worker: WorkerState, most: int) -> int:
+    """Count the tasks of a step, up to some number, that may start on a worker."""
+    wanted = step.step
+    if wanted.filler and allowed_share(wanted, worker, cell.model) < 1.0:
+        return 0
+    if wanted.per_worker_max:
+        here = sum(
+            task.run is not None and task.run.worker_id == worker.worker_id
+            for task in step.tasks
+        )
+        most = min(most, wanted.per_worker_max - here)
+    while most > 0 and not wanted.charge.times(most).fits_in(worker.free()):
+        most -= 1
+    return max(0, most)
 
 
 def _fits(step: StepState, worker: WorkerState) -> bool:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
@@ -93,7 +93,7 @@
         if reason is Reason.FENCED:
             return None
         if reason is Reason.TICKET:
-            self.cell.advice.drop(run.key)
+            self.cell.advice.drop(run.key, worker.worker_id)
         if reason in (Reason.UNWELL, Reason.NO_ROOM):
             worker.rest_until_s = max(
                 worker.rest_until_s, now_s + self.cell.settings.unwell_s
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -60,5 +60,6 @@
     early_s: float = 0.0
     # Finished jobs are forgotten after so long: callers ask for 120 s.
     keep_finished_s: float = 130.0
-    # Workers named in one question for advice: few, for each costs time.
+    # Workers named in one question for advice: few, for each costs time. The next
+    # question names others.
     advice_workers: int = 24
