--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -315,7 +315,7 @@
             asked=len(question.worker_ids),
             allowed=len(allowance.tickets) if allowance is not None else None,
         )
-        self.cell.advice.answer(question.step, allowance, now_s)
+        self.cell.take_advice(question.step, allowance, now_s)
         self.wake()
 
     def _heartbeat_due(self, now_s: float) -> bool:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/advice.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/advice.py
@@ -95,6 +95,10 @@
             advice.take(allowance)
         advice.asked = ()
 
+    def close(self, step: StepKey) -> None:
+        """Forget a step that needs no worker any more."""
+        self.steps.pop(step, None)
+
     def drop(self, key: TaskKey, worker_id: str) -> None:
         """Forget a worker's ticket for a task's step; it did not accept it."""
         advice = self.steps.get(StepKey(*key[:3]))
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -113,11 +113,14 @@
             "worker": worker.worker_id,
         }
         self.cell.note(Note("run_done", task.key.job_id, detail))
-        if state.occurrences[task.key.occurrence][task.key.step].step.gang:
+        step = state.occurrences[task.key.occurrence][task.key.step]
+        if step.step.gang:
             self._gang_done(state, task, now_s)
         task.done = True
         task.checkpoint = ""
         task.run = None
+        if step.done:
+            self.cell.advice.close(step.key)
         if run is not None and run.key in self._runs_on(run.worker_id):
             # An attempt that was given up has ended well after all.
             self.cell.stop(run, "already_done")
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -12,11 +12,11 @@
 from ..machines import Address
 from ..resources import NOTHING
 from . import dispatch, moving, pacing
-from .advice import AdviceBook
+from .advice import AdviceBook, Allowance
 from .effects import Decision, Note, PaceOrder, StopOrder
 from .intake import Intake
 from .interference import Interference
-from .jobs import Job
+from .jobs import Job, StepKey
 from .orders import Orders
 from .progress import JobState, JobStatus, Run, RunPhase, encode, restore
 from .separating import Separator
@@ -97,7 +97,9 @@
 
     def forget(self, job_id: str) -> None:
         """Drop a finished job."""
-        self.jobs.pop(job_id, None)
+        state = self.jobs.pop(job_id, None)
+        if state is not None:
+            self._close_advice(state)
         self.open_jobs.pop(job_id, None)
         self.dirty.discard(job_id)
 
@@ -270,9 +272,30 @@
             "age_s": round(now_s - state.accepted_at_s, 3),
         }
         self.note(Note("job_finished", state.job.job_id, detail))
+        self._close_advice(state)
         for run in state.runs():
             self.stop(run, why)
 
+    def _close_advice(self, state: JobState) -> None:
+        for steps in state.occurrences.values():
+            for step in steps:
+                self.advice.close(step.key)
+
+    def take_advice(
+        self, key: StepKey, allowance: Allowance | None, now_s: float
+    ) -> None:
+        """
+        Take in the answer to a question about a step; nothing means none came.
+
+        Guards against a book that grows with every job: an answer that comes after
+        the step was done, or its job ended, is dropped like what was known before.
+        """
+        state = self.open_jobs.get(key.job_id)
+        if state is None or state.status.final:
+            return
+        if not state.occurrences[key.occurrence][key.step].done:
+            self.advice.answer(key, allowance, now_s)
+
     def decide(self, now_s: float, wall_s: float) -> Decision:
         """Place what waits; return what to store and which orders to give."""
         self.expire(now_s)
