--- a/features/cell.feature
+++ b/features/cell.feature
@@ -277,3 +277,30 @@
     And the job "ac07" is cancelled at once
     Then the job "ac06" is shown as completed within 15 s
     And no advice is kept 3 s later
+
+  Scenario: A start whose fate is open is settled although the stop is refused
+    # A check waits for good beside free workers. Its start got no answer, the next try was
+    # refused, so the run is to be stopped before it is tried elsewhere, and the worker
+    # refuses that too. It never lists the run, and nobody tells it again.
+    Given a cell of 3 instances and 4 workers
+    When a job "ac08" of 1 steps of 4 tasks is handed in while no worker is reached
+    And 0.3 s pass in the cell
+    And the workers are reached again but carry out no order
+    And 1.5 s pass in the cell
+    And the workers carry out orders again
+    Then the job "ac08" is shown as completed within 6 s
+    And no promise of the cell was broken
+
+  Scenario: Room comes back from a run that was cancelled while its worker was cut off
+    # Jobs wait beside empty workers. A run was to be stopped before its start was answered,
+    # every try of the stop was lost, and its room stays booked for as long as the worker's
+    # lease is renewed.
+    Given a cell of 3 instances and 4 workers
+    When a job "ac09" of 1 steps of 4 tasks is handed in while no worker is reached
+    And 0.3 s pass in the cell
+    And the job "ac09" is cancelled at once
+    And 5.5 s pass in the cell
+    And the workers are reached again
+    And a lasting job "ac10" of 4 tasks that take a whole worker each is handed in
+    Then 4 tasks of "ac10" are at work within 6 s
+    And no promise of the cell was broken
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -505,3 +505,40 @@
     play(context, asyncio.sleep(1.5))
     submit_job(context, name, steps, tasks, URGENT, context.world.holder())
     play(context, asyncio.sleep(0.3))
+
+
+@when(
+    'a job "{name}" of {steps:d} steps of {tasks:d} tasks is handed in '
+    "while no worker is reached"
+)
+def hand_in_cut_off(context, name, steps, tasks):
+    world = context.world
+    world.faults.cut |= {(i, w) for i in world.instances for w in world.workers}
+    submit_job(context, name, steps, tasks, URGENT)
+
+
+@when("the workers are reached again")
+def reach_workers(context):
+    context.world.faults.cut.clear()
+
+
+@when("the workers are reached again but carry out no order")
+def reach_unwell_workers(context):
+    reach_workers(context)
+    for worker in context.world.workers.values():
+        worker.unwell = True
+
+
+@when("the workers carry out orders again")
+def make_well(context):
+    for worker in context.world.workers.values():
+        worker.unwell = False
+
+
+@when(
+    'a lasting job "{name}" of {tasks:d} tasks that take a whole worker each '
+    "is handed in"
+)
+def hand_in_whole(context, name, tasks):
+    step_ = plain(tasks, 16_000, lasting=True)
+    context.outcome = play(context, context.world.submit(job_id(name), URGENT, step_))
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -113,6 +113,8 @@
     alive: bool = True
     fails_all: bool = False
     stalled: bool = False
+    # Refuses every order and has then done nothing; it still reports.
+    unwell: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def now_s(self) -> float:
@@ -342,6 +344,9 @@
         await asyncio.sleep(ANSWER_S / 2)
         return outcome
 
+    def _if_well(self, act: Callable[[], OrderOutcome]) -> Callable[[], OrderOutcome]:
+        return lambda: Refused(Reason.UNWELL) if self.worker.unwell else act()
+
     def _if_alive(self, act: Callable[[], OrderOutcome]) -> None:
         if self.worker.alive:
             act()
@@ -352,11 +357,15 @@
 
     async def start(self, run: Run, payload: str, deadline_s: float) -> OrderOutcome:
         """Start an attempt."""
-        return await self._order(lambda: self.worker.start(run, self.token, deadline_s))
+        return await self._order(
+            self._if_well(lambda: self.worker.start(run, self.token, deadline_s))
+        )
 
     async def stop(self, run: Run) -> OrderOutcome:
         """End an attempt."""
-        return await self._order(lambda: self.worker.stop(run, self.token))
+        return await self._order(
+            self._if_well(lambda: self.worker.stop(run, self.token))
+        )
 
     async def pace(self, run: Run, percent: int) -> OrderOutcome:
         """Let an attempt work at a share of its speed."""
