--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -6,6 +6,7 @@
 does not know is given up.
 """
 
+import math
 from typing import TYPE_CHECKING
 
 from .effects import Note, StopOrder
@@ -243,3 +244,10 @@
             confirmed = run.confirmed_at_s < report.sent_at_s
             if inherited or confirmed:
                 self.cell.release(run, report.received_at_s, "not_on_worker")
+            elif run.confirmed_at_s == math.inf:
+                # Guards against a task that waits for good, and room that stays
+                # booked: the start of this run had no answer, and the worker has
+                # refused its stop or never got it. Until a stop is answered, the
+                # start may still be carried out; so it is the stop that is
+                # repeated, for as long as the worker reports.
+                self._repeat_stop(run, report.received_at_s)
