--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -165,10 +165,20 @@
         for record in records:
             if record.key == HOLDER_KEY:
                 self._take_holder(record, now_s)
-            elif self.holder is None:
+            elif self.holder is None or self._replaced(self.holder):
                 self.ledger.take_progress(record)
         self.leadership.sign_of_life(now_s)
 
+    def _replaced(self, holder: Holder) -> bool:
+        """
+        Tell whether the log names a later holder than the one of this instance.
+
+        Guards against a holder that gets no answers to what it stores and shows old
+        states of its successor's jobs: records after the later claim are not its
+        own, and nobody but the log will give them to it.
+        """
+        return self.leadership.epoch > holder.epoch
+
     def _take_holder(self, record: Keyed, now_s: float) -> None:
         before = self.leadership.holder
         self.leadership.observe(record.value, now_s)
@@ -180,6 +190,8 @@
                 epoch=after.epoch if after is not None else 0,
                 vacant=self.leadership.vacant,
             )
+        if self.holder is not None and self._replaced(self.holder):
+            self.holder.lose("the log names a later holder")
 
     def _take_operator(self, records: Sequence[Keyed]) -> None:
         for record in records:
