--- a/features/cell.feature
+++ b/features/cell.feature
@@ -318,3 +318,27 @@
     When 2 s pass in the cell
     Then the earlier holder shows the job "ac11" as completed
     And no promise of the cell was broken
+
+  Scenario: A finished job that is being forgotten does not begin again
+    # A job of two minutes ago is shown as "queued" and all its tasks run a second time. Its
+    # progress is deleted first and the job after that; the log of jobs refuses the second
+    # and the holder dies, so the next one finds a job of which nothing has started.
+    Given a cell of 3 instances and 4 workers
+    When a job "ac12" of 1 steps of 4 tasks is handed in
+    Then the job "ac12" is shown as completed within 10 s
+    When the log of jobs refuses every record
+    And 140 s pass in the cell
+    Then the job "ac12" is shown as completed within 1 s
+    When the holder dies
+    And the log of jobs takes records again
+    Then another instance holds the cell within 4 s
+    When 10 s pass in the cell
+    Then no task was started more often than needed
+    And no promise of the cell was broken
+
+  Scenario: A job that ended long ago leaves nothing behind
+    Given a cell of 3 instances and 4 workers
+    When a job "ac13" of 1 steps of 4 tasks is handed in
+    Then the job "ac13" is shown as completed within 10 s
+    When 140 s pass in the cell
+    Then neither the log nor any instance keeps anything of the job "ac13"
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -548,3 +548,27 @@
 def shown_by_earlier(context, name):
     status = play(context, context.world.status(job_id(name), context.before))
     assert status is JobStatus.COMPLETED, status
+
+
+@when("the log of jobs refuses every record")
+def refuse_jobs(context):
+    context.world.store.unwritten.add(Topic.JOBS)
+
+
+@when("the log of jobs takes records again")
+def take_jobs(context):
+    context.world.store.unwritten.clear()
+
+
+@then('neither the log nor any instance keeps anything of the job "{name}"')
+def nothing_kept(context, name):
+    wanted = job_id(name)
+    logs = context.world.store.logs
+    kept = [topic for topic, log in logs.items() if wanted in log.newest]
+    for instance in context.world.instances.values():
+        ledger = instance.ledger
+        if wanted in ledger.jobs or wanted in ledger.progress:
+            kept.append(instance.settings.name)
+        if instance.holder is not None and wanted in instance.holder.cell.jobs:
+            kept.append("holder")
+    assert not kept, kept
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
@@ -112,6 +112,8 @@
     faults: dict[str, StoreFault] = field(default_factory=dict)
     # Reads of a log that one instance gets no answer to.
     unread: set[tuple[str, Topic]] = field(default_factory=set)
+    # Logs that refuse every append.
+    unwritten: set[Topic] = field(default_factory=set)
     answer_s: float = ANSWER_S
     late_s: float = 3.0
     appends: int = 0
@@ -160,6 +162,8 @@
         """Append all records or none."""
         self.store.appends += 1
         await asyncio.sleep(self.store.answer_s / 2)
+        if topic in self.store.unwritten:
+            return Unavailable("refused")
         match self.store.fault(self.name):
             case StoreFault.REFUSES:
                 return Unavailable("refused")
