--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -93,6 +93,8 @@
         self._forget_at_s = claimed_at_s + FORGET_EVERY_S
         self._summary_at_s = claimed_at_s
         self._learned_at_s = claimed_at_s + LEARNED_EVERY_S
+        # Jobs that the log of jobs has dropped, whose progress is still stored.
+        self._dropped: set[str] = set()
         self._releasing = False
         self._next_turn_s = float("-inf")
 
@@ -131,6 +133,7 @@
                 self.cell.cancel(job_id, now_s)
             case Change.FORGOTTEN:
                 self.cell.forget(job_id)
+                self._dropped.add(job_id)
             case Change.REPEATED:
                 return
         self.wake()
@@ -257,8 +260,9 @@
         self._next_turn_s = now_s + min(TURN_GAP_MAX_S, TURN_GAP_RATIO * took_s)
         self._give_urgent(decision)
         ends = [(worker, end) for worker, end in self.cell.acknowledgements()]
-        records = [Keyed(key, value) for key, value in decision.records.items()]
-        records += self._forgotten(now_s)
+        self._forget(now_s)
+        records = self._take_dropped()
+        records += [Keyed(key, value) for key, value in decision.records.items()]
         records += self._learned(now_s)
         self._log_summary(now_s)
         unacked = any(worker.acked_end < end for worker, end in ends)
@@ -341,14 +345,23 @@
         self.metrics.summed_up(state)
         log.info("cell: state", epoch=self.epoch, **asdict(state))
 
-    def _forgotten(self, now_s: float) -> list[Keyed]:
+    def _forget(self, now_s: float) -> None:
         if now_s < self._forget_at_s:
-            return []
+            return
         self._forget_at_s = now_s + FORGET_EVERY_S
-        forgotten = self.cell.forgettable(now_s)[:FORGET_COUNT]
-        for job_id in forgotten:
+        for job_id in self.cell.forgettable(now_s)[:FORGET_COUNT]:
             self._spawn(self._drop(job_id))
-        return [Keyed(job_id, None) for job_id in forgotten]
+
+    def _take_dropped(self) -> list[Keyed]:
+        """
+        Return the deletions of the progress of jobs that the log of jobs dropped.
+
+        Guards against a finished job that runs a second time: a job without progress
+        looks like one of which nothing has started, so the job goes first. A holder
+        that dies between the two leaves a record of progress that names no job.
+        """
+        dropped, self._dropped = self._dropped, set()
+        return [Keyed(job_id, None) for job_id in sorted(dropped)]
 
     async def _drop(self, job_id: str) -> None:
         producer = Producer(f"{self.settings.instance_id}-drop-{job_id}", 1, 0)
