--- a/features/cell.feature
+++ b/features/cell.feature
@@ -342,3 +342,35 @@
     Then the job "ac13" is shown as completed within 10 s
     When 140 s pass in the cell
     Then neither the log nor any instance keeps anything of the job "ac13"
+
+  Scenario: A job that was dropped while an instance could not read stays dropped
+    # A job of two minutes ago is shown as "queued" and runs a second time. An instance gets
+    # no answers from the log of jobs while the job is dropped, its place in the log expires,
+    # and among the newest records nothing says that the job is gone.
+    Given a cell of 2 instances and 4 workers
+    When a job "ac14" of 1 steps of 4 tasks is handed in
+    Then the job "ac14" is shown as completed within 10 s
+    When the other instance reads no jobs
+    And 140 s pass in the cell
+    And the log forgets its history
+    And the other instance reads jobs again
+    And 3 s pass in the cell
+    Then neither the log nor any instance keeps anything of the job "ac14"
+    When the holder dies
+    Then another instance holds the cell within 5 s
+    When 5 s pass in the cell
+    Then no task was started more often than needed
+
+  Scenario: A cancellation that is read before its job counts
+    # A user cancels, gets the answer, and the job runs. The holder cannot read; the job is
+    # handed in, cancelled, and handed in again by a caller that got no answer, at an
+    # instance that has not heard of it. Among the newest records the job comes last.
+    Given a cell of 3 instances and 4 workers
+    When only one instance reads jobs, and it is not the holder
+    And a job "ac15" of 1 steps of 4 tasks is handed in there
+    And the job "ac15" is cancelled there
+    And a job "ac15" of 1 steps of 4 tasks is handed in at the holder
+    And the log forgets its history
+    And all instances read jobs again
+    And 5 s pass in the cell
+    Then nothing has started
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -494,6 +494,29 @@
     world.store.unread.add((context.other, Topic.JOBS))
 
 
+@when("only one instance reads jobs, and it is not the holder")
+def one_reads_jobs(context):
+    world = context.world
+    context.reader = next(n for n in world.instances if n != world.holder())
+    others = [n for n in world.instances if n != context.reader]
+    world.store.unread |= {(name, Topic.JOBS) for name in others}
+    # The silence of reads takes a second to begin: the one on its way is answered.
+    play(context, asyncio.sleep(1.5))
+
+
+@when('a job "{name}" of {steps:d} steps of {tasks:d} tasks is handed in there')
+def hand_in_at_reader(context, name, steps, tasks):
+    submit_job(context, name, steps, tasks, URGENT, context.reader)
+    assert context.outcome == Accepted()
+
+
+@when('the job "{name}" is cancelled there')
+def cancel_at_reader(context, name):
+    outcome = play(context, context.world.cancel(job_id(name), context.reader))
+    assert outcome == Accepted(), outcome
+
+
+@when("all instances read jobs again")
 @when("the other instance reads jobs again")
 def read_jobs(context):
     context.world.store.unread.clear()
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
@@ -76,9 +76,9 @@
             return Conflict()
         self.records += records
         for record in records:
-            if record.value is None:
-                self.newest.pop(record.key, None)
-            else:
+            # The newest records are read in the order in which they were written.
+            self.newest.pop(record.key, None)
+            if record.value is not None:
                 self.newest[record.key] = record.value
         done = Appended(self.end)
         if producer is not None and records:
