--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -129,6 +129,10 @@
         match change:
             case Change.ACCEPTED:
                 self._add_job(job_id, now_s)
+                if job_id in self.ledger.cancelled:
+                    # Guards against a cancelled job that runs: its cancellation may
+                    # be read before it, when nothing was there to be cancelled.
+                    self.cell.cancel(job_id, now_s)
             case Change.CANCELLED:
                 self.cell.cancel(job_id, now_s)
             case Change.FORGOTTEN:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -77,6 +77,7 @@
         self.holder: Holder | None = None
         self.stopping = False
         self.jobs = self._follow(Topic.JOBS, self._take_jobs)
+        self.jobs.on_reload = self._jobs_reloaded
         self.progress = self._follow(Topic.PROGRESS, self._take_progress)
         self.operator = self._follow(Topic.OPERATOR, self._take_operator)
         self.appender = Appender(self.store, Topic.JOBS, clock, settings)
@@ -160,6 +161,16 @@
             if self.holder is not None:
                 self.holder.job_changed(change, job_id)
 
+    def _jobs_reloaded(self, names: set[str]) -> None:
+        """
+        Forget the jobs that are no longer in the log of jobs, which was read whole.
+
+        Guards against a dropped job that shows as queued and runs again under this
+        instance: the newest records do not name what was deleted.
+        """
+        gone = [job_id for job_id in self.ledger.jobs if job_id not in names]
+        self._take_jobs([Keyed(job_id, None) for job_id in gone])
+
     def _take_progress(self, records: Sequence[Keyed]) -> None:
         now_s = self.clock.now_s()
         for record in records:
