--- a/features/platform_border.feature
+++ b/features/platform_border.feature
@@ -43,3 +43,21 @@
       | fields that nobody knows   | read, and peers are listened to |
       | no address of the store    | refused with its path           |
       | no settings at all         | refused with its path           |
+
+  Scenario: A request that arrived before the listener drains is answered
+    # A caller's connection ends without an answer while an instance is being restarted.
+    # The process was busy for a moment and had not read yet what had arrived when its time
+    # to drain came; it closed the connections on which it waited for a request.
+    Given a listener with an open connection
+    When a request has arrived and the listener drains at once
+    Then the caller has a whole answer that closes the connection
+
+  Scenario: A request on a new connection that arrived before the listener drains is answered
+    Given a listener with an open connection
+    When a request on a new connection has arrived and the listener drains at once
+    Then the caller has a whole answer that closes the connection
+
+  Scenario: Half a request that arrived before the listener drains is answered
+    Given a listener with an open connection
+    When the first half of a request has arrived and the listener drains at once
+    Then the caller has a whole answer that closes the connection
--- a/features/steps/border_steps.py
+++ b/features/steps/border_steps.py
@@ -1,7 +1,9 @@
 """Steps that send requests through the platform's border."""
 
+import asyncio
 import json
 import os
+import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -24,7 +26,8 @@
 )
 from hornbeampaddle_platform.ingress import Ingress  # noqa: E402
 from hornbeampaddle_platform.store import decode_records, encode_record  # noqa: E402
-from hornbeampaddle_wire.http_messages import Request  # noqa: E402
+from hornbeampaddle_wire.http_messages import Request, Response  # noqa: E402
+from hornbeampaddle_wire.http_server import HttpLimits, HttpServer  # noqa: E402
 
 PHASE = {"count": 2, "cpu": 500, "memMb": 64, "unknown": [1, {"a": None}]}
 BODIES = {
@@ -126,3 +129,78 @@
         assert context.path in str(error), error
     else:
         raise AssertionError("the settings were taken")
+
+
+CALL = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"
+PATIENCE_S = 5.0
+
+
+async def _echo(request):
+    return Response(200, request.body)
+
+
+def _connect(port):
+    caller = socket.create_connection(("127.0.0.1", port), PATIENCE_S)
+    caller.setblocking(False)
+    return caller
+
+
+async def _read(caller, until):
+    """Read until some bytes came, or the end of the connection; return all of it."""
+    loop = asyncio.get_running_loop()
+    data = b""
+    async with asyncio.timeout(PATIENCE_S):
+        while until not in data:
+            part = await loop.sock_recv(caller, 65536)
+            if not part:
+                break
+            data += part
+    return data
+
+
+@given("a listener with an open connection")
+def open_listener(context):
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+    context.server = HttpServer("test", HttpLimits(), _echo)
+
+    async def begin():
+        address = await context.server.start(Address("127.0.0.1", 0))
+        context.port = address.port
+        context.caller = _connect(address.port)
+        context.add_cleanup(context.caller.close)
+        context.caller.send(CALL)
+        assert (await _read(context.caller, b"ok")).startswith(b"HTTP/1.1 200")
+
+    context.runner.run(begin())
+
+
+@when("{what} has arrived and the listener drains at once")
+def drain(context, what):
+    async def send_and_drain():
+        caller, rest = context.caller, b""
+        if what == "a request on a new connection":
+            caller = _connect(context.port)
+            context.add_cleanup(caller.close)
+        half = len(CALL) - 1 if what == "the first half of a request" else len(CALL)
+        # On loopback these bytes are at the listener's socket when this returns.
+        caller.send(CALL[:half])
+        rest = CALL[half:]
+        draining = asyncio.create_task(context.server.drain(PATIENCE_S))
+        if rest:
+            await asyncio.get_running_loop().sock_sendall(caller, rest)
+        try:
+            context.answer = await _read(caller, b"\r\n\r\nok")
+        except ConnectionError as error:
+            context.answer = repr(error).encode()
+        await draining
+
+    context.runner.run(send_and_drain())
+
+
+@then("the caller has a whole answer that closes the connection")
+def whole_answer(context):
+    answer = context.answer
+    assert answer.startswith(b"HTTP/1.1 200"), answer
+    assert b"connection: close" in answer.lower(), answer
+    assert answer.endswith(b"\r\n\r\nok"), answer
