--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_server.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_server.py
@@ -22,6 +22,9 @@
 READ_BYTES = 64 * 1024
 HEAD_END = b"\r\n\r\n"
 BARE_LF = re.compile(rb"(?<!\r)\n")
+# Before a listener and before connections without a request are closed: several turns
+# of the event loop, in which what has arrived by then is taken in.
+LAST_LOOK_S = 0.05
 FOLDED_LINE = re.compile(rb"\r\n[ \t]")
 
 log = structlog.get_logger()
@@ -86,15 +89,27 @@
         return Address(address.host, port)
 
     async def drain(self, timeout_s: float) -> int:
-        """Accept no more, let requests in flight end; return how many did not."""
-        self.stopping = True
+        """
+        Accept no more, let requests in flight end; return how many did not.
+
+        Guards against requests that end without an answer because they had arrived
+        and were not read: after a busy moment, connections that look idle may not be.
+        They are looked at once more, and each answer closes its connection.
+        """
+        self.last_answers = True
+        # Connections that wait to be accepted are, by an open server: one that closes
+        # while it accepts leaves the new connection open with nobody to read it.
+        await asyncio.sleep(LAST_LOOK_S)
         if self._server is not None:
             self._server.close()
+        await asyncio.sleep(LAST_LOOK_S)
+        self.stopping = True
         for task in list(self._idle):
             task.cancel()
         busy = [task for task in self._tasks if task not in self._idle]
         if busy:
-            await asyncio.wait(busy, timeout=timeout_s)
+            left_s = max(0.0, timeout_s - 2 * LAST_LOOK_S)
+            await asyncio.wait(busy, timeout=left_s)
         return sum(1 for task in busy if not task.done())
 
     async def close(self) -> None:
