--- a/features/cell.feature
+++ b/features/cell.feature
@@ -374,3 +374,16 @@
     And all instances read jobs again
     And 5 s pass in the cell
     Then nothing has started
+
+  Scenario: A job that a holder left while its runs were being stopped is forgotten
+    # Memory of a holder of days fills: a job whose end was stored while its tasks were still
+    # being stopped came to the next holder without the time of its end, and nothing that
+    # has no such time is ever forgotten.
+    Given a cell of 3 instances and 4 workers
+    And a lasting job "ac16" of 4 tasks is at work
+    When the job "ac16" is cancelled at once
+    And 0.2 s pass in the cell
+    And the holder dies
+    Then another instance holds the cell within 4 s
+    When 145 s pass in the cell
+    Then neither the log nor any instance keeps anything of the job "ac16"
