--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -345,6 +345,10 @@
     def _close_finished(self, now_s: float) -> None:
         for job_id, state in list(self.open_jobs.items()):
             if state.status.final and not state.runs():
+                if state.finished_at_s is None:
+                    # Guards against jobs that are kept for good: one that ended under
+                    # an earlier holder came without the time, and with runs.
+                    state.finished_at_s = now_s
                 del self.open_jobs[job_id]
 
     def forgettable(self, now_s: float) -> list[str]:
