--- a/features/cell.feature
+++ b/features/cell.feature
@@ -387,3 +387,18 @@
     Then another instance holds the cell within 4 s
     When 145 s pass in the cell
     Then neither the log nor any instance keeps anything of the job "ac16"
+
+  Scenario Outline: Random faults and workers that refuse orders, seed <seed>
+    # Each of these seeds ended with a job that was never done, or room that never came back,
+    # while a stop that a worker refused was given up.
+    Given a random walk with workers that refuse orders and seed <seed>
+    Then no promise of the cell was broken
+    And every accepted job came to its end
+    And no worker's room is booked
+
+    Examples:
+      | seed |
+      | 100  |
+      | 105  |
+      | 113  |
+      | 122  |
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -5,7 +5,7 @@
 from dataclasses import fields
 
 from behave import given, step, then, when
-from support.cell_walk import build, new_world, plain, walk
+from support.cell_walk import FAULTS, FAULTS_UNWELL, build, new_world, plain, walk
 from support.virtual_loop import VirtualLoop
 
 from hornbeampaddle.cell.advice import Allowance
@@ -429,16 +429,30 @@
 
 
 @given("a random walk of a cell with seed {seed:d}")
-def random_walk(context, seed):
+def random_walk(context, seed, faults=FAULTS):
     new_loop(context)
 
     async def begin():
         context.world = new_world(seed)
-        await walk(context.world)
+        await walk(context.world, faults)
 
     play(context, begin())
 
 
+@given("a random walk with workers that refuse orders and seed {seed:d}")
+def random_walk_unwell(context, seed):
+    random_walk(context, seed, FAULTS_UNWELL)
+
+
+@then("no worker's room is booked")
+def nothing_booked(context):
+    world = context.world
+    assert world.holder() is not None
+    cell = world.instances[world.holder()].holder.cell
+    booked = [key for worker in cell.workers.values() for key in worker.runs]
+    assert cell.workers and not booked, booked
+
+
 @then("every accepted job came to its end")
 def came_to_end(context):
     world = context.world
--- a/features/support/cell_walk.py
+++ b/features/support/cell_walk.py
@@ -115,10 +115,24 @@
     world.unlist_worker(name)
 
 
+async def _unwell(world, random):
+    """Let workers lose answers, then refuse what is sent again, one after another."""
+    for _ in range(4):
+        worker = world.workers[random.choice(sorted(world.workers))]
+        world.faults.lost_ratio = random.uniform(0, 0.3)
+        await asyncio.sleep(random.uniform(0.1, 1.0))
+        worker.unwell = True
+        await asyncio.sleep(random.uniform(0.5, 4))
+        worker.unwell = False
+    world.faults.lost_ratio = 0.0
+
+
 FAULTS = [_kill, _kill_holder, _store, _orders, _cut, _compact, _flap, _crash]
+# Workers that refuse orders as often as all of two other faults.
+FAULTS_UNWELL = [*FAULTS, _unwell, _unwell]
 
 
-async def walk(world):
+async def walk(world, faults=FAULTS):
     """Load a world and break it in several places at a time; let it recover."""
     random = Random(world.seed)
     await build(world, INSTANCES, WORKERS)
@@ -126,7 +140,7 @@
     breaking = set()
     while not load.done():
         await asyncio.sleep(random.uniform(0.5, 3.0))
-        breaking.add(asyncio.create_task(random.choice(FAULTS)(world, random)))
+        breaking.add(asyncio.create_task(random.choice(faults)(world, random)))
     await asyncio.gather(load, *breaking)
     for name in [f"i{number}" for number in range(INSTANCES)]:
         if name not in world.instances:
