--- a/features/cell.feature
+++ b/features/cell.feature
@@ -244,3 +244,78 @@
     Then the job "ac03" is shown as completed within 20 s
     And no promise of the cell was broken
     And no task was started more often than needed
+
+  Scenario Outline: A cancelled job's late start ends soon: starts 4 s late, stops <stops>
+    # A user cancels, and a task of the job begins seconds later and works on: its start
+    # had no answer and was carried out late, and so was, or never, the stop.
+    Given a cell of 3 instances and 4 workers
+    When starts are carried out 4 s late from now on
+    And a lasting job "ad01" of 4 tasks is handed in
+    And 0.3 s pass in the cell
+    And stops <stops> from now on
+    And the job "ad01" is cancelled at once
+    And <lost_s> s pass in the cell
+    And orders are carried out at once again
+    Then nothing of "ad01" runs 9 s later
+    And no task of a cancelled job ran on
+    And <runs> runs of "ad01" began late
+    And no promise of the cell was broken
+    And no room is taken on any worker
+
+    Examples:
+      | stops                | lost_s | runs |
+      | are lost             | 5      | 4    |
+      | are refused as unwell | 5     | 4    |
+      | are carried out late | 5      | 4    |
+      | are lost             | 2      | 0    |
+
+  Scenario Outline: A removed holder's late start ends soon: cancelled <when>
+    # A user cancels, and a task works on whose start the holder sent just before its
+    # machine was removed. The worker carries it out late, and the next holder has to end it.
+    Given a cell of 3 instances and 4 workers
+    When starts are carried out 1.9 s late from now on
+    And a lasting job "ad02" of 4 tasks is handed in
+    And 0.3 s pass in the cell
+    And the holder dies
+    And <before_s> s pass in the cell
+    And the job "ad02" is cancelled at once
+    Then nothing of "ad02" runs 9 s later
+    And another instance holds the cell within 1 s
+    And 4 runs of "ad02" began late
+    And no task of a cancelled job ran on
+    And no promise of the cell was broken
+    And no room is taken on any worker
+
+    Examples:
+      | when                        | before_s |
+      | before the next one begins  | 0.5      |
+      | after the next one begins   | 4        |
+
+  Scenario: A removed holder's cancellation is carried out by the next one
+    # A user cancels, and a task works on: the holder stored that the job is cancelled, its
+    # stops were lost, and it was removed. To the next holder nothing is left to cancel; that
+    # the worker reports a run of an ended job must be enough.
+    Given a cell of 3 instances and 4 workers
+    When starts are carried out 1.9 s late from now on
+    And a lasting job "ad04" of 4 tasks is handed in
+    And 0.3 s pass in the cell
+    And stops are lost from now on
+    And the job "ad04" is cancelled at once
+    And 0.3 s pass in the cell
+    And the holder dies
+    And orders are carried out at once again
+    Then nothing of "ad04" runs 9 s later
+    And 4 runs of "ad04" began late
+    And no task of a cancelled job ran on
+    And no promise of the cell was broken
+
+  Scenario: A stop that is lost is given again while the run is reported
+    # A user cancels, and the tasks work on for as long as their leases are renewed: every
+    # try of the stop was lost.
+    Given a cell of 3 instances and 4 workers
+    And a lasting job "ad03" of 4 tasks is at work
+    When stops are lost from now on
+    And the job "ad03" is cancelled at once
+    And 8 s pass in the cell
+    And orders are carried out at once again
+    Then nothing of "ad03" runs 1.5 s later
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -11,9 +11,11 @@
 from hornbeampaddle.cell.jobs import Advice, Job, Queue
 from hornbeampaddle.cell.progress import JobStatus
 from hornbeampaddle.cell.reports import EndKind
+from hornbeampaddle.resources import NOTHING
 from hornbeampaddle_cell.callers import Accepted, Gone, NotAccepted
 from hornbeampaddle_cell.ports import Topic
 from hornbeampaddle_standins.cell.store import StoreFault
+from hornbeampaddle_standins.cell.workers import OrderFate
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
 
 STORE_FAULTS = {
@@ -29,6 +31,15 @@
     return context.loop.run_until_complete(coroutine)
 
 
+def act(context, change, *arguments):
+    """Change a stand-in at a moment of the cell's time."""
+
+    async def change_now():
+        change(*arguments)
+
+    play(context, change_now())
+
+
 def new_loop(context):
     context.loop = VirtualLoop()
     asyncio.set_event_loop(context.loop)
@@ -256,7 +267,7 @@
 @when("a busy worker dies")
 def kill_worker(context):
     worker = next(w for w in context.world.workers.values() if w.runs)
-    worker.die()
+    act(context, worker.die)
 
 
 @when("a busy worker drains")
@@ -447,7 +458,7 @@
     for worker in cell.workers.values():
         worker.rest_until_s = context.loop.time() + 30.0
     worker = next(w for w in world.workers.values() if w.runs)
-    worker._end(next(iter(worker.runs)), EndKind.FAILED)
+    act(context, worker._end, next(iter(worker.runs)), EndKind.FAILED)
 
 
 @then('{tasks:d} tasks of "{name}" are at work within {seconds_s:g} s')
@@ -477,3 +488,43 @@
     play(context, asyncio.sleep(1.5))
     submit_job(context, name, steps, tasks, URGENT, context.world.holder())
     play(context, asyncio.sleep(0.3))
+
+
+@step("{kind}s {fate} from now on")
+def order_fate(context, kind, fate):
+    if fate.endswith(" s late"):
+        context.world.faults.late_s = float(fate.split()[-3])
+        fate = OrderFate.LATE.value
+    context.world.faults.fates[kind] = OrderFate(fate)
+
+
+@step("orders are carried out at once again")
+def no_fates(context):
+    context.world.faults.fates.clear()
+
+
+@when('a lasting job "{name}" of {tasks:d} tasks is handed in')
+def hand_in_lasting(context, name, tasks):
+    step_ = plain(tasks, 4000, lasting=True)
+    context.outcome = play(context, context.world.submit(job_id(name), URGENT, step_))
+    assert context.outcome == Accepted()
+
+
+@then('{runs:d} runs of "{name}" began late')
+def began_late(context, runs, name):
+    spans = [s for s in context.world.judge.spans if s.key.job_id == job_id(name)]
+    assert len(spans) == runs, spans
+
+
+@then("no task of a cancelled job ran on")
+def none_ran_on(context):
+    ran_on = context.world.judge.ran_on(context.loop.time())
+    assert not ran_on, ran_on
+
+
+@then("no room is taken on any worker")
+def no_room_taken(context):
+    world = context.world
+    cell = world.instances[world.holder()].holder.cell
+    taken = {name: w.taken for name, w in cell.workers.items() if w.taken != NOTHING}
+    assert not taken, taken
