--- a/features/cell.feature
+++ b/features/cell.feature
@@ -319,3 +319,33 @@
     And 8 s pass in the cell
     And orders are carried out at once again
     Then nothing of "ad03" runs 1.5 s later
+
+  Scenario: A stop that nobody answers leaves no room taken
+    # A user's jobs wait beside free workers. The start of a task is lost, its job is
+    # cancelled, and every try of the stop is lost as well. The worker never lists the run,
+    # so no report repeats the stop, and the run's room is kept until the holder changes.
+    Given a cell of 3 instances and 4 workers
+    When starts are lost from now on
+    And a lasting job "ae01" of 4 tasks is handed in
+    And 0.3 s pass in the cell
+    And stops are lost from now on
+    And the job "ae01" is cancelled at once
+    And 7 s pass in the cell
+    And orders are carried out at once again
+    And 3 s pass in the cell
+    Then no room is taken on any worker
+
+  Scenario: A task whose start and stop an unwell worker refused runs again
+    # A user's watcher never runs. Its start has no answer, the second try is refused by an
+    # unwell worker, and so is the stop that is to make the first one harmless. A refused
+    # stop was not given again, and the task counted as being stopped for good.
+    Given a cell of 3 instances and 4 workers
+    When starts are lost from now on
+    And a lasting job "ae02" of 4 tasks is handed in
+    And 0.3 s pass in the cell
+    And starts are refused as unwell from now on
+    And stops are refused as unwell from now on
+    And 3 s pass in the cell
+    And orders are carried out at once again
+    Then 4 tasks of "ae02" are at work within 5 s
+    And no promise of the cell was broken
