--- a/features/cell.feature
+++ b/features/cell.feature
@@ -320,6 +320,17 @@
     And orders are carried out at once again
     Then nothing of "ad03" runs 1.5 s later
 
+  Scenario: A stop that changed nothing is given again while the run is reported
+    # A user cancels, and the tasks work on for as long as their leases are renewed: the
+    # worker answered the stop and did nothing.
+    Given a cell of 3 instances and 4 workers
+    And a lasting job "ad05" of 4 tasks is at work
+    When stops are answered and ignored from now on
+    And the job "ad05" is cancelled at once
+    And 2 s pass in the cell
+    And orders are carried out at once again
+    Then nothing of "ad05" runs 2 s later
+
   Scenario: A stop that nobody answers leaves no room taken
     # A user's jobs wait beside free workers. The start of a task is lost, its job is
     # cancelled, and every try of the stop is lost as well. The worker never lists the run,
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -32,10 +32,9 @@
 SILENT_PAUSE_S = 0.3
 # The first report is not to wait for an end, it is needed for the takeover.
 FIRST_WAIT_S = 0.0
-# A stop without an answer is sent again after this pause, so many times; the
-# next report repeats the order if the run is still there.
+# A stop that settled nothing is sent again after this pause: one in 0.8 s, with the
+# time that an answer may take.
 STOP_PAUSE_S = 0.2
-STOP_TRIES = 6
 
 
 class Session:
@@ -157,13 +156,24 @@
             await asyncio.sleep(pause_s)
 
     async def stop(self, order: StopOrder) -> None:
-        """Send a stop until it is answered."""
-        for _ in range(STOP_TRIES):
+        """
+        Send a stop until it is answered or its run has ended.
+
+        Guards against a run that counts as being stopped for good: a start that was
+        lost is in no report, so no report repeats its stop. Its room would stay
+        taken and its task would never run again. Nothing but an answer, an end or
+        the end of the worker's lease lets go of the run, and this goes on until then.
+        """
+        cell = self.holder.cell
+        while cell.booked(order.run):
+            # Reports that list the run are not to repeat the order meanwhile.
+            order.run.stop_sent_at_s = self.holder.clock.now_s()
             if not self.holder.may_order():
-                return
+                await asyncio.sleep(SILENT_PAUSE_S)
+                continue
             outcome = await self.port.stop(order.run)
             now_s = self.holder.clock.now_s()
-            if not self.holder.cell.orders.stop_answered(order, outcome, now_s):
+            if not cell.orders.stop_answered(order, outcome, now_s):
                 return
             await asyncio.sleep(STOP_PAUSE_S)
 
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -343,6 +343,7 @@
     LATE = "are carried out late"
     LOST = "are lost"
     UNWELL = "are refused as unwell"
+    IGNORED = "are answered and ignored"
 
 
 @dataclass(slots=True)
@@ -384,6 +385,8 @@
             return Refused(Reason.UNWELL)
         if fate is OrderFate.LOST:
             return await self._silence()
+        if fate is OrderFate.IGNORED:
+            return Done(self.worker.clock_s())
         drawn = self.faults.random.random()
         if fate is OrderFate.LATE or drawn < self.faults.late_ratio:
             loop = asyncio.get_running_loop()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -188,9 +188,9 @@
         self._stop_if_stuck(worker, run, now_s)
 
     def _repeat_stop(self, run: Run, now_s: float) -> None:
-        # Guards against a stop that never reached the worker: it was ordered
-        # before the worker could be asked, or every try of it was lost. The run
-        # would go on for as long as its lease is renewed.
+        # Guards against a stop that was answered and changed nothing. The run would
+        # go on for as long as its lease is renewed; a stop without an answer is sent
+        # again without this.
         late = now_s - run.stop_sent_at_s > self.cell.settings.stop_s + STOP_REPEAT_S
         if run.phase is RunPhase.STOPPING and late:
             run.stop_sent_at_s = now_s
--- a/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
@@ -119,7 +119,8 @@
                     # Refused from now on, or ending: the reports tell which.
                     order.run.confirmed_at_s = now_s + self.cell.settings.stop_s
                 return False
-            case NoAnswer():
+            case NoAnswer() | Refused(Reason.UNWELL):
+                # An unwell worker has done nothing, and will be well again.
                 return True
             case OtherIncarnation():
                 self.cell.worker_ended(order.worker_id, now_s, "replaced")
