--- a/features/cell.feature
+++ b/features/cell.feature
@@ -360,3 +360,48 @@
     And orders are carried out at once again
     Then 4 tasks of "ae02" are at work within 5 s
     And no promise of the cell was broken
+
+  Scenario: A run that the cell does not know is ended and takes room
+    # A user cancels or never asked, and a task works on: no instance knows its job, so the
+    # holder left the run alone, renewed its lease with the others', and gave its room away.
+    # Shown by a run put on a worker by hand.
+    Given a cell of 3 instances and 4 workers
+    When stops are answered and ignored from now on
+    And a worker runs a task of a job that nobody knows
+    And 1 s pass in the cell
+    And a job "ae03" of 1 steps of 32 tasks is handed in
+    And 1 s pass in the cell
+    And orders are carried out at once again
+    Then that run is ended within 3 s
+    And the job "ae03" is shown as completed within 15 s
+    And no promise of the cell was broken
+    And no room is taken on any worker
+
+  Scenario: The runs of a job that the cell has forgotten are ended
+    # A user's job is gone and its tasks work on. A job was dropped from the log while its
+    # tasks ran: the holder broke on the next report, and its successor left runs of jobs
+    # that it does not know alone. Shown by dropping the job by hand.
+    Given a cell of 3 instances and 4 workers
+    And a lasting job "ae04" of 4 tasks is at work
+    When the job "ae04" is dropped from the log
+    Then nothing of "ae04" runs 3 s later
+    And the holder is the same
+    And no room is taken on any worker
+
+  Scenario: A cancelled task's earlier start ends although a newer one is booked
+    # A user cancels, and a task works on. An order that was given up is carried out after
+    # all, on the worker where the task's next run is booked and has not begun. Its stop was
+    # dropped, as only booked runs are stopped, and the next run's stop does not end it.
+    # Shown by an earlier run put on the worker by hand.
+    Given a cell of 3 instances and 4 workers
+    When starts are lost from now on
+    And a lasting job "af01" of 1 tasks is handed in
+    And 0.3 s pass in the cell
+    And a worker runs an earlier start of a task of "af01" beside its newest
+    And 1 s pass in the cell
+    And the job "af01" is cancelled at once
+    And orders are carried out at once again
+    Then that run is ended within 4 s
+    And no task of a cancelled job ran on
+    And 3 s pass in the cell
+    And no room is taken on any worker
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -8,12 +8,12 @@
 from support.virtual_loop import VirtualLoop
 
 from hornbeampaddle.cell.advice import Allowance
-from hornbeampaddle.cell.jobs import Advice, Job, Queue
-from hornbeampaddle.cell.progress import JobStatus
+from hornbeampaddle.cell.jobs import Advice, Job, Queue, TaskKey
+from hornbeampaddle.cell.progress import JobStatus, Run
 from hornbeampaddle.cell.reports import EndKind
 from hornbeampaddle.resources import NOTHING
 from hornbeampaddle_cell.callers import Accepted, Gone, NotAccepted
-from hornbeampaddle_cell.ports import Topic
+from hornbeampaddle_cell.ports import Keyed, Topic
 from hornbeampaddle_standins.cell.store import StoreFault
 from hornbeampaddle_standins.cell.workers import OrderFate
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
@@ -528,3 +528,50 @@
     cell = world.instances[world.holder()].holder.cell
     taken = {name: w.taken for name, w in cell.workers.items() if w.taken != NOTHING}
     assert not taken, taken
+
+
+@when("a worker runs a task of a job that nobody knows")
+def unknown_run(context):
+    world = context.world
+    worker = world.workers["w0"]
+    key = TaskKey(job_id("fade"), 0, 0, 0)
+    need = plain(1, 10_000, lasting=True)
+    context.stray = Run(key, 1, "w0", need, need.charge)
+    act(context, worker._begin, context.stray)
+
+
+@when('a worker runs an earlier start of a task of "{name}" beside its newest')
+def earlier_run(context, name):
+    """Let an order that was given up be carried out before the one that follows it."""
+    world = context.world
+    cell = world.instances[world.holder()].holder.cell
+    run = next(r for r in cell.jobs[job_id(name)].runs())
+    worker = world.workers[run.worker_id]
+    assert not worker.runs
+    context.stray = Run(run.key, run.number, run.worker_id, run.step, run.charge)
+    assert run.number == 1
+    cell.jobs[job_id(name)].task(run.key).last_run = 2
+    run.number = 2
+    act(context, worker._begin, context.stray)
+
+
+@then("that run is ended within {seconds_s:g} s")
+def stray_ended(context, seconds_s):
+    world = context.world
+    worker = world.workers[context.stray.worker_id]
+
+    def ended():
+        return all(live.run is not context.stray for live in worker.runs.values())
+
+    assert play(context, world.until(ended, seconds_s)), worker.runs
+
+
+@when('the job "{name}" is dropped from the log')
+def drop_job(context, name):
+    context.before = context.world.holder()
+    context.world.store.write(Topic.JOBS, Keyed(job_id(name), None))
+
+
+@then("the holder is the same")
+def same_holder(context):
+    assert context.world.holder() == context.before, context.world.holder()
