--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..resources import NOTHING
 from .effects import Note, StopOrder
 from .jobs import Step, TaskKey
 from .progress import JobState, JobStatus, Run, RunPhase, Task
@@ -59,6 +60,7 @@
         self.cell.pacer.observe(worker, now_s)
 
     def _take_end(self, worker: WorkerState, row: EndedRow, now_s: float) -> None:
+        self._give_room_back(worker, row)
         state = self.cell.jobs.get(row.key.job_id)
         task = state.task(row.key) if state is not None else None
         if state is None or task is None:
@@ -69,9 +71,6 @@
             and run.number == row.number
             and run.worker_id == worker.worker_id
         )
-        booked = worker.runs.get(row.key)
-        if booked is not None and booked.number <= row.number:
-            worker.remove(booked)
         self.cell.dirty.add(row.key.job_id)
         if row.how is EndKind.DONE:
             self._task_done(state, task, run, worker, now_s)
@@ -96,6 +95,15 @@
             worker.note_end(False)
             self._maybe_rest(worker, now_s)
 
+    def _give_room_back(self, worker: WorkerState, row: EndedRow) -> None:
+        # Also for jobs that the cell has forgotten: their room would stay taken.
+        stray = worker.strays.get((row.key, row.number))
+        if stray is not None:
+            worker.remove(stray)
+        booked = worker.runs.get(row.key)
+        if booked is not None and booked.number <= row.number:
+            worker.remove(booked)
+
     def _task_done(
         self,
         state: JobState,
@@ -182,7 +190,8 @@
             run.tail_s = row.measure / 1000
         else:
             run.used_cpu_millis = int(row.measure)
-        if self.cell.jobs[row.key.job_id].status.final:
+        state = self.cell.jobs.get(row.key.job_id)
+        if state is None or state.status.final:
             self.cell.stop(run, "job_ended")
         self._repeat_stop(run, now_s)
         self._stop_if_stuck(worker, run, now_s)
@@ -198,16 +207,31 @@
 
     def _stop_stray(self, worker: WorkerState, row: RunningRow, now_s: float) -> None:
         # An order of an earlier holder, or one that was carried out late, whose
-        # task has moved on. Its room is taken until its end is listed.
+        # task has moved on.
+        stray = worker.strays.get((row.key, row.number))
+        if stray is None:
+            stray = self._book_stray(worker, row, now_s)
+        self.cell.stop(stray, "superseded")
+        self._repeat_stop(stray, now_s)
+
+    def _book_stray(self, worker: WorkerState, row: RunningRow, now_s: float) -> Run:
+        # Guards against a run that works on for good, in room that is given away: its
+        # lease is renewed with the others', and only booked runs are stopped. Whatever
+        # a report lists is booked, if need be beside another run of its task.
         step = self._step_of(row.key)
+        apart = step is None or row.key in worker.runs
         if step is None:
-            return
+            # How much an unknown run takes is unknown: nothing may start beside it.
+            left = NOTHING.largest(worker.listing.capacity - worker.taken)
+            step = Step(1, left)
         stray = Run(row.key, row.number, worker.worker_id, step, step.charge)
-        if row.key not in worker.runs:
+        stray.phase = RunPhase.RUNNING
+        stray.confirmed_at_s = now_s
+        if apart:
+            worker.add_stray(stray)
+        else:
             worker.add(stray)
-            stray.phase = RunPhase.RUNNING
-            stray.confirmed_at_s = now_s
-        self.cell.stop(stray, "superseded")
+        return stray
 
     def _step_of(self, key: TaskKey) -> Step | None:
         state = self.cell.jobs.get(key.job_id)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
@@ -110,8 +110,7 @@
         self, order: StopOrder, outcome: OrderOutcome, now_s: float
     ) -> bool:
         """Take in what became of a stop; return whether to send it again."""
-        worker = self.cell.workers.get(order.worker_id)
-        if worker is None or worker.runs.get(order.run.key) is not order.run:
+        if not self.cell.booked(order.run):
             return False
         match outcome:
             case Done():
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -136,7 +136,7 @@
             "runs": len(worker.runs),
         }
         self.note(Note("worker_ended", "", detail))
-        for run in list(worker.runs.values()):
+        for run in worker.all_runs():
             self.release(run, now_s, f"worker_{why}")
         del self.workers[worker_id]
 
@@ -170,7 +170,7 @@
                 continue
             if worker.runs:
                 self.note(Note("lease_over", "", {"worker": worker.worker_id}))
-            for run in list(worker.runs.values()):
+            for run in worker.all_runs():
                 self.release(run, now_s, "lease_over")
             worker.reported = False
             if not worker.listed:
@@ -236,7 +236,7 @@
     def booked(self, run: Run) -> bool:
         """Tell whether an attempt still takes room on its worker."""
         worker = self.workers.get(run.worker_id)
-        return worker is not None and worker.runs.get(run.key) is run
+        return worker is not None and worker.books(run)
 
     def stop(self, run: Run, reason: str) -> None:
         """Order the end of an attempt, once."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -66,6 +66,9 @@
     reported: bool = False
     gone: bool = False
     runs: dict[TaskKey, Run] = field(default_factory=dict)
+    # Runs that no task's book has a place for, by task and number: of unknown jobs, or
+    # beside another run of their task. They are stopped, and take room until they end.
+    strays: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
     taken: Resources = NOTHING
     # Room that is kept for tasks on their way here.
     held: Resources = NOTHING
@@ -176,8 +179,29 @@
         self.changed()
         self._count_use(run, 1)
 
+    def add_stray(self, run: Run) -> None:
+        """Book a run that only waits for its end."""
+        self.strays[run.key, run.number] = run
+        self.taken = self.taken + run.charge
+        self.changed()
+
+    def books(self, run: Run) -> bool:
+        """Tell whether a run takes room here."""
+        if self.runs.get(run.key) is run:
+            return True
+        return self.strays.get((run.key, run.number)) is run
+
+    def all_runs(self) -> list[Run]:
+        """Return every run that takes room here."""
+        return [*self.runs.values(), *self.strays.values()]
+
     def remove(self, run: Run) -> None:
         """Give an attempt's room back; its end is known."""
+        if self.strays.get((run.key, run.number)) is run:
+            del self.strays[run.key, run.number]
+            self.taken = self.taken - run.charge
+            self.changed()
+            return
         if self.runs.get(run.key) is not run:
             return
         del self.runs[run.key]
