--- a/features/cell.feature
+++ b/features/cell.feature
@@ -405,3 +405,36 @@
     And no task of a cancelled job ran on
     And 3 s pass in the cell
     And no room is taken on any worker
+
+  Scenario: The next holder ends a cancelled job's runs before the first report
+    # A user cancels while the holder is being replaced, and the tasks work on. The next
+    # holder knows from the log what to stop and where, but kept the stops until the worker
+    # had reported, and its reports have no answers for a while.
+    Given a cell of 3 instances and 4 workers
+    And a lasting job "ag01" of 4 tasks is at work
+    When reports are lost from now on
+    And the holder dies
+    And the job "ag01" is cancelled at once
+    Then nothing of "ag01" runs 3.4 s later
+    When orders are carried out at once again
+    And 3 s pass in the cell
+    Then no room is taken on any worker
+    And no promise of the cell was broken
+
+  Scenario: The next holder ends an ended job's runs before the first report
+    # A user cancels, and the tasks work on. The holder stored that the job is cancelled and
+    # was removed before its stops got through; the next one gave no stop for a job that
+    # had ended before its time, until a report listed the run.
+    Given a cell of 3 instances and 4 workers
+    And a lasting job "ag02" of 4 tasks is at work
+    When stops are lost from now on
+    And the job "ag02" is cancelled at once
+    And 0.3 s pass in the cell
+    And orders are carried out at once again
+    And reports are lost from now on
+    And the holder dies
+    Then nothing of "ag02" runs 3.4 s later
+    When orders are carried out at once again
+    And 3 s pass in the cell
+    Then no room is taken on any worker
+    And no promise of the cell was broken
