--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -69,6 +69,11 @@
         self.jobs[job.job_id] = state
         for run in state.runs():
             self._inherit(run, now_s)
+            if state.status.final:
+                # Guards against a task that works on after its job's cancellation,
+                # whose stop was lost with the holder before: to this one the job has
+                # ended already, and nothing else would order the stop before a report.
+                self.stop(run, "job_ended")
         if state.status.final and not state.runs():
             state.finished_at_s = now_s
         else:
@@ -305,13 +310,17 @@
         self.note(Note("pace", order.run.key.job_id, detail))
 
     def _take_stops(self, now_s: float) -> list[StopOrder]:
-        """Return the stops for workers that can be asked; keep the others."""
+        """Return the stops for workers that can be told; keep the others."""
         ready: list[StopOrder] = []
         kept: list[StopOrder] = []
         for order in self.stops:
             if not self.booked(order.run):
                 continue
-            if self.workers[order.worker_id].reported:
+            worker = self.workers[order.worker_id]
+            # Guards against a task that works on after its job's cancellation, because
+            # the worker's reports don't get through to a new holder: a stop needs only
+            # the worker's address, and its token refuses late starts from then on.
+            if worker.listed or worker.reported:
                 order.run.stop_sent_at_s = now_s
                 ready.append(order)
             else:
