--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -9,12 +9,14 @@
 from support.virtual_loop import VirtualLoop
 
 from hornbeampaddle.cell.advice import Allowance
-from hornbeampaddle.cell.jobs import Advice, Job, Queue
-from hornbeampaddle.cell.progress import JobStatus
+from hornbeampaddle.cell.jobs import Advice, Job, Queue, TaskKey
+from hornbeampaddle.cell.progress import JobStatus, Run
 from hornbeampaddle.cell.reports import EndKind
+from hornbeampaddle.resources import NOTHING
 from hornbeampaddle_cell.callers import Accepted, Gone, NotAccepted
-from hornbeampaddle_cell.ports import Topic
+from hornbeampaddle_cell.ports import Keyed, Topic
 from hornbeampaddle_standins.cell.store import StoreFault
+from hornbeampaddle_standins.cell.workers import OrderFate
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
 
 STORE_FAULTS = {
@@ -30,6 +32,15 @@
     return context.loop.run_until_complete(coroutine)
 
 
+def act(context, change, *arguments):
+    """Change a stand-in at a moment of the cell's time."""
+
+    async def change_now():
+        change(*arguments)
+
+    play(context, change_now())
+
+
 def new_loop(context):
     context.loop = VirtualLoop()
     asyncio.set_event_loop(context.loop)
@@ -268,7 +279,7 @@
 @when("a busy worker dies")
 def kill_worker(context):
     worker = next(w for w in context.world.workers.values() if w.runs)
-    worker.die()
+    act(context, worker.die)
 
 
 @when("a busy worker drains")
@@ -489,7 +500,7 @@
     for worker in cell.workers.values():
         worker.rest_until_s = context.loop.time() + 30.0
     worker = next(w for w in world.workers.values() if w.runs)
-    worker._end(next(iter(worker.runs)), EndKind.FAILED)
+    act(context, worker._end, next(iter(worker.runs)), EndKind.FAILED)
 
 
 @then('{tasks:d} tasks of "{name}" are at work within {seconds_s:g} s')
@@ -609,3 +620,90 @@
         if instance.holder is not None and wanted in instance.holder.cell.jobs:
             kept.append("holder")
     assert not kept, kept
+
+
+@step("{kind}s {fate} from now on")
+def order_fate(context, kind, fate):
+    if fate.endswith(" s late"):
+        context.world.faults.late_s = float(fate.split()[-3])
+        fate = OrderFate.LATE.value
+    context.world.faults.fates[kind] = OrderFate(fate)
+
+
+@step("orders are carried out at once again")
+def no_fates(context):
+    context.world.faults.fates.clear()
+
+
+@when('a lasting job "{name}" of {tasks:d} tasks is handed in')
+def hand_in_lasting(context, name, tasks):
+    step_ = plain(tasks, 4000, lasting=True)
+    context.outcome = play(context, context.world.submit(job_id(name), URGENT, step_))
+    assert context.outcome == Accepted()
+
+
+@then('{runs:d} runs of "{name}" began late')
+def began_late(context, runs, name):
+    spans = [s for s in context.world.judge.spans if s.key.job_id == job_id(name)]
+    assert len(spans) == runs, spans
+
+
+@then("no task of a cancelled job ran on")
+def none_ran_on(context):
+    ran_on = context.world.judge.ran_on(context.loop.time())
+    assert not ran_on, ran_on
+
+
+@then("no room is taken on any worker")
+def no_room_taken(context):
+    world = context.world
+    cell = world.instances[world.holder()].holder.cell
+    taken = {name: w.taken for name, w in cell.workers.items() if w.taken != NOTHING}
+    assert not taken, taken
+
+
+@when("a worker runs a task of a job that nobody knows")
+def unknown_run(context):
+    world = context.world
+    worker = world.workers["w0"]
+    key = TaskKey(job_id("fade"), 0, 0, 0)
+    need = plain(1, 10_000, lasting=True)
+    context.stray = Run(key, 1, "w0", need, need.charge)
+    act(context, worker._begin, context.stray)
+
+
+@when('a worker runs an earlier start of a task of "{name}" beside its newest')
+def earlier_run(context, name):
+    """Let an order that was given up be carried out before the one that follows it."""
+    world = context.world
+    cell = world.instances[world.holder()].holder.cell
+    run = next(r for r in cell.jobs[job_id(name)].runs())
+    worker = world.workers[run.worker_id]
+    assert not worker.runs
+    context.stray = Run(run.key, run.number, run.worker_id, run.step, run.charge)
+    assert run.number == 1
+    cell.jobs[job_id(name)].task(run.key).last_run = 2
+    run.number = 2
+    act(context, worker._begin, context.stray)
+
+
+@then("that run is ended within {seconds_s:g} s")
+def stray_ended(context, seconds_s):
+    world = context.world
+    worker = world.workers[context.stray.worker_id]
+
+    def ended():
+        return all(live.run is not context.stray for live in worker.runs.values())
+
+    assert play(context, world.until(ended, seconds_s)), worker.runs
+
+
+@when('the job "{name}" is dropped from the log')
+def drop_job(context, name):
+    context.before = context.world.holder()
+    context.world.store.write(Topic.JOBS, Keyed(job_id(name), None))
+
+
+@then("the holder is the same")
+def same_holder(context):
+    assert context.world.holder() == context.before, context.world.holder()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
@@ -110,8 +110,7 @@
         self, order: StopOrder, outcome: OrderOutcome, now_s: float
     ) -> bool:
         """Take in what became of a stop; return whether to send it again."""
-        worker = self.cell.workers.get(order.worker_id)
-        if worker is None or worker.runs.get(order.run.key) is not order.run:
+        if not self.cell.booked(order.run):
             return False
         match outcome:
             case Done():
@@ -119,7 +118,8 @@
                     # Refused from now on, or ending: the reports tell which.
                     order.run.confirmed_at_s = now_s + self.cell.settings.stop_s
                 return False
-            case NoAnswer():
+            case NoAnswer() | Refused(Reason.UNWELL):
+                # An unwell worker has done nothing, and will be well again.
                 return True
             case OtherIncarnation():
                 self.cell.worker_ended(order.worker_id, now_s, "replaced")
