--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -77,3 +77,28 @@
       | what      | count   |
       | no bounds | some    |
       | advice    | no      |
+
+  Scenario Outline: A job that does not run says what it waits for: <reason>
+    # A caller asks why a job stood still for a minute. Starts leave lines in the log; a
+    # job that is never started left none.
+    Given 4 workers of 16 cores
+    When a job waits in a cell where <case> for 6 s
+    Then its wait is noted once, with the reason <reason>
+
+    Examples:
+      | case                                       | reason       |
+      | no worker has its label                    | no_worker    |
+      | nobody answers its question for advice     | no_advice    |
+      | lasting tasks hold all processors          | no_room      |
+      | fillers use all spare processors           | no_spare     |
+      | it would disturb whoever serves there      | disturbs     |
+      | fewer workers are free than it has members | gang_no_room |
+
+  Scenario: Many jobs that wait do not fill the log
+    # A queue of hundreds of jobs waits behind a full cell: a line of each, ten times a
+    # second, would cost more than the decisions.
+    Given 4 workers of 16 cores
+    And lasting tasks of 4 cores fill them
+    When 30 batch jobs wait for 20 s
+    Then every one of them has said why it waits
+    And no decision said more than 3 and no job more than once in 5 s
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -1,6 +1,8 @@
 """Steps that play loads against the scheduler alone."""
 
+from collections import Counter
 from dataclasses import replace
+from itertools import pairwise
 from unittest.mock import patch
 
 from behave import given, then, when
@@ -277,3 +279,99 @@
 @then("{count} exchanges were made")
 def exchanges(context, count):
     assert bool(context.exchanges) is (count == "some"), context.exchanges
+
+
+def fill_all(player, serving=False):
+    """Reserve all processors for tasks that last."""
+    more = {"image": "site", "tail_target_s": 0.1} if serving else {}
+    player.submit("full", LASTING, step(16, 4_000, lasting=True, **more), 1e9)
+    player.play(1.0)
+
+
+def unlabelled(player):
+    return BATCH, step(1, 4_000, worker_label="nowhere")
+
+
+def unadvised(player):
+    return replace(BATCH, name="advised", advice=Advice(0.01, 0.001)), step(1, 4_000)
+
+
+def without_free(player):
+    fill_all(player)
+    return BATCH, step(1, 4_000)
+
+
+def without_spare(player):
+    fill_all(player)
+    fillers = step(4, 8_000, filler=True, image="night")
+    player.submit("fillers", BATCH, fillers, 1e9)
+    player.play(1.0)
+    return BATCH, step(1, 8_000, filler=True, image="night")
+
+
+def disturbing(player):
+    fill_all(player, serving=True)
+    return BATCH, step(1, 8_000, filler=True, image="night")
+
+
+def wide_gang(player):
+    return BATCH, step(5, 16_000, gang=True)
+
+
+WAITS = {
+    "no worker has its label": unlabelled,
+    "nobody answers its question for advice": unadvised,
+    "lasting tasks hold all processors": without_free,
+    "fillers use all spare processors": without_spare,
+    "it would disturb whoever serves there": disturbing,
+    "fewer workers are free than it has members": wide_gang,
+}
+
+
+@when("a job waits in a cell where {case} for {seconds:g} s")
+def job_waits(context, case, seconds):
+    context.player = player = prepared(context)
+    queue, make_step = WAITS[case](player)
+    player.submit("waits", queue, make_step, 1.0)
+    player.play(seconds)
+
+
+def waits_of(player, job_id):
+    return [
+        (at_s, note.detail)
+        for at_s, note in player.notes
+        if note.event == "job_waits" and note.job_id == job_id
+    ]
+
+
+@then("its wait is noted once, with the reason {reason}")
+def noted_once(context, reason):
+    noted = waits_of(context.player, "waits")
+    assert [detail["reason"] for _, detail in noted] == [reason], noted
+    assert 3.0 <= noted[0][1]["waited_s"] < 4.0, noted
+
+
+@when("{count:d} batch jobs wait for {seconds:g} s")
+def many_wait(context, count, seconds):
+    context.player = player = prepared(context)
+    context.waiting = [f"waits{number}" for number in range(count)]
+    for job_id in context.waiting:
+        player.submit(job_id, BATCH, step(1, 4_000), 1.0)
+    player.play(seconds)
+
+
+@then("every one of them has said why it waits")
+def all_noted(context):
+    silent = [j for j in context.waiting if not waits_of(context.player, j)]
+    assert not silent, silent
+
+
+@then("no decision said more than {most:d} and no job more than once in {pause_s:g} s")
+def few_notes(context, most, pause_s):
+    player = context.player
+    said = [at_s for at_s, note in player.notes if note.event == "job_waits"]
+    assert max(Counter(said).values()) <= most
+    for job_id in context.waiting:
+        times_s = [at_s for at_s, _ in waits_of(player, job_id)]
+        gaps_s = [b - a for a, b in pairwise(times_s)]
+        assert all(gap_s >= pause_s - 0.01 for gap_s in gaps_s), (job_id, gaps_s)
--- a/features/support/cell_player.py
+++ b/features/support/cell_player.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from hornbeampaddle.cell.effects import Note
 from hornbeampaddle.cell.jobs import Job, Queue, Step
 from hornbeampaddle.cell.progress import JobStatus, Run, RunPhase
 from hornbeampaddle.cell.reports import Done, EndedRow, EndKind, Report, RunningRow
@@ -30,6 +31,10 @@
     ends: dict[str, list[EndedRow]] = field(default_factory=dict)
     stops: list[tuple[float, Run]] = field(default_factory=list)
     finished_s: dict[str, float] = field(default_factory=dict)
+    notes: list[tuple[float, Note]] = field(default_factory=list)
+
+    def __post_init__(self):
+        self.cell.note = lambda note: self.notes.append((self.now_s, note))
 
     def add_workers(self, count, cpu_millis):
         for number in range(count):
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -14,6 +14,7 @@
 from .progress import JobState, JobStatus, Run, StepState, Task
 from .separating import step_count
 from .urgency import chance_of, urgency
+from .waiting import WaitReason
 from .workers import WorkerState
 
 if TYPE_CHECKING:
@@ -67,12 +68,14 @@
 def place(cell: "Scheduler", decision: Decision, now_s: float, wall_s: float) -> None:
     """Choose workers for waiting tasks; add the starts to the decision."""
     ready = sorted(_ready_steps(cell, now_s, wall_s), key=lambda item: item[0])
-    if not ready:
-        return
     usable = [w for w in cell.workers.values() if w.usable(now_s)]
     misfits = Misfits()
     for _, state, step in ready:
-        _place_step(cell, decision, state, step, usable, misfits, now_s)
+        workers = _suited(cell, state, step, usable)
+        reason = _place_step(cell, decision, state, step, workers, misfits, now_s)
+        if reason is not None:
+            cell.waits.see(state, step, workers, reason, now_s)
+    cell.waits.close(cell, now_s)
 
 
 def _ready_steps(
@@ -110,32 +113,39 @@
     return all(steps[number].done for number in step.step.after)
 
 
+def _suited(
+    cell: "Scheduler", state: JobState, step: StepState, usable: list[WorkerState]
+) -> list[WorkerState]:
+    service = cell.services.get(state.job.queue.name, state.job.queue.service)
+    return [w for w in usable if w.listing.service == service and suits(step.step, w)]
+
+
 def _place_step(
     cell: "Scheduler",
     decision: Decision,
     state: JobState,
     step: StepState,
-    usable: list[WorkerState],
+    workers: list[WorkerState],
     misfits: Misfits,
     now_s: float,
-) -> None:
+) -> WaitReason | None:
+    """Place what can be placed; return why the rest waits."""
+    if not workers and not step.step.lasting:
+        return WaitReason.NO_WORKER
     service = cell.services.get(state.job.queue.name, state.job.queue.service)
-    workers = [
-        w for w in usable if w.listing.service == service and suits(step.step, w)
-    ]
     granted: dict[str, str] = {}
     if state.job.queue.advice is not None:
         granted = tickets(cell, decision, step, workers, now_s)
         workers = [w for w in workers if w.worker_id in granted]
-    if not workers and not step.step.lasting:
-        return
+        if not workers and not step.step.lasting:
+            return WaitReason.NO_ADVICE
     if step.step.gang:
-        _start_gang(cell, decision, state, step, workers, granted, now_s)
-        return
+        return _start_gang(cell, decision, state, step, workers, granted, now_s)
     ranking = Ranking(step.key.job_id, step.step, cell.model, _used(step))
     hopeless = misfits.covers(service, step.step)
     if not hopeless:
         ranking.fill(workers)
+    reason = None
     for task in step.waiting():
         home = cell.separator.reserved(task.key)
         if home is not None:
@@ -143,17 +153,29 @@
                 # Guards against more tasks of a step on one worker than it allows:
                 # the ranking would not see this one.
                 ranking.booked(home)
+            else:
+                reason = WaitReason.ROOM_RESERVED
             continue
         worker = ranking.choose(task.key, task.last_worker_id)
         if worker is None:
             if state.job.queue.advice is None:
                 misfits.add(service, step.step)
             _no_room(cell, decision, state, step, workers, now_s)
-            return
+            return _why(step, workers)
         if step.step.filler and not _has_spare(worker, step):
-            return
+            return WaitReason.NO_SPARE
         _start(cell, decision, state, step, task, worker, granted, now_s)
         ranking.booked(worker)
+    return reason
+
+
+def _why(step: StepState, workers: list[WorkerState]) -> WaitReason:
+    """Say why tasks found no worker among these."""
+    if not workers:
+        return WaitReason.NO_WORKER
+    if step.step.filler and any(step.step.charge.fits_in(w.free()) for w in workers):
+        return WaitReason.DISTURBS
+    return WaitReason.NO_ROOM
 
 
 def _start_at_home(
@@ -283,15 +305,16 @@
     workers: list[WorkerState],
     granted: dict[str, str],
     now_s: float,
-) -> None:
+) -> WaitReason | None:
     if any(task.run is not None for task in step.tasks):
-        return
+        return WaitReason.GANG_ENDING
     chosen = choose_workers(cell, step, workers)
     if chosen is None:
-        return
+        return WaitReason.GANG_NO_ROOM
     begin_run(step)
     for task, worker in zip(step.tasks, chosen, strict=True):
         _start(cell, decision, state, step, task, worker, granted, now_s)
+    return None
 
 
 def _start(
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -21,6 +21,7 @@
 from .progress import JobState, JobStatus, Run, RunPhase, encode, restore
 from .separating import Separator
 from .settings import CellSettings
+from .waiting import WaitBook
 from .workers import WorkerListing, WorkerState
 
 # Orders take a moment on their way, and a deadline is rounded.
@@ -49,6 +50,7 @@
         self.moves_looked_at_s = float("-inf")
         self.pacer = pacing.Pacer(settings, self.model)
         self.separator = Separator(self)
+        self.waits = WaitBook()
         self.intake = Intake(self)
         self.orders = Orders(self)
 
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
@@ -0,0 +1,126 @@
+"""
+Say why a job that could run does not.
+
+A start leaves a line in the log, a job that is never started leaves none: without
+these notes nobody can tell afterwards what it waited for.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .effects import Note
+from .progress import JobState, StepState
+from .workers import WorkerState
+
+if TYPE_CHECKING:
+    from .scheduler import Scheduler
+
+# Callers count on a job having something at work after 3 s.
+NOTE_AFTER_S = 3.0
+# The reason rarely changes faster, and a long queue would fill the log.
+NOTE_EVERY_S = 5.0
+# Notes in one decision: a decision comes ten times a second, and each note looks at
+# all workers.
+NOTES_AT_ONCE = 3
+
+
+class WaitReason(Enum):
+    """Why a step whose turn has come was not placed."""
+
+    NO_WORKER = "no_worker"
+    NO_ADVICE = "no_advice"
+    NO_ROOM = "no_room"
+    NO_SPARE = "no_spare"
+    DISTURBS = "disturbs"
+    GANG_NO_ROOM = "gang_no_room"
+    GANG_ENDING = "gang_ending"
+    ROOM_RESERVED = "room_reserved"
+
+
+@dataclass(slots=True)
+class Wait:
+    """
+    Since when a job has waited, and when that was last said.
+
+    A job waits while it has nothing at work, one that lasts while any task waits.
+    """
+
+    since_s: float
+    noted_at_s: float = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Sight:
+    """A job that waits, as one decision saw it."""
+
+    wait: Wait
+    step: StepState
+    workers: list[WorkerState]
+    reason: WaitReason
+
+
+@dataclass(slots=True)
+class WaitBook:
+    """The jobs that wait; a job that the last decision did not see is forgotten."""
+
+    waits: dict[str, Wait] = field(default_factory=dict)
+    _seen: dict[str, Sight] = field(default_factory=dict)
+
+    def see(
+        self,
+        state: JobState,
+        step: StepState,
+        workers: list[WorkerState],
+        reason: WaitReason,
+        now_s: float,
+    ) -> None:
+        """Take in that a step was not placed."""
+        job_id = state.job.job_id
+        if job_id in self._seen or not step.waiting():
+            return
+        if state.runs() and not step.step.lasting:
+            return
+        wait = self.waits.get(job_id) or Wait(now_s)
+        self._seen[job_id] = Sight(wait, step, workers, reason)
+
+    def close(self, cell: "Scheduler", now_s: float) -> None:
+        """End a decision: say why some jobs wait, first those not said for longest."""
+        due = [
+            sight
+            for sight in self._seen.values()
+            if now_s - sight.wait.since_s >= NOTE_AFTER_S
+            and now_s - sight.wait.noted_at_s >= NOTE_EVERY_S
+        ]
+        due.sort(key=lambda sight: (sight.wait.noted_at_s, sight.wait.since_s))
+        for sight in due[:NOTES_AT_ONCE]:
+            sight.wait.noted_at_s = now_s
+            cell.note(_note(cell, sight, now_s))
+        self.waits = {job_id: sight.wait for job_id, sight in self._seen.items()}
+        self._seen = {}
+
+
+def _note(cell: "Scheduler", sight: Sight, now_s: float) -> Note:
+    step = sight.step
+    detail: dict[str, object] = {
+        "step": step.key,
+        "tasks": len(step.waiting()),
+        "waited_s": round(now_s - sight.wait.since_s, 3),
+        "reason": sight.reason.value,
+        "workers": len(sight.workers),
+        "use_ratio": round(cell.use_ratio(), 3),
+        **_most(sight.workers),
+    }
+    return Note("job_waits", step.key.job_id, detail)
+
+
+def _most(workers: list[WorkerState]) -> dict[str, object]:
+    """Return the most that any of these workers has left, each figure by itself."""
+    free = [worker.free() for worker in workers]
+    return {
+        "free_cpu_millis": max((room.cpu_millis for room in free), default=0),
+        "free_memory_mib": max((r.memory_bytes // 2**20 for r in free), default=0),
+        "spare_cpu_millis": max(
+            (round(worker.spare_cpu_millis()) for worker in workers), default=0
+        ),
+    }
