--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -102,3 +102,23 @@
     When 30 batch jobs wait for 20 s
     Then every one of them has said why it waits
     And no decision said more than 3 and no job more than once in 5 s
+
+  Scenario: A job starts although fillers use all spare processors of a free cell
+    # A caller sees a job of 6 tasks stand still while most of the workers' room is free
+    # (seen: accepted at 57.5 s, begun at 126.9 s). Other fillers, which reserve nothing,
+    # leave no processor to spare on the worker that is best for it; the search ends there,
+    # and the start at a low pace, meant for such jobs, is not tried.
+    Given 4 workers of 16 cores
+    And fillers of other jobs use all spare processors for 20 s
+    When a filling job of 6 x 5650 thousandths of a core is handed in
+    Then it has a task at work within 3 s
+    And it works at no more than 10 % of its speed while the others work
+    And it works at full speed once they are done
+
+  Scenario: A filler starts elsewhere when the rack of its data has no spare processors
+    # A caller sees a job wait while three of four workers stand idle: the best worker is the
+    # one next to the data, other fillers use its processors, and the search ends there.
+    Given 4 workers of 16 cores
+    And fillers use the processors of the only worker in the rack of some data
+    When a filling job with that data is handed in
+    Then it has a task at work within 1 s
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -375,3 +375,67 @@
         times_s = [at_s for at_s, _ in waits_of(player, job_id)]
         gaps_s = [b - a for a, b in pairwise(times_s)]
         assert all(gap_s >= pause_s - 0.01 for gap_s in gaps_s), (job_id, gaps_s)
+
+
+@given("fillers of other jobs use all spare processors for {work_s:g} s")
+def spare_used(context, work_s):
+    def fill(player):
+        for number in range(4):
+            filler = step(2, 8_000, work_s, filler=True, image="night")
+            player.submit(f"night{number}", BATCH, filler, work_s)
+        player.play(1.0)
+
+    context.setup.append(fill)
+
+
+@when("a filling job of {count:d} x {cpu_millis:d} thousandths of a core is handed in")
+def filling_job(context, count, cpu_millis):
+    context.player = player = prepared(context)
+    filler = step(count, cpu_millis, filler=True, image="day")
+    player.submit("late", BATCH, filler, 60.0)
+
+
+@given("fillers use the processors of the only worker in the rack of some data")
+def rack_used(context):
+    def fill(player):
+        for name, worker in player.cell.workers.items():
+            rack = "r-0" if name == "w0" else "r-1"
+            listing = replace(worker.listing, labels=frozenset({rack}))
+            player.cell.list_worker(listing, player.now_s)
+        filler = step(2, 8_000, filler=True, image="night", worker_label="r-0")
+        player.submit("night", BATCH, filler, 1e9)
+        player.play(1.0)
+
+    context.setup.append(fill)
+
+
+@when("a filling job with that data is handed in")
+def filling_job_with_data(context):
+    context.player = player = prepared(context)
+    filler = step(1, 4_000, filler=True, image="day", data_rack="r-0")
+    player.submit("late", BATCH, filler, 60.0)
+
+
+@then("it has a task at work within {within_s:g} s")
+def at_work(context, within_s):
+    player = context.player
+    player.play(within_s)
+    noted = waits_of(player, "late")
+    assert player.cell.jobs["late"].runs(), noted
+
+
+@then("it works at no more than {percent:d} % of its speed while the others work")
+def slow_start(context, percent):
+    player = context.player
+    paces = set()
+    while "night0" not in player.finished_s:
+        player.tick()
+        paces |= {run.pace_percent for run in player.cell.jobs["late"].runs()}
+    assert max(paces) <= percent, paces
+
+
+@then("it works at full speed once they are done")
+def full_speed(context):
+    context.player.play(4.0)
+    runs = context.player.cell.jobs["late"].runs()
+    assert [run.pace_percent for run in runs] == [100] * 6, runs
