--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -9,7 +9,7 @@
 from .effects import Decision, Note
 from .gangs import begin_run, choose_workers
 from .jobs import Step
-from .placing import Ranking, choose_slow, suits
+from .placing import Ranking, choose_slow, has_spare, suits
 from .preempting import make_room
 from .progress import JobState, JobStatus, Run, StepState, Task
 from .separating import step_count
@@ -20,9 +20,6 @@
 if TYPE_CHECKING:
     from .scheduler import Scheduler
 
-# A filler is placed while the workers' spare processors cover this share of
-# its need; beyond that it would only slow those that came before it.
-FILLER_SPARE_RATIO = 0.5
 # A filler waits so long for a worker where it disturbs nobody before it starts
 # at a lower pace; after 1.5 s already, it cost more than it gained.
 SLOW_AFTER_S = 6.0
@@ -162,7 +159,9 @@
                 misfits.add(service, step.step)
             _no_room(cell, decision, state, step, workers, now_s)
             return _why(step, workers)
-        if step.step.filler and not _has_spare(worker, step):
+        if step.step.filler and not has_spare(step.step, worker):
+            if _left_idle(cell, state, step, now_s):
+                _place_slow(cell, decision, state, step, workers, now_s)
             return WaitReason.NO_SPARE
         _start(cell, decision, state, step, task, worker, granted, now_s)
         ranking.booked(worker)
@@ -173,9 +172,12 @@
     """Say why tasks found no worker among these."""
     if not workers:
         return WaitReason.NO_WORKER
-    if step.step.filler and any(step.step.charge.fits_in(w.free()) for w in workers):
+    with_room = [w for w in workers if step.step.charge.fits_in(w.free())]
+    if not step.step.filler or not with_room:
+        return WaitReason.NO_ROOM
+    if any(has_spare(step.step, worker) for worker in with_room):
         return WaitReason.DISTURBS
-    return WaitReason.NO_ROOM
+    return WaitReason.NO_SPARE
 
 
 def _start_at_home(
@@ -255,6 +257,21 @@
         ranking.booked(worker)
 
 
+def _left_idle(
+    cell: "Scheduler", state: JobState, step: StepState, now_s: float
+) -> bool:
+    """
+    Tell whether a job has nothing at work though the cell is mostly free.
+
+    Guards against a filling job that waits for ever, with room shown as free: every
+    worker serves an image that it disturbs, or other fillers, which reserve no
+    processors, use them all. One task of it starts at a low pace then.
+    """
+    if now_s - (step.ready_at_s or now_s) < IDLE_JOB_AFTER_S:
+        return False
+    return not state.runs() and cell.use_ratio() < IDLE_CELL_RATIO
+
+
 def _place_slow(
     cell: "Scheduler",
     decision: Decision,
@@ -263,30 +280,29 @@
     workers: list[WorkerState],
     now_s: float,
 ) -> None:
-    """Place one filler that disturbs wherever it goes, at a pace that does not."""
-    waited_s = now_s - (step.ready_at_s or now_s)
+    """Place one filler that found no worker to itself, at a pace that harms nobody."""
     waiting = step.waiting()
-    if not waiting or waited_s < IDLE_JOB_AFTER_S:
-        return
-    share_min = SLOW_SHARE_MIN
-    if not state.runs() and cell.use_ratio() < IDLE_CELL_RATIO:
-        # Guards against a job that waits for ever in a cell with most of its
-        # room free, because every worker serves an image that it disturbs.
-        share_min = 0.0
-    elif waited_s < SLOW_AFTER_S:
+    if not waiting:
         return
+    share_min = 0.0
+    left_idle = _left_idle(cell, state, step, now_s)
+    if not left_idle:
+        if now_s - (step.ready_at_s or now_s) < SLOW_AFTER_S:
+            return
+        share_min = SLOW_SHARE_MIN
     place = choose_slow(step.step, workers, cell.model, share_min)
     if place is None:
         return
     worker, share = place
-    _start(cell, decision, state, step, waiting[0], worker, {}, now_s)
     percent = max(FIRST_PACE_MIN_PERCENT, round(100 * share))
+    crowded = left_idle and not has_spare(step.step, worker)
+    if crowded:
+        # Guards against a queue of late jobs that slows those that can be on time:
+        # the pacer lets it work faster once there are processors to spare.
+        percent = FIRST_PACE_MIN_PERCENT
+    _start(cell, decision, state, step, waiting[0], worker, {}, now_s)
     decision.starts[-1].first_pace_percent = percent
-
-
-def _has_spare(worker: WorkerState, step: StepState) -> bool:
-    needed = FILLER_SPARE_RATIO * step.step.need.cpu_millis
-    return worker.filler_cpu_millis == 0 or worker.spare_cpu_millis() >= needed
+    decision.starts[-1].shares_processors = crowded
 
 
 def _used(step: StepState) -> dict[str, int]:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
@@ -142,6 +142,7 @@
         now_s: float,
     ) -> None:
         """Give the paced fillers what the nearest tail leaves, the oldest first."""
+        spare_millis = worker.spare_cpu_millis()
         room: dict[str, float] = {}
         for reading in readings:
             left = reading.slack - self.settings.relax_above_slack
@@ -149,7 +150,10 @@
         for run in fillers:
             if run.pace_percent >= 100:
                 continue
+            need_millis = max(1, run.step.need.cpu_millis)
             more = 1.0 - run.pace_percent / 100
+            if run.shares_processors:
+                more = min(more, max(0.0, spare_millis / need_millis))
             full = {
                 image: self._pressure(worker, image, run, run.step.need.cpu_millis)
                 for image in room
@@ -159,6 +163,7 @@
                     more = min(more, max(0.0, GIVE_RATIO * room[image] / pressure))
             for image, pressure in full.items():
                 room[image] -= more * pressure
+            spare_millis -= more * need_millis
             self._set(worker, run, run.pace_percent + 100 * more, now_s)
 
     def _set(self, worker: WorkerState, run: Run, percent: float, now_s: float) -> None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -19,6 +19,9 @@
 # Slack that a filler takes still counts where there is enough, so that harmless pairs
 # are preferred while both have processors to spare.
 SLACK_MILLIS = 20_000
+# A filler is placed while a worker's spare processors cover this share of its need;
+# beyond that it would only slow those that came before it.
+FILLER_SPARE_RATIO = 0.5
 # A serving task prefers workers that serve its own job or its image; worth this much
 # of a worker's free processors. The tasks of a job share the swing of its users' load,
 # so a worker with one job has room for fillers while that load is low.
@@ -108,6 +111,11 @@
             filling = filler_score(self.step, worker, self.model)
             if filling is None:
                 return None
+            # Guards against a filler that waits beside idle workers because those in
+            # the rack of its data, which outweigh any room, are in use: they are no
+            # candidates then. Without a rack, the score weighs spare processors itself.
+            if self.step.data_rack and not has_spare(self.step, worker):
+                return None
             score = filling
         else:
             score = _packing_score(worker)
@@ -120,6 +128,12 @@
         return score
 
 
+def has_spare(step: Step, worker: WorkerState) -> bool:
+    """Tell whether a filler would find processor time on a worker."""
+    needed = FILLER_SPARE_RATIO * step.need.cpu_millis
+    return worker.filler_cpu_millis == 0 or worker.spare_cpu_millis() >= needed
+
+
 def filler_score(step: Step, worker: WorkerState, model: Interference) -> float | None:
     """Return how good a worker is for a filler, or nothing if it would disturb."""
     if allowed_share(step, worker, model) < 1.0:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -71,6 +71,8 @@
     pace_percent: int = 100
     # The pace that is ordered as soon as the worker has confirmed the start.
     first_pace_percent: int = 100
+    # It was placed where others use all processors: more speed would slow them.
+    shares_processors: bool = False
 
 
 @dataclass(slots=True)
