--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -122,3 +122,30 @@
     And fillers use the processors of the only worker in the rack of some data
     When a filling job with that data is handed in
     Then it has a task at work within 1 s
+
+  Scenario: A job starts in a free service although another service is full
+    # A caller sees a filling job wait in a service where nothing is reserved: the workers of
+    # the other service are full, and together they make the cell look used.
+    Given 4 workers of 16 cores
+    And 12 workers of another service that lasting tasks fill
+    And fillers of other jobs use all spare processors for 20 s
+    When a filling job of 6 x 5650 thousandths of a core is handed in
+    Then it has a task at work within 3 s
+
+  Scenario: A filling gang starts although it disturbs whoever serves
+    # A caller sees a gang of fillers wait for ever in a cell that is mostly free: every worker
+    # serves an image that it disturbs, and only single tasks are started at a low pace.
+    Given 4 workers of 16 cores
+    And a serving task of 4 cores on each of them
+    When a filling gang of 4 x 14 cores is handed in
+    Then it has a task at work within 3 s
+    And all of its 4 tasks began at a low pace
+
+  Scenario: A filler that starts at a low pace carries its ticket
+    # A caller sees a job of a queue with advice wait for ever: each start at a low pace went
+    # out without the ticket, was refused, and the advice was dropped and asked for again.
+    Given 4 workers of 16 cores
+    And a serving task of 4 cores on each of them
+    When a filler of 14 cores of an advised queue is handed in
+    Then it has a task at work within 3 s
+    And its start carries a ticket
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -12,6 +12,8 @@
 from hornbeampaddle.cell import workers as workers_module
 from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.jobs import Advice, StepKey, TaskKey
+from hornbeampaddle.cell.workers import WorkerListing
+from hornbeampaddle.machines import Address
 from hornbeampaddle.resources import Resources
 from hornbeampaddle_standins.cell.demand import SERVING, Demand, DemandSettings
 from hornbeampaddle_standins.cell.emulator import Emulator
@@ -439,3 +441,70 @@
     context.player.play(4.0)
     runs = context.player.cell.jobs["late"].runs()
     assert [run.pace_percent for run in runs] == [100] * 6, runs
+
+
+@given("{count:d} workers of another service that lasting tasks fill")
+def other_service(context, count):
+    def fill(player):
+        room = Resources(16_000, 512 * GIB, 0)
+        address = Address("127.0.0.1", 1)
+        for number in range(count):
+            name = f"other{number}"
+            listing = WorkerListing(name, "other", address, "dc-1", room)
+            player.cell.list_worker(listing, player.now_s)
+            player.ends[name] = []
+        player.tick()
+        full = step(count, 16_000, lasting=True)
+        queue = replace(LASTING, name="other", service="other")
+        player.submit("other", queue, full, 1e9)
+        player.play(1.0)
+        assert len(player.cell.jobs["other"].runs()) == count
+
+    context.setup.append(fill)
+
+
+@given("a serving task of {cores:d} cores on each of them")
+def serve_everywhere(context, cores):
+    def serve(player):
+        serving = step(
+            len(player.cell.workers),
+            cores * 1000,
+            lasting=True,
+            per_worker_max=1,
+            image="site",
+            tail_target_s=0.1,
+        )
+        player.submit("site", LASTING, serving, 1e9)
+        player.play(1.0)
+
+    context.setup.append(serve)
+
+
+@when("a filling gang of {count:d} x {cores:d} cores is handed in")
+def filling_gang(context, count, cores):
+    context.player = player = prepared(context)
+    gang = step(count, cores * 1000, filler=True, image="day", gang=True)
+    player.submit("late", BATCH, gang, 60.0)
+
+
+@then("all of its {count:d} tasks began at a low pace")
+def gang_pace(context, count):
+    runs = context.player.cell.jobs["late"].runs()
+    assert len(runs) == count, runs
+    assert all(run.first_pace_percent < 50 for run in runs), runs
+
+
+@when("a filler of {cores:d} cores of an advised queue is handed in")
+def advised_filler(context, cores):
+    context.player = player = prepared(context)
+    advised = replace(BATCH, name="advised", advice=Advice(0.01, 0.001))
+    player.submit("late", advised, step(1, cores * 1000, filler=True, image="day"), 9.0)
+    tickets = dict.fromkeys(player.cell.workers, "ticket")
+    allowance = Allowance(tickets, player.now_s + 60)
+    player.cell.advice.answer(StepKey("late", 0, 0), allowance, player.now_s)
+
+
+@then("its start carries a ticket")
+def carries_ticket(context):
+    runs = context.player.cell.jobs["late"].runs()
+    assert [run.ticket for run in runs] == ["ticket"], runs
