--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -9,7 +9,7 @@
 from .effects import Decision, Note
 from .gangs import begin_run, choose_workers
 from .jobs import Step
-from .placing import Ranking, choose_slow, has_spare, suits
+from .placing import Ranking, allowed_share, choose_slow, has_spare, suits
 from .preempting import make_room
 from .progress import JobState, JobStatus, Run, StepState, Task
 from .separating import step_count
@@ -25,8 +25,8 @@
 SLOW_AFTER_S = 6.0
 # Slower than this share of its speed, a filler would only hold memory.
 SLOW_SHARE_MIN = 0.25
-# While less than this share of the processors is reserved, no job is left with
-# nothing at work for longer than this: callers count on it from half on.
+# While less than this share of a service's processors is reserved, no job is left
+# with nothing at work for longer than this: callers count on it from half on.
 IDLE_CELL_RATIO = 0.6
 IDLE_JOB_AFTER_S = 1.2
 FIRST_PACE_MIN_PERCENT = 3
@@ -113,7 +113,7 @@
 def _suited(
     cell: "Scheduler", state: JobState, step: StepState, usable: list[WorkerState]
 ) -> list[WorkerState]:
-    service = cell.services.get(state.job.queue.name, state.job.queue.service)
+    service = cell.service_of(state.job)
     return [w for w in usable if w.listing.service == service and suits(step.step, w)]
 
 
@@ -129,7 +129,7 @@
     """Place what can be placed; return why the rest waits."""
     if not workers and not step.step.lasting:
         return WaitReason.NO_WORKER
-    service = cell.services.get(state.job.queue.name, state.job.queue.service)
+    service = cell.service_of(state.job)
     granted: dict[str, str] = {}
     if state.job.queue.advice is not None:
         granted = tickets(cell, decision, step, workers, now_s)
@@ -157,11 +157,11 @@
         if worker is None:
             if state.job.queue.advice is None:
                 misfits.add(service, step.step)
-            _no_room(cell, decision, state, step, workers, now_s)
+            _no_room(cell, decision, state, step, workers, granted, now_s)
             return _why(step, workers)
         if step.step.filler and not has_spare(step.step, worker):
             if _left_idle(cell, state, step, now_s):
-                _place_slow(cell, decision, state, step, workers, now_s)
+                _place_slow(cell, decision, state, step, workers, granted, now_s)
             return WaitReason.NO_SPARE
         _start(cell, decision, state, step, task, worker, granted, now_s)
         ranking.booked(worker)
@@ -190,7 +190,7 @@
     now_s: float,
 ) -> bool:
     """Start a task where room is reserved for it, once it is free; tell if it did."""
-    service = cell.services.get(state.job.queue.name, state.job.queue.service)
+    service = cell.service_of(state.job)
     if not home.usable(now_s) or home.listing.service != service:
         # A configuration may have moved the queue since the room was reserved.
         cell.separator.settle(task.key)
@@ -211,11 +211,12 @@
     state: JobState,
     step: StepState,
     workers: list[WorkerState],
+    granted: dict[str, str],
     now_s: float,
 ) -> None:
     """Look for another way for tasks that found no worker."""
     if step.step.filler:
-        _place_slow(cell, decision, state, step, workers, now_s)
+        _place_slow(cell, decision, state, step, workers, granted, now_s)
     elif step.step.lasting:
         _place_on_resting(cell, decision, state, step, now_s)
     elif chance_of(state, now_s) == 0:
@@ -236,7 +237,7 @@
     worker in twenty. A lasting task has no limit of attempts to lose there, and
     its users lose more by a wait of seconds than by another try.
     """
-    service = cell.services.get(state.job.queue.name, state.job.queue.service)
+    service = cell.service_of(state.job)
     if state.job.queue.advice is not None:
         return
     resting = [
@@ -261,7 +262,7 @@
     cell: "Scheduler", state: JobState, step: StepState, now_s: float
 ) -> bool:
     """
-    Tell whether a job has nothing at work though the cell is mostly free.
+    Tell whether a job has nothing at work though its service is mostly free.
 
     Guards against a filling job that waits for ever, with room shown as free: every
     worker serves an image that it disturbs, or other fillers, which reserve no
@@ -269,7 +270,8 @@
     """
     if now_s - (step.ready_at_s or now_s) < IDLE_JOB_AFTER_S:
         return False
-    return not state.runs() and cell.use_ratio() < IDLE_CELL_RATIO
+    use_ratio = cell.use_ratio(cell.service_of(state.job))
+    return not state.runs() and use_ratio < IDLE_CELL_RATIO
 
 
 def _place_slow(
@@ -278,6 +280,7 @@
     state: JobState,
     step: StepState,
     workers: list[WorkerState],
+    granted: dict[str, str],
     now_s: float,
 ) -> None:
     """Place one filler that found no worker to itself, at a pace that harms nobody."""
@@ -285,8 +288,8 @@
     if not waiting:
         return
     share_min = 0.0
-    left_idle = _left_idle(cell, state, step, now_s)
-    if not left_idle:
+    idle = _left_idle(cell, state, step, now_s)
+    if not idle:
         if now_s - (step.ready_at_s or now_s) < SLOW_AFTER_S:
             return
         share_min = SLOW_SHARE_MIN
@@ -294,15 +297,22 @@
     if place is None:
         return
     worker, share = place
-    percent = max(FIRST_PACE_MIN_PERCENT, round(100 * share))
-    crowded = left_idle and not has_spare(step.step, worker)
-    if crowded:
-        # Guards against a queue of late jobs that slows those that can be on time:
-        # the pacer lets it work faster once there are processors to spare.
-        percent = FIRST_PACE_MIN_PERCENT
-    _start(cell, decision, state, step, waiting[0], worker, {}, now_s)
-    decision.starts[-1].first_pace_percent = percent
-    decision.starts[-1].shares_processors = crowded
+    crowded = idle and not has_spare(step.step, worker)
+    _start(cell, decision, state, step, waiting[0], worker, granted, now_s)
+    _pace(decision.starts[-1], share, crowded)
+
+
+def _pace(run: Run, share: float, crowded: bool) -> None:
+    """
+    Let a filler begin at the share of its speed at which it disturbs nobody.
+
+    Guards against a queue of late jobs that slows those that can be on time: where
+    others use all processors it begins at the lowest pace, and the pacer lets it work
+    faster once there are some to spare.
+    """
+    percent = 0 if crowded else round(100 * share)
+    run.first_pace_percent = max(FIRST_PACE_MIN_PERCENT, percent)
+    run.shares_processors = crowded
 
 
 def _used(step: StepState) -> dict[str, int]:
@@ -325,11 +335,18 @@
     if any(task.run is not None for task in step.tasks):
         return WaitReason.GANG_ENDING
     chosen = choose_workers(cell, step, workers)
+    slow = chosen is None and step.step.filler
+    if slow and _left_idle(cell, state, step, now_s):
+        chosen = choose_workers(cell, step, workers, at_any_pace=True)
     if chosen is None:
         return WaitReason.GANG_NO_ROOM
     begin_run(step)
     for task, worker in zip(step.tasks, chosen, strict=True):
+        share = allowed_share(step.step, worker, cell.model) if slow else 1.0
+        crowded = slow and not has_spare(step.step, worker)
         _start(cell, decision, state, step, task, worker, granted, now_s)
+        if slow:
+            _pace(decision.starts[-1], share, crowded)
     return None
 
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/gangs.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/gangs.py
@@ -12,11 +12,18 @@
 
 
 def choose_workers(
-    cell: "Scheduler", step: StepState, workers: list[WorkerState]
+    cell: "Scheduler",
+    step: StepState,
+    workers: list[WorkerState],
+    at_any_pace: bool = False,
 ) -> list[WorkerState] | None:
-    """Return a worker for each member, in their order, or nothing."""
+    """
+    Return a worker for each member, in their order, or nothing.
+
+    ``at_any_pace`` takes workers where fillers have to work slowly.
+    """
     for group in _rooms(step, workers):
-        chosen = _trial(cell, step, group)
+        chosen = _trial(cell, step, group, at_any_pace)
         if chosen is not None:
             return chosen
     return None
@@ -39,10 +46,10 @@
 
 
 def _trial(
-    cell: "Scheduler", step: StepState, workers: list[WorkerState]
+    cell: "Scheduler", step: StepState, workers: list[WorkerState], at_any_pace: bool
 ) -> list[WorkerState] | None:
     """Book each member for a moment; return the workers, or nothing."""
-    ranking = Ranking(step.key.job_id, step.step, cell.model, {})
+    ranking = Ranking(step.key.job_id, step.step, cell.model, {}, at_any_pace)
     ranking.fill(workers)
     booked: list[tuple[WorkerState, Run]] = []
     for task in step.tasks:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -29,6 +29,8 @@
 SAME_IMAGE_SHARE = 0.6
 # Memory is rarely what binds; it only breaks ties between equal workers.
 MEMORY_WEIGHT = 0.1
+# A filler's whole speed outweighs any spare processors.
+SHARE_MILLIS = 1e6
 # Larger than any difference in room: the other rack and the worker of the last
 # failure are taken only when nothing else has room.
 RACK_PENALTY = 1e7
@@ -50,6 +52,8 @@
     step: Step
     model: Interference
     used: dict[str, int]
+    # Fillers may go where they disturb or share processors; the fastest place first.
+    at_any_pace: bool = False
     _heap: list[tuple[float, str, WorkerState]] = field(default_factory=list)
 
     def fill(self, workers: Iterable[WorkerState]) -> None:
@@ -107,7 +111,10 @@
         return not most or self.used.get(worker.worker_id, 0) < most
 
     def _score(self, worker: WorkerState) -> float | None:
-        if self.step.filler:
+        if self.step.filler and self.at_any_pace:
+            share = allowed_share(self.step, worker, self.model)
+            score = share * SHARE_MILLIS + worker.spare_cpu_millis()
+        elif self.step.filler:
             filling = filler_score(self.step, worker, self.model)
             if filling is None:
                 return None
--- a/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
@@ -74,7 +74,7 @@
     cell: "Scheduler", state: JobState, step: StepState, now_s: float
 ) -> Run | None:
     """Return the lasting task whose stop costs least for the room it makes."""
-    service = cell.services.get(state.job.queue.name, state.job.queue.service)
+    service = cell.service_of(state.job)
     best: tuple[float, float, Run] | None = None
     for worker in cell.workers.values():
         if worker.listing.service != service or not worker.usable(now_s):
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -51,6 +51,8 @@
         self.pacer = pacing.Pacer(settings, self.model)
         self.separator = Separator(self)
         self.waits = WaitBook()
+        # Worked out once in a decision: each of hundreds of jobs that wait asks.
+        self._use_ratios: dict[str, float] = {}
         self.intake = Intake(self)
         self.orders = Orders(self)
 
@@ -205,12 +207,26 @@
         if worker is not None:
             worker.silent = True
 
-    def use_ratio(self) -> float:
-        """Return the share of the usable workers' processors that is reserved."""
-        workers = [w for w in self.workers.values() if w.reported and not w.gone]
+    def use_ratio(self, service: str) -> float:
+        """Return the share of a service's processors reserved as the decision began."""
+        ratio = self._use_ratios.get(service)
+        if ratio is None:
+            ratio = self._use_ratios[service] = self._use_ratio(service)
+        return ratio
+
+    def _use_ratio(self, service: str) -> float:
+        workers = [
+            w
+            for w in self.workers.values()
+            if w.reported and not w.gone and w.listing.service == service
+        ]
         total = sum(w.listing.capacity.cpu_millis for w in workers)
         return sum(w.taken.cpu_millis for w in workers) / total if total else 1.0
 
+    def service_of(self, job: Job) -> str:
+        """Return the service to which the newest configuration sends a job."""
+        return self.services.get(job.queue.name, job.queue.service)
+
     def release(self, run: Run, now_s: float, why: str) -> None:
         """Free an attempt's room; its task waits again if it is still its run."""
         worker = self.workers.get(run.worker_id)
@@ -277,6 +293,7 @@
 
     def decide(self, now_s: float, wall_s: float) -> Decision:
         """Place what waits; return what to store and which orders to give."""
+        self._use_ratios.clear()
         self.expire(now_s)
         self.model.solve(now_s)
         decision = Decision()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
@@ -55,6 +55,7 @@
     """A job that waits, as one decision saw it."""
 
     wait: Wait
+    state: JobState
     step: StepState
     workers: list[WorkerState]
     reason: WaitReason
@@ -82,7 +83,7 @@
         if state.runs() and not step.step.lasting:
             return
         wait = self.waits.get(job_id) or Wait(now_s)
-        self._seen[job_id] = Sight(wait, step, workers, reason)
+        self._seen[job_id] = Sight(wait, state, step, workers, reason)
 
     def close(self, cell: "Scheduler", now_s: float) -> None:
         """End a decision: say why some jobs wait, first those not said for longest."""
@@ -102,13 +103,14 @@
 
 def _note(cell: "Scheduler", sight: Sight, now_s: float) -> Note:
     step = sight.step
+    use_ratio = cell.use_ratio(cell.service_of(sight.state.job))
     detail: dict[str, object] = {
         "step": step.key,
         "tasks": len(step.waiting()),
         "waited_s": round(now_s - sight.wait.since_s, 3),
         "reason": sight.reason.value,
         "workers": len(sight.workers),
-        "use_ratio": round(cell.use_ratio(), 3),
+        "use_ratio": round(use_ratio, 3),
         **_most(sight.workers),
     }
     return Note("job_waits", step.key.job_id, detail)
