--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -149,3 +149,20 @@
     When a filler of 14 cores of an advised queue is handed in
     Then it has a task at work within 3 s
     And its start carries a ticket
+
+  Scenario: Advice is asked on every worker before a job is given up
+    # A caller sees a job of a queue with advice wait for ever beside free workers: a question
+    # names 24 workers, those were not allowed, and the next question named the same.
+    Given 40 workers of 16 cores
+    And advice allows only the worker that was listed last
+    When a job of a queue with advice is handed in
+    Then it has a task at work within 2 s
+    And no worker was asked about twice
+
+  Scenario: A filler that starts at a low pace keeps to its step's limit for one worker
+    # A user sees two tasks on one worker that may have one: with more tasks than workers, the
+    # last one waited for 6 s and then started beside another of its step.
+    Given 4 workers of 16 cores
+    When a filling step of 5 tasks, of which a worker may have 1, waits for 10 s
+    Then no worker has more than 1 of its tasks
+    And 4 of its tasks are at work
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -508,3 +508,57 @@
 def carries_ticket(context):
     runs = context.player.cell.jobs["late"].runs()
     assert [run.ticket for run in runs] == ["ticket"], runs
+
+
+@given("advice allows only the worker that was listed last")
+def allows_last(context):
+    def allow(player):
+        player.allowed = {list(player.cell.workers)[-1]}
+
+    context.setup.append(allow)
+
+
+@when("a job of a queue with advice is handed in")
+def advised_job(context):
+    context.player = player = prepared(context)
+    context.asked = Counter()
+    decide = player.cell.decide
+
+    def counting_decide(now_s, wall_s):
+        decision = decide(now_s, wall_s)
+        for question in decision.questions:
+            context.asked.update(question.worker_ids)
+        return decision
+
+    player.cell.decide = counting_decide
+    advised = replace(BATCH, name="advised", advice=Advice(0.01, 0.001))
+    player.submit("late", advised, step(1, 4_000), 9.0)
+
+
+@then("no worker was asked about twice")
+def asked_once(context):
+    assert max(context.asked.values()) == 1, context.asked
+
+
+@when(
+    "a filling step of {count:d} tasks, of which a worker may have {most:d}, "
+    "waits for {seconds:g} s"
+)
+def limited_filler(context, count, most, seconds):
+    context.player = player = prepared(context)
+    filler = step(count, 1_000, filler=True, image="day", per_worker_max=most)
+    player.submit("late", BATCH, filler, 60.0)
+    player.play(seconds)
+
+
+@then("no worker has more than {most:d} of its tasks")
+def within_limit(context, most):
+    runs = context.player.cell.jobs["late"].runs()
+    counts = Counter(run.worker_id for run in runs)
+    assert max(counts.values()) <= most, counts
+
+
+@then("{count:d} of its tasks are at work")
+def tasks_at_work(context, count):
+    runs = context.player.cell.jobs["late"].runs()
+    assert len(runs) == count, runs
--- a/features/support/cell_player.py
+++ b/features/support/cell_player.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.effects import Note
 from hornbeampaddle.cell.jobs import Job, Queue, Step
 from hornbeampaddle.cell.progress import JobStatus, Run, RunPhase
@@ -32,6 +33,8 @@
     stops: list[tuple[float, Run]] = field(default_factory=list)
     finished_s: dict[str, float] = field(default_factory=dict)
     notes: list[tuple[float, Note]] = field(default_factory=list)
+    # The workers that the service of advice allows; without it, it does not answer.
+    allowed: set[str] | None = None
 
     def __post_init__(self):
         self.cell.note = lambda note: self.notes.append((self.now_s, note))
@@ -57,6 +60,9 @@
         for run in decision.starts:
             run.phase = RunPhase.SENDING
             self.cell.orders.start_answered(run, Done(self.now_s), self.now_s)
+        if self.allowed is not None:
+            for question in decision.questions:
+                self._advise(question)
         for order in decision.stops:
             self.cell.orders.stop_answered(order, Done(self.now_s), self.now_s)
             self.stops.append((self.now_s + STOP_S, order.run))
@@ -67,6 +73,11 @@
             if state.status is JobStatus.COMPLETED:
                 self.finished_s.setdefault(job_id, self.now_s)
 
+    def _advise(self, question):
+        names = self.allowed.intersection(question.worker_ids)
+        allowance = Allowance(dict.fromkeys(names, "ticket"), self.now_s + 3.0)
+        self.cell.advice.answer(question.step, allowance, self.now_s)
+
     def play(self, seconds_s):
         for _ in range(round(seconds_s / TICK_S)):
             self.tick()
