--- a/packages/hornbeampaddle/hornbeampaddle/cell/advice.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/advice.py
@@ -25,19 +25,28 @@
 
 @dataclass(slots=True)
 class AdviceBook:
-    """Advice that was given, and questions that are open."""
+    """Advice that was given, and questions that are open with the workers they name."""
 
     given: dict[StepKey, Allowance] = field(default_factory=dict)
-    asked: set[StepKey] = field(default_factory=set)
+    asked: dict[StepKey, tuple[str, ...]] = field(default_factory=dict)
     rested: dict[StepKey, float] = field(default_factory=dict)
+    # Which workers may run a step does not change.
+    refused: dict[StepKey, set[str]] = field(default_factory=dict)
 
     def answer(self, step: StepKey, allowance: Allowance | None, now_s: float) -> None:
         """Take in an answer; nothing means that none came."""
-        self.asked.discard(step)
-        if allowance is None or not allowance.tickets:
+        asked = self.asked.pop(step, ())
+        if allowance is None:
             self.rested[step] = now_s + ADVICE_PAUSE_S
-        if allowance is not None:
-            self.given[step] = allowance
+            return
+        self.given[step] = allowance
+        refused = set(asked) - allowance.tickets.keys()
+        self.refused.setdefault(step, set()).update(refused)
+
+    def forget(self, step: StepKey) -> None:
+        """Drop what is known of a step."""
+        for book in (self.given, self.asked, self.rested, self.refused):
+            book.pop(step, None)
 
     def drop(self, key: TaskKey) -> None:
         """Forget the advice on a task's step; a worker did not accept it."""
@@ -67,10 +76,14 @@
         if with_room & allowance.tickets.keys():
             return allowance.tickets
     if cell.advice.may_ask(step.key, now_s):
-        room = [w.worker_id for w in workers if _fits(step, w)]
+        # Guards against a job that waits for ever beside free workers: a question that
+        # names those that were refused names the same few again and again.
+        refused = cell.advice.refused.get(step.key, ())
+        names = (w.worker_id for w in workers if _fits(step, w))
+        room = [name for name in names if name not in refused]
         asked = tuple(room[: cell.settings.advice_workers])
         if asked:
-            cell.advice.asked.add(step.key)
+            cell.advice.asked[step.key] = asked
             decision.questions.append(AdviceQuestion(step.key, asked))
     return {}
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -9,7 +9,7 @@
 from .effects import Decision, Note
 from .gangs import begin_run, choose_workers
 from .jobs import Step
-from .placing import Ranking, allowed_share, choose_slow, has_spare, suits
+from .placing import Ranking, allowed_share, choose_slow, has_spare, may_take, suits
 from .preempting import make_room
 from .progress import JobState, JobStatus, Run, StepState, Task
 from .separating import step_count
@@ -293,7 +293,12 @@
         if now_s - (step.ready_at_s or now_s) < SLOW_AFTER_S:
             return
         share_min = SLOW_SHARE_MIN
-    place = choose_slow(step.step, workers, cell.model, share_min)
+    used = _used(step)
+    key = waiting[0].key
+    # Guards against more tasks of a step on one worker than it allows, and against a
+    # second run of a task beside a stray one: no ranking has sorted these workers out.
+    candidates = [w for w in workers if may_take(step.step, w, key, used)]
+    place = choose_slow(step.step, candidates, cell.model, share_min)
     if place is None:
         return
     worker, share = place
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -44,6 +44,21 @@
     return step.need.fits_in(listing.capacity)
 
 
+def may_take(
+    step: Step, worker: WorkerState, key: TaskKey, used: dict[str, int]
+) -> bool:
+    """
+    Tell whether a worker has room for a task now and its step allows it there.
+
+    ``used`` counts the tasks of the step by worker.
+    """
+    if key in worker.runs or not step.charge.fits_in(worker.free()):
+        return False
+    return (
+        not step.per_worker_max or used.get(worker.worker_id, 0) < step.per_worker_max
+    )
+
+
 @dataclass(slots=True)
 class Ranking:
     """The workers for one step, the best first; scores follow the choices."""
@@ -80,7 +95,7 @@
         while self._heap and chosen is None:
             entry = heapq.heappop(self._heap)
             worker = entry[2]
-            if not self._open(worker, key):
+            if not may_take(self.step, worker, key, self.used):
                 continue
             if worker.worker_id == avoid and fallback is None:
                 fallback = entry
@@ -104,12 +119,6 @@
         if score is not None:
             heapq.heappush(self._heap, (-score, name, worker))
 
-    def _open(self, worker: WorkerState, key: TaskKey) -> bool:
-        if key in worker.runs or not self.step.charge.fits_in(worker.free()):
-            return False
-        most = self.step.per_worker_max
-        return not most or self.used.get(worker.worker_id, 0) < most
-
     def _score(self, worker: WorkerState) -> float | None:
         if self.step.filler and self.at_any_pace:
             share = allowed_share(self.step, worker, self.model)
@@ -177,8 +186,6 @@
     """Return the worker that lets a disturbing filler work fastest, and how fast."""
     best: tuple[float, float, str, WorkerState] | None = None
     for worker in workers:
-        if not step.charge.fits_in(worker.free()):
-            continue
         share = allowed_share(step, worker, model)
         entry = (share, worker.spare_cpu_millis(), worker.worker_id, worker)
         if best is None or entry > best:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -101,7 +101,11 @@
 
     def forget(self, job_id: str) -> None:
         """Drop a finished job."""
-        self.jobs.pop(job_id, None)
+        state = self.jobs.pop(job_id, None)
+        if state is not None:
+            for steps in state.occurrences.values():
+                for step in steps:
+                    self.advice.forget(step.key)
         self.open_jobs.pop(job_id, None)
         self.dirty.discard(job_id)
 
