--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -166,3 +166,12 @@
     When a filling step of 5 tasks, of which a worker may have 1, waits for 10 s
     Then no worker has more than 1 of its tasks
     And 4 of its tasks are at work
+
+  Scenario: A task that may not start beside its own stray run hides no room from others
+    # A caller sees a job wait beside a free worker: a late order had started another job's task
+    # there again, that task may not go there until the stray run has ended, and whatever asks
+    # for as much was taken to have no room, also the other tasks of its step.
+    Given 4 workers of 16 cores
+    When only the worker with a stray run of a waiting task has room, and another job waits
+    Then the other task of its step is at work
+    And the other job is at work
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -12,6 +12,7 @@
 from hornbeampaddle.cell import workers as workers_module
 from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.jobs import Advice, StepKey, TaskKey
+from hornbeampaddle.cell.progress import Run, RunPhase
 from hornbeampaddle.cell.workers import WorkerListing
 from hornbeampaddle.machines import Address
 from hornbeampaddle.resources import Resources
@@ -562,3 +563,31 @@
 def tasks_at_work(context, count):
     runs = context.player.cell.jobs["late"].runs()
     assert len(runs) == count, runs
+
+
+@when(
+    "only the worker with a stray run of a waiting task has room, and another job waits"
+)
+def stray_run(context):
+    context.player = player = prepared(context)
+    player.submit("full", LASTING, step(3, 16_000, lasting=True), 1e9)
+    player.play(1.0)
+    free = next(w for w in player.cell.workers.values() if not w.runs)
+    player.submit("first", URGENT, step(2, 4_000), 9.0)
+    key = TaskKey("first", 0, 0, 0)
+    wanted = player.cell.jobs["first"].job.steps[0]
+    stray = Run(key, 0, free.worker_id, wanted, wanted.charge, RunPhase.STOPPING)
+    free.add(stray)
+    player.submit("other", BATCH, step(1, 4_000), 9.0)
+    player.tick()
+
+
+@then("the other task of its step is at work")
+def other_task_runs(context):
+    runs = context.player.cell.jobs["first"].runs()
+    assert [run.key.position for run in runs] == [1], runs
+
+
+@then("the other job is at work")
+def other_runs(context):
+    assert context.player.cell.jobs["other"].runs()
