--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -154,6 +154,11 @@
                 reason = WaitReason.ROOM_RESERVED
             continue
         worker = ranking.choose(task.key, task.last_worker_id)
+        if worker is None and any(task.key in w.runs for w in workers):
+            # Guards against a worker's room that one task hides from all that ask for
+            # as much: its own stray run is there, which keeps out only itself.
+            reason = WaitReason.STRAY_RUN
+            continue
         if worker is None:
             if state.job.queue.advice is None:
                 misfits.add(service, step.step)
@@ -165,6 +170,8 @@
             return WaitReason.NO_SPARE
         _start(cell, decision, state, step, task, worker, granted, now_s)
         ranking.booked(worker)
+    if reason is WaitReason.STRAY_RUN:
+        _no_room(cell, decision, state, step, workers, granted, now_s)
     return reason
 
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -95,6 +95,9 @@
         while self._heap and chosen is None:
             entry = heapq.heappop(self._heap)
             worker = entry[2]
+            if key in worker.runs:
+                passed.append(entry)
+                continue
             if not may_take(self.step, worker, key, self.used):
                 continue
             if worker.worker_id == avoid and fallback is None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
@@ -36,6 +36,7 @@
     GANG_NO_ROOM = "gang_no_room"
     GANG_ENDING = "gang_ending"
     ROOM_RESERVED = "room_reserved"
+    STRAY_RUN = "stray_run"
 
 
 @dataclass(slots=True)
