--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -163,7 +163,7 @@
             if state.job.queue.advice is None:
                 misfits.add(service, step.step)
             _no_room(cell, decision, state, step, workers, granted, now_s)
-            return _why(step, workers)
+            return WaitReason.NO_ROOM
         if step.step.filler and not has_spare(step.step, worker):
             if _left_idle(cell, state, step, now_s):
                 _place_slow(cell, decision, state, step, workers, granted, now_s)
@@ -175,18 +175,6 @@
     return reason
 
 
-def _why(step: StepState, workers: list[WorkerState]) -> WaitReason:
-    """Say why tasks found no worker among these."""
-    if not workers:
-        return WaitReason.NO_WORKER
-    with_room = [w for w in workers if step.step.charge.fits_in(w.free())]
-    if not step.step.filler or not with_room:
-        return WaitReason.NO_ROOM
-    if any(has_spare(step.step, worker) for worker in with_room):
-        return WaitReason.DISTURBS
-    return WaitReason.NO_SPARE
-
-
 def _start_at_home(
     cell: "Scheduler",
     decision: Decision,
--- a/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from .effects import Note
+from .placing import has_spare
 from .progress import JobState, StepState
 from .workers import WorkerState
 
@@ -109,7 +110,7 @@
         "step": step.key,
         "tasks": len(step.waiting()),
         "waited_s": round(now_s - sight.wait.since_s, 3),
-        "reason": sight.reason.value,
+        "reason": _reason(sight).value,
         "workers": len(sight.workers),
         "use_ratio": round(use_ratio, 3),
         **_most(sight.workers),
@@ -117,6 +118,23 @@
     return Note("job_waits", step.key.job_id, detail)
 
 
+def _reason(sight: Sight) -> WaitReason:
+    """
+    Tell a filler that found no memory from one that others keep out.
+
+    It is worked out only for a note: hundreds of steps may wait in each decision.
+    """
+    step = sight.step.step
+    if sight.reason is not WaitReason.NO_ROOM or not step.filler:
+        return sight.reason
+    with_room = [w for w in sight.workers if step.charge.fits_in(w.free())]
+    if not with_room or sight.state.job.queue.advice is not None:
+        return WaitReason.NO_ROOM
+    if any(has_spare(step, worker) for worker in with_room):
+        return WaitReason.DISTURBS
+    return WaitReason.NO_SPARE
+
+
 def _most(workers: list[WorkerState]) -> dict[str, object]:
     """Return the most that any of these workers has left, each figure by itself."""
     free = [worker.free() for worker in workers]
