--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -175,3 +175,14 @@
     When only the worker with a stray run of a waiting task has room, and another job waits
     Then the other task of its step is at work
     And the other job is at work
+
+  Scenario: A late job gives way while callers hand in newer ones, and no longer
+    # Callers of an overloaded cell get a tenth less of what they are owed when every job that
+    # is too late for its objective gets a task at work beside those that can be on time. Once
+    # no more come, a job that still has nothing at work would look lost.
+    Given 4 workers of 16 cores
+    And fillers of other jobs use all spare processors for 20 s
+    When a filling job of 6 x 5650 thousandths of a core is handed in
+    And newer jobs are handed in for 8 s
+    Then it has nothing at work
+    But it has a task at work within 4 s
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -591,3 +591,16 @@
 @then("the other job is at work")
 def other_runs(context):
     assert context.player.cell.jobs["other"].runs()
+
+
+@when("newer jobs are handed in for {seconds:d} s")
+def newer_jobs(context, seconds):
+    for number in range(seconds):
+        newer = step(1, 1_000, filler=True, image="day")
+        context.player.submit(f"newer{number}", BATCH, newer, 1.0)
+        context.player.play(1.0)
+
+
+@then("it has nothing at work")
+def nothing_at_work(context):
+    assert not context.player.cell.jobs["late"].runs()
