--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -30,6 +30,10 @@
 IDLE_CELL_RATIO = 0.6
 IDLE_JOB_AFTER_S = 1.2
 FIRST_PACE_MIN_PERCENT = 3
+# While callers hand in jobs more often than this, a late one is not started beside
+# fillers that use all processors: newer ones can still be on time. Under load, jobs
+# come several times a second.
+QUIET_S = 3.0
 
 
 @dataclass(slots=True)
@@ -165,7 +169,8 @@
             _no_room(cell, decision, state, step, workers, granted, now_s)
             return WaitReason.NO_ROOM
         if step.step.filler and not has_spare(step.step, worker):
-            if _left_idle(cell, state, step, now_s):
+            quiet = cell.quiet_s(step.key.job_id, now_s) >= QUIET_S
+            if quiet and _left_idle(cell, state, step, now_s):
                 _place_slow(cell, decision, state, step, workers, granted, now_s)
             return WaitReason.NO_SPARE
         _start(cell, decision, state, step, task, worker, granted, now_s)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -53,6 +53,8 @@
         self.waits = WaitBook()
         # Worked out once in a decision: each of hundreds of jobs that wait asks.
         self._use_ratios: dict[str, float] = {}
+        # The two newest acceptances of jobs that end, the newest first.
+        self._newest: list[tuple[float, str]] = []
         self.intake = Intake(self)
         self.orders = Orders(self)
 
@@ -71,6 +73,9 @@
             return
         state = restore(job, progress, accepted_at_s)
         self.jobs[job.job_id] = state
+        if not job.lasting:
+            newest = [*self._newest, (accepted_at_s, job.job_id)]
+            self._newest = sorted(newest, reverse=True)[:2]
         for run in state.runs():
             self._inherit(run, now_s)
         if state.status.final and not state.runs():
@@ -227,6 +232,11 @@
         total = sum(w.listing.capacity.cpu_millis for w in workers)
         return sum(w.taken.cpu_millis for w in workers) / total if total else 1.0
 
+    def quiet_s(self, job_id: str, now_s: float) -> float:
+        """Return the time since another job that ends was accepted."""
+        others = [at_s for at_s, other in self._newest if other != job_id]
+        return now_s - max(others, default=float("-inf"))
+
     def service_of(self, job: Job) -> str:
         """Return the service to which the newest configuration sends a job."""
         return self.services.get(job.queue.name, job.queue.service)
