--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -9,29 +9,31 @@
 from .effects import Decision, Note
 from .gangs import begin_run, choose_workers
 from .jobs import Step
-from .placing import Ranking, choose_slow, suits
+from .placing import Ranking, allowed_share, choose_slow, has_spare, may_take, suits
 from .preempting import make_room
 from .progress import JobState, JobStatus, Run, StepState, Task
 from .separating import step_count
 from .urgency import chance_of, urgency
+from .waiting import WaitReason
 from .workers import WorkerState
 
 if TYPE_CHECKING:
     from .scheduler import Scheduler
 
-# A filler is placed while the workers' spare processors cover this share of
-# its need; beyond that it would only slow those that came before it.
-FILLER_SPARE_RATIO = 0.5
 # A filler waits so long for a worker where it disturbs nobody before it starts
 # at a lower pace; after 1.5 s already, it cost more than it gained.
 SLOW_AFTER_S = 6.0
 # Slower than this share of its speed, a filler would only hold memory.
 SLOW_SHARE_MIN = 0.25
-# While less than this share of the processors is reserved, no job is left with
-# nothing at work for longer than this: callers count on it from half on.
+# While less than this share of a service's processors is reserved, no job is left
+# with nothing at work for longer than this: callers count on it from half on.
 IDLE_CELL_RATIO = 0.6
 IDLE_JOB_AFTER_S = 1.2
 FIRST_PACE_MIN_PERCENT = 3
+# While callers hand in jobs more often than this, a late one is not started beside
+# fillers that use all processors: newer ones can still be on time. Under load, jobs
+# come several times a second.
+QUIET_S = 3.0
 
 
 @dataclass(slots=True)
@@ -67,12 +69,14 @@
 def place(cell: "Scheduler", decision: Decision, now_s: float, wall_s: float) -> None:
     """Choose workers for waiting tasks; add the starts to the decision."""
     ready = sorted(_ready_steps(cell, now_s, wall_s), key=lambda item: item[0])
-    if not ready:
-        return
     usable = [w for w in cell.workers.values() if w.usable(now_s)]
     misfits = Misfits()
     for _, state, step in ready:
-        _place_step(cell, decision, state, step, usable, misfits, now_s)
+        workers = _suited(cell, state, step, usable)
+        reason = _place_step(cell, decision, state, step, workers, misfits, now_s)
+        if reason is not None:
+            cell.waits.see(state, step, workers, reason, now_s)
+    cell.waits.close(cell, now_s)
 
 
 def _ready_steps(
@@ -110,32 +114,39 @@
     return all(steps[number].done for number in step.step.after)
 
 
+def _suited(
+    cell: "Scheduler", state: JobState, step: StepState, usable: list[WorkerState]
+) -> list[WorkerState]:
+    service = cell.service_of(state.job)
+    return [w for w in usable if w.listing.service == service and suits(step.step, w)]
+
+
 def _place_step(
     cell: "Scheduler",
     decision: Decision,
     state: JobState,
     step: StepState,
-    usable: list[WorkerState],
+    workers: list[WorkerState],
     misfits: Misfits,
     now_s: float,
-) -> None:
-    service = cell.services.get(state.job.queue.name, state.job.queue.service)
-    workers = [
-        w for w in usable if w.listing.service == service and suits(step.step, w)
-    ]
+) -> WaitReason | None:
+    """Place what can be placed; return why the rest waits."""
+    if not workers and not step.step.lasting:
+        return WaitReason.NO_WORKER
+    service = cell.service_of(state.job)
     granted: dict[str, str] = {}
     if state.job.queue.advice is not None:
         granted = tickets(cell, decision, step, workers, now_s)
         workers = [w for w in workers if w.worker_id in granted]
-    if not workers and not step.step.lasting:
-        return
+        if not workers and not step.step.lasting:
+            return WaitReason.NO_ADVICE
     if step.step.gang:
-        _start_gang(cell, decision, state, step, workers, granted, now_s)
-        return
+        return _start_gang(cell, decision, state, step, workers, granted, now_s)
     ranking = Ranking(step.key.job_id, step.step, cell.model, _used(step))
     hopeless = misfits.covers(service, step.step)
     if not hopeless:
         ranking.fill(workers)
+    reason = None
     for task in step.waiting():
         home = cell.separator.reserved(task.key)
         if home is not None:
@@ -143,17 +154,30 @@
                 # Guards against more tasks of a step on one worker than it allows:
                 # the ranking would not see this one.
                 ranking.booked(home)
+            else:
+                reason = WaitReason.ROOM_RESERVED
             continue
         worker = ranking.choose(task.key, task.last_worker_id)
+        if worker is None and any(task.key in w.runs for w in workers):
+            # Guards against a worker's room that one task hides from all that ask for
+            # as much: its own stray run is there, which keeps out only itself.
+            reason = WaitReason.STRAY_RUN
+            continue
         if worker is None:
             if state.job.queue.advice is None:
                 misfits.add(service, step.step)
-            _no_room(cell, decision, state, step, workers, now_s)
-            return
-        if step.step.filler and not _has_spare(worker, step):
-            return
+            _no_room(cell, decision, state, step, workers, granted, now_s)
+            return WaitReason.NO_ROOM
+        if step.step.filler and not has_spare(step.step, worker):
+            quiet = cell.quiet_s(step.key.job_id, now_s) >= QUIET_S
+            if quiet and _left_idle(cell, state, step, now_s):
+                _place_slow(cell, decision, state, step, workers, granted, now_s)
+            return WaitReason.NO_SPARE
         _start(cell, decision, state, step, task, worker, granted, now_s)
         ranking.booked(worker)
+    if reason is WaitReason.STRAY_RUN:
+        _no_room(cell, decision, state, step, workers, granted, now_s)
+    return reason
 
 
 def _start_at_home(
@@ -166,7 +190,7 @@
     now_s: float,
 ) -> bool:
     """Start a task where room is reserved for it, once it is free; tell if it did."""
-    service = cell.services.get(state.job.queue.name, state.job.queue.service)
+    service = cell.service_of(state.job)
     if not home.usable(now_s) or home.listing.service != service:
         # A configuration may have moved the queue since the room was reserved.
         cell.separator.settle(task.key)
@@ -187,11 +211,12 @@
     state: JobState,
     step: StepState,
     workers: list[WorkerState],
+    granted: dict[str, str],
     now_s: float,
 ) -> None:
     """Look for another way for tasks that found no worker."""
     if step.step.filler:
-        _place_slow(cell, decision, state, step, workers, now_s)
+        _place_slow(cell, decision, state, step, workers, granted, now_s)
     elif step.step.lasting:
         _place_on_resting(cell, decision, state, step, now_s)
     elif chance_of(state, now_s) == 0:
@@ -212,7 +237,7 @@
     worker in twenty. A lasting task has no limit of attempts to lose there, and
     its users lose more by a wait of seconds than by another try.
     """
-    service = cell.services.get(state.job.queue.name, state.job.queue.service)
+    service = cell.service_of(state.job)
     if state.job.queue.advice is not None:
         return
     resting = [
@@ -233,38 +258,66 @@
         ranking.booked(worker)
 
 
+def _left_idle(
+    cell: "Scheduler", state: JobState, step: StepState, now_s: float
+) -> bool:
+    """
+    Tell whether a job has nothing at work though its service is mostly free.
+
+    Guards against a filling job that waits for ever, with room shown as free: every
+    worker serves an image that it disturbs, or other fillers, which reserve no
+    processors, use them all. One task of it starts at a low pace then.
+    """
+    if now_s - (step.ready_at_s or now_s) < IDLE_JOB_AFTER_S:
+        return False
+    use_ratio = cell.use_ratio(cell.service_of(state.job))
+    return not state.runs() and use_ratio < IDLE_CELL_RATIO
+
+
 def _place_slow(
     cell: "Scheduler",
     decision: Decision,
     state: JobState,
     step: StepState,
     workers: list[WorkerState],
+    granted: dict[str, str],
     now_s: float,
 ) -> None:
-    """Place one filler that disturbs wherever it goes, at a pace that does not."""
-    waited_s = now_s - (step.ready_at_s or now_s)
+    """Place one filler that found no worker to itself, at a pace that harms nobody."""
     waiting = step.waiting()
-    if not waiting or waited_s < IDLE_JOB_AFTER_S:
-        return
-    share_min = SLOW_SHARE_MIN
-    if not state.runs() and cell.use_ratio() < IDLE_CELL_RATIO:
-        # Guards against a job that waits for ever in a cell with most of its
-        # room free, because every worker serves an image that it disturbs.
-        share_min = 0.0
-    elif waited_s < SLOW_AFTER_S:
+    if not waiting:
         return
-    place = choose_slow(step.step, workers, cell.model, share_min)
+    share_min = 0.0
+    idle = _left_idle(cell, state, step, now_s)
+    if not idle:
+        if now_s - (step.ready_at_s or now_s) < SLOW_AFTER_S:
+            return
+        share_min = SLOW_SHARE_MIN
+    used = _used(step)
+    key = waiting[0].key
+    # Guards against more tasks of a step on one worker than it allows, and against a
+    # second run of a task beside a stray one: no ranking has sorted these workers out.
+    candidates = [w for w in workers if may_take(step.step, w, key, used)]
+    place = choose_slow(step.step, candidates, cell.model, share_min)
     if place is None:
         return
     worker, share = place
-    _start(cell, decision, state, step, waiting[0], worker, {}, now_s)
-    percent = max(FIRST_PACE_MIN_PERCENT, round(100 * share))
-    decision.starts[-1].first_pace_percent = percent
+    crowded = idle and not has_spare(step.step, worker)
+    _start(cell, decision, state, step, waiting[0], worker, granted, now_s)
+    _pace(decision.starts[-1], share, crowded)
+
 
+def _pace(run: Run, share: float, crowded: bool) -> None:
+    """
+    Let a filler begin at the share of its speed at which it disturbs nobody.
 
-def _has_spare(worker: WorkerState, step: StepState) -> bool:
-    needed = FILLER_SPARE_RATIO * step.step.need.cpu_millis
-    return worker.filler_cpu_millis == 0 or worker.spare_cpu_millis() >= needed
+    Guards against a queue of late jobs that slows those that can be on time: where
+    others use all processors it begins at the lowest pace, and the pacer lets it work
+    faster once there are some to spare.
+    """
+    percent = 0 if crowded else round(100 * share)
+    run.first_pace_percent = max(FIRST_PACE_MIN_PERCENT, percent)
+    run.shares_processors = crowded
 
 
 def _used(step: StepState) -> dict[str, int]:
@@ -283,15 +336,23 @@
     workers: list[WorkerState],
     granted: dict[str, str],
     now_s: float,
-) -> None:
+) -> WaitReason | None:
     if any(task.run is not None for task in step.tasks):
-        return
+        return WaitReason.GANG_ENDING
     chosen = choose_workers(cell, step, workers)
+    slow = chosen is None and step.step.filler
+    if slow and _left_idle(cell, state, step, now_s):
+        chosen = choose_workers(cell, step, workers, at_any_pace=True)
     if chosen is None:
-        return
+        return WaitReason.GANG_NO_ROOM
     begin_run(step)
     for task, worker in zip(step.tasks, chosen, strict=True):
+        share = allowed_share(step.step, worker, cell.model) if slow else 1.0
+        crowded = slow and not has_spare(step.step, worker)
         _start(cell, decision, state, step, task, worker, granted, now_s)
+        if slow:
+            _pace(decision.starts[-1], share, crowded)
+    return None
 
 
 def _start(
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -19,6 +19,9 @@
 # Slack that a filler takes still counts where there is enough, so that harmless pairs
 # are preferred while both have processors to spare.
 SLACK_MILLIS = 20_000
+# A filler is placed while a worker's spare processors cover this share of its need;
+# beyond that it would only slow those that came before it.
+FILLER_SPARE_RATIO = 0.5
 # A serving task prefers workers that serve its own job or its image; worth this much
 # of a worker's free processors. The tasks of a job share the swing of its users' load,
 # so a worker with one job has room for fillers while that load is low.
@@ -26,6 +29,8 @@
 SAME_IMAGE_SHARE = 0.6
 # Memory is rarely what binds; it only breaks ties between equal workers.
 MEMORY_WEIGHT = 0.1
+# A filler's whole speed outweighs any spare processors.
+SHARE_MILLIS = 1e6
 # Larger than any difference in room: the other rack and the worker of the last
 # failure are taken only when nothing else has room.
 RACK_PENALTY = 1e7
@@ -39,6 +44,21 @@
     return step.need.fits_in(listing.capacity)
 
 
+def may_take(
+    step: Step, worker: WorkerState, key: TaskKey, used: dict[str, int]
+) -> bool:
+    """
+    Tell whether a worker has room for a task now and its step allows it there.
+
+    ``used`` counts the tasks of the step by worker.
+    """
+    if key in worker.runs or not step.charge.fits_in(worker.free()):
+        return False
+    return (
+        not step.per_worker_max or used.get(worker.worker_id, 0) < step.per_worker_max
+    )
+
+
 @dataclass(slots=True)
 class Ranking:
     """The workers for one step, the best first; scores follow the choices."""
@@ -47,6 +67,8 @@
     step: Step
     model: Interference
     used: dict[str, int]
+    # Fillers may go where they disturb or share processors; the fastest place first.
+    at_any_pace: bool = False
     _heap: list[tuple[float, str, WorkerState]] = field(default_factory=list)
 
     def fill(self, workers: Iterable[WorkerState]) -> None:
@@ -73,7 +95,10 @@
         while self._heap and chosen is None:
             entry = heapq.heappop(self._heap)
             worker = entry[2]
-            if not self._open(worker, key):
+            if key in worker.runs:
+                passed.append(entry)
+                continue
+            if not may_take(self.step, worker, key, self.used):
                 continue
             if worker.worker_id == avoid and fallback is None:
                 fallback = entry
@@ -97,17 +122,19 @@
         if score is not None:
             heapq.heappush(self._heap, (-score, name, worker))
 
-    def _open(self, worker: WorkerState, key: TaskKey) -> bool:
-        if key in worker.runs or not self.step.charge.fits_in(worker.free()):
-            return False
-        most = self.step.per_worker_max
-        return not most or self.used.get(worker.worker_id, 0) < most
-
     def _score(self, worker: WorkerState) -> float | None:
-        if self.step.filler:
+        if self.step.filler and self.at_any_pace:
+            share = allowed_share(self.step, worker, self.model)
+            score = share * SHARE_MILLIS + worker.spare_cpu_millis()
+        elif self.step.filler:
             filling = filler_score(self.step, worker, self.model)
             if filling is None:
                 return None
+            # Guards against a filler that waits beside idle workers because those in
+            # the rack of its data, which outweigh any room, are in use: they are no
+            # candidates then. Without a rack, the score weighs spare processors itself.
+            if self.step.data_rack and not has_spare(self.step, worker):
+                return None
             score = filling
         else:
             score = _packing_score(worker)
@@ -120,6 +147,12 @@
         return score
 
 
+def has_spare(step: Step, worker: WorkerState) -> bool:
+    """Tell whether a filler would find processor time on a worker."""
+    needed = FILLER_SPARE_RATIO * step.need.cpu_millis
+    return worker.filler_cpu_millis == 0 or worker.spare_cpu_millis() >= needed
+
+
 def filler_score(step: Step, worker: WorkerState, model: Interference) -> float | None:
     """Return how good a worker is for a filler, or nothing if it would disturb."""
     if allowed_share(step, worker, model) < 1.0:
@@ -156,8 +189,6 @@
     """Return the worker that lets a disturbing filler work fastest, and how fast."""
     best: tuple[float, float, str, WorkerState] | None = None
     for worker in workers:
-        if not step.charge.fits_in(worker.free()):
-            continue
         share = allowed_share(step, worker, model)
         entry = (share, worker.spare_cpu_millis(), worker.worker_id, worker)
         if best is None or entry > best:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -21,6 +21,7 @@
 from .progress import JobState, JobStatus, Run, RunPhase, encode, restore
 from .separating import Separator
 from .settings import CellSettings
+from .waiting import WaitBook
 from .workers import WorkerListing, WorkerState
 
 # Orders take a moment on their way, and a deadline is rounded.
@@ -49,6 +50,11 @@
         self.moves_looked_at_s = float("-inf")
         self.pacer = pacing.Pacer(settings, self.model)
         self.separator = Separator(self)
+        self.waits = WaitBook()
+        # Worked out once in a decision: each of hundreds of jobs that wait asks.
+        self._use_ratios: dict[str, float] = {}
+        # The two newest acceptances of jobs that end, the newest first.
+        self._newest: list[tuple[float, str]] = []
         self.intake = Intake(self)
         self.orders = Orders(self)
 
@@ -67,6 +73,9 @@
             return
         state = restore(job, progress, accepted_at_s)
         self.jobs[job.job_id] = state
+        if not job.lasting:
+            newest = [*self._newest, (accepted_at_s, job.job_id)]
+            self._newest = sorted(newest, reverse=True)[:2]
         for run in state.runs():
             self._inherit(run, now_s)
             if state.status.final:
@@ -210,12 +219,31 @@
         if worker is not None:
             worker.silent = True
 
-    def use_ratio(self) -> float:
-        """Return the share of the usable workers' processors that is reserved."""
-        workers = [w for w in self.workers.values() if w.reported and not w.gone]
+    def use_ratio(self, service: str) -> float:
+        """Return the share of a service's processors reserved as the decision began."""
+        ratio = self._use_ratios.get(service)
+        if ratio is None:
+            ratio = self._use_ratios[service] = self._use_ratio(service)
+        return ratio
+
+    def _use_ratio(self, service: str) -> float:
+        workers = [
+            w
+            for w in self.workers.values()
+            if w.reported and not w.gone and w.listing.service == service
+        ]
         total = sum(w.listing.capacity.cpu_millis for w in workers)
         return sum(w.taken.cpu_millis for w in workers) / total if total else 1.0
 
+    def quiet_s(self, job_id: str, now_s: float) -> float:
+        """Return the time since another job that ends was accepted."""
+        others = [at_s for at_s, other in self._newest if other != job_id]
+        return now_s - max(others, default=float("-inf"))
+
+    def service_of(self, job: Job) -> str:
+        """Return the service to which the newest configuration sends a job."""
+        return self.services.get(job.queue.name, job.queue.service)
+
     def release(self, run: Run, now_s: float, why: str) -> None:
         """Free an attempt's room; its task waits again if it is still its run."""
         worker = self.workers.get(run.worker_id)
@@ -303,6 +331,7 @@
 
     def decide(self, now_s: float, wall_s: float) -> Decision:
         """Place what waits; return what to store and which orders to give."""
+        self._use_ratios.clear()
         self.expire(now_s)
         self.model.solve(now_s)
         decision = Decision()
