--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -604,3 +604,49 @@
 @then("it has nothing at work")
 def nothing_at_work(context):
     assert not context.player.cell.jobs["late"].runs()
+
+
+@given("lasting tasks of {cores:d} cores fill them but for a quarter")
+def fill_most(context, cores):
+    def lasting(player):
+        player.submit("lasting", LASTING, step(24, cores * 1000, lasting=True), 1e9)
+        player.play(3.0)
+
+    context.setup.append(lasting)
+
+
+@when(
+    "urgent jobs of {tasks:d} x {cores:d} cores come {per_s:d} times a second "
+    "for {for_s:d} s"
+)
+def urgent_pressure(context, tasks, cores, per_s, for_s):
+    player = context.player = prepared(context)
+    away_since_s = {}
+    context.away_s = []
+
+    def watch(player):
+        for step_state in player.cell.jobs["lasting"].occurrences[0]:
+            for task in step_state.tasks:
+                if task.run is None:
+                    away_since_s.setdefault(task.key, player.now_s)
+                elif task.key in away_since_s:
+                    context.away_s.append(player.now_s - away_since_s.pop(task.key))
+
+    jobs = for_s * per_s
+
+    def urgent():
+        return step(tasks, cores * 1000)
+
+    load(player, "urgent", jobs, per_s, URGENT, urgent, 1.0, watch)
+    watch(player)
+
+
+@then("no lasting task was away for longer than {most_s:g} s")
+def not_away_long(context, most_s):
+    longest_s = max(context.away_s, default=0.0)
+    assert longest_s <= most_s, longest_s
+
+
+@then("lasting tasks made room for urgent jobs")
+def made_room(context):
+    assert context.away_s
