--- a/features/trace.feature
+++ b/features/trace.feature
@@ -30,6 +30,15 @@
     And 30 s pass in the cell
     Then the story of "ba03" says "failed: task 0/0/0 failed 4 times"
 
+  Scenario: A request whose task finds no place
+    # A caller waits and sees nothing run. All workers are full of tasks that last.
+    Given a cell of 3 instances and 4 workers
+    And its log is kept
+    When a lasting job "ba05" of 5 tasks that take a whole worker each is handed in
+    And 6 s pass in the cell
+    Then the story of "ba05" says "a step found no place for 3"
+    And the story of "ba05" says "(no_room)"
+
   Scenario: A log whose reader stands still blocks nobody and loses a counted part
     Given a log writer with a reader that stands still
     When 20000 lines are written
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/story.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/story.py
@@ -133,6 +133,11 @@
         reasons.append(f"{len(released)} runs were given up ({', '.join(whys)})")
     if waits and max(waits) > LONG_WAIT_S:
         reasons.append(f"tasks waited up to {max(waits)} s for a worker")
+    unplaced = _events(own, "job_waits")
+    if unplaced:
+        longest_s = max(line["waited_s"] for line in unplaced)
+        whys = ", ".join(sorted({line["reason"] for line in unplaced}))
+        reasons.append(f"a step found no place for {longest_s} s ({whys})")
     if _events(own, "pace"):
         reasons.append("its tasks were slowed down for the tasks that they disturb")
     state = "not finished in these logs"
