--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/story.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/story.py
@@ -136,8 +136,8 @@
     unplaced = _events(own, "job_waits")
     if unplaced:
         longest_s = max(line["waited_s"] for line in unplaced)
-        whys = ", ".join(sorted({line["reason"] for line in unplaced}))
-        reasons.append(f"a step found no place for {longest_s} s ({whys})")
+        named = ", ".join(sorted({line["reason"] for line in unplaced}))
+        reasons.append(f"a step found no place for {longest_s} s ({named})")
     if _events(own, "pace"):
         reasons.append("its tasks were slowed down for the tasks that they disturb")
     state = "not finished in these logs"
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -6,13 +6,15 @@
 
 from ..resources import Resources
 from .advice import tickets
-from .effects import Decision, Note
+from .effects import Decision
 from .gangs import begin_run, choose_workers
 from .jobs import Step
-from .placing import Ranking, allowed_share, choose_slow, has_spare, may_take, suits
+from .placing import Ranking, allowed_share, has_spare, suits
 from .preempting import make_room
-from .progress import JobState, JobStatus, Run, StepState, Task
+from .progress import JobState, StepState, Task
 from .separating import step_count
+from .slow_starts import begin_slowly, its_time, left_idle, place_slow
+from .starting import start_task
 from .urgency import Urgency, chance_of, urgency
 from .waiting import WaitReason
 from .workers import WorkerState
@@ -20,24 +22,6 @@
 if TYPE_CHECKING:
     from .scheduler import Scheduler
 
-# A filler waits so long for a worker where it disturbs nobody before it starts
-# at a lower pace; after 1.5 s already, it cost more than it gained.
-SLOW_AFTER_S = 6.0
-# Slower than this share of its speed, a filler would only hold memory.
-SLOW_SHARE_MIN = 0.25
-# While less than this share of a service's processors is reserved, no job is left
-# with nothing at work for longer than this: callers count on it from half on.
-IDLE_CELL_RATIO = 0.6
-IDLE_JOB_AFTER_S = 1.2
-FIRST_PACE_MIN_PERCENT = 3
-# While callers hand in jobs more often than this, a late one is not started beside
-# fillers that use all processors: newer ones can still be on time. Under load, jobs
-# come several times a second.
-QUIET_S = 3.0
-# ... but it does not wait longer than this for them: several times the objective of
-# any job, and seldom reached before the load that made it late has passed.
-STARVED_AFTER_S = 30.0
-
 
 @dataclass(slots=True)
 class Misfits:
@@ -142,7 +126,7 @@
             return WaitReason.NO_ADVICE
     if step.step.gang:
         return _start_gang(cell, decision, state, step, workers, granted, now_s)
-    ranking = Ranking(step.key.job_id, step.step, cell.model, _used(step))
+    ranking = Ranking(step.key.job_id, step.step, cell.model, step.used())
     hopeless = misfits.covers(service, step.step)
     if not hopeless:
         ranking.fill(workers)
@@ -169,10 +153,10 @@
             _no_room(cell, decision, state, step, workers, granted, now_s)
             return WaitReason.NO_ROOM
         if step.step.filler and not has_spare(step.step, worker):
-            if _its_time(cell, state, step, now_s):
-                _place_slow(cell, decision, state, step, workers, granted, now_s)
+            if its_time(cell, state, step, now_s):
+                place_slow(cell, decision, state, step, workers, granted, now_s)
             return WaitReason.NO_SPARE
-        _start(cell, decision, state, step, task, worker, granted, now_s)
+        start_task(cell, decision, state, step, task, worker, granted, now_s)
         ranking.booked(worker)
     if reason is WaitReason.STRAY_RUN:
         _no_room(cell, decision, state, step, workers, granted, now_s)
@@ -200,7 +184,7 @@
     most = step.step.per_worker_max
     if most and step_count(home, task.key) >= most:
         return False
-    _start(cell, decision, state, step, task, home, {}, now_s)
+    start_task(cell, decision, state, step, task, home, {}, now_s)
     return True
 
 
@@ -215,7 +199,7 @@
 ) -> None:
     """Look for another way for tasks that found no worker."""
     if step.step.filler:
-        _place_slow(cell, decision, state, step, workers, granted, now_s)
+        place_slow(cell, decision, state, step, workers, granted, now_s)
     elif step.step.lasting:
         _place_on_resting(cell, decision, state, step, now_s)
     elif chance_of(state, now_s) == 0:
@@ -247,102 +231,16 @@
         and w.listing.service == service
         and suits(step.step, w)
     ]
-    ranking = Ranking(step.key.job_id, step.step, cell.model, _used(step))
+    ranking = Ranking(step.key.job_id, step.step, cell.model, step.used())
     ranking.fill(resting)
     for task in step.waiting():
         worker = ranking.choose(task.key, task.last_worker_id)
         if worker is None:
             return
-        _start(cell, decision, state, step, task, worker, {}, now_s)
+        start_task(cell, decision, state, step, task, worker, {}, now_s)
         ranking.booked(worker)
 
 
-def _its_time(
-    cell: "Scheduler", state: JobState, step: StepState, now_s: float
-) -> bool:
-    """
-    Tell whether a job starts beside fillers that use all processors.
-
-    Guards against a late job that gives way for ever: with a new job every few
-    seconds there is no quiet span, and callers would wait for hours.
-    """
-    waited_s = now_s - (step.ready_at_s or now_s)
-    quiet = cell.quiet_s(step.key.job_id, now_s) >= QUIET_S
-    if not quiet and waited_s < STARVED_AFTER_S:
-        return False
-    return _left_idle(cell, state, step, now_s)
-
-
-def _left_idle(
-    cell: "Scheduler", state: JobState, step: StepState, now_s: float
-) -> bool:
-    """
-    Tell whether a job has nothing at work though its service is mostly free.
-
-    Guards against a filling job that waits for ever, with room shown as free: every
-    worker serves an image that it disturbs, or other fillers, which reserve no
-    processors, use them all. One task of it starts at a low pace then.
-    """
-    if now_s - (step.ready_at_s or now_s) < IDLE_JOB_AFTER_S:
-        return False
-    use_ratio = cell.use_ratio(cell.service_of(state.job))
-    return not state.runs() and use_ratio < IDLE_CELL_RATIO
-
-
-def _place_slow(
-    cell: "Scheduler",
-    decision: Decision,
-    state: JobState,
-    step: StepState,
-    workers: list[WorkerState],
-    granted: dict[str, str],
-    now_s: float,
-) -> None:
-    """Place one filler that found no worker to itself, at a pace that harms nobody."""
-    waiting = step.waiting()
-    if not waiting:
-        return
-    share_min = 0.0
-    idle = _left_idle(cell, state, step, now_s)
-    if not idle:
-        if now_s - (step.ready_at_s or now_s) < SLOW_AFTER_S:
-            return
-        share_min = SLOW_SHARE_MIN
-    used = _used(step)
-    key = waiting[0].key
-    # Guards against more tasks of a step on one worker than it allows, and against a
-    # second run of a task beside a stray one: no ranking has sorted these workers out.
-    candidates = [w for w in workers if may_take(step.step, w, key, used)]
-    place = choose_slow(step.step, candidates, cell.model, share_min)
-    if place is None:
-        return
-    worker, share = place
-    crowded = idle and not has_spare(step.step, worker)
-    _start(cell, decision, state, step, waiting[0], worker, granted, now_s)
-    _pace(decision.starts[-1], share, crowded)
-
-
-def _pace(run: Run, share: float, crowded: bool) -> None:
-    """
-    Let a filler begin at the share of its speed at which it disturbs nobody.
-
-    Guards against a queue of late jobs that slows those that can be on time: where
-    others use all processors it begins at the lowest pace, and the pacer lets it work
-    faster once there are some to spare.
-    """
-    percent = 0 if crowded else round(100 * share)
-    run.first_pace_percent = max(FIRST_PACE_MIN_PERCENT, percent)
-    run.shares_processors = crowded
-
-
-def _used(step: StepState) -> dict[str, int]:
-    used: dict[str, int] = {}
-    for task in step.tasks:
-        if task.run is not None:
-            used[task.run.worker_id] = used.get(task.run.worker_id, 0) + 1
-    return used
-
-
 def _start_gang(
     cell: "Scheduler",
     decision: Decision,
@@ -356,7 +254,7 @@
         return WaitReason.GANG_ENDING
     chosen = choose_workers(cell, step, workers)
     slow = chosen is None and step.step.filler
-    if slow and _left_idle(cell, state, step, now_s):
+    if slow and left_idle(cell, state, step, now_s):
         chosen = choose_workers(cell, step, workers, at_any_pace=True)
     if chosen is None:
         return WaitReason.GANG_NO_ROOM
@@ -364,44 +262,7 @@
     for task, worker in zip(step.tasks, chosen, strict=True):
         share = allowed_share(step.step, worker, cell.model) if slow else 1.0
         crowded = slow and not has_spare(step.step, worker)
-        _start(cell, decision, state, step, task, worker, granted, now_s)
+        run = start_task(cell, decision, state, step, task, worker, granted, now_s)
         if slow:
-            _pace(decision.starts[-1], share, crowded)
+            begin_slowly(run, share, crowded)
     return None
-
-
-def _start(
-    cell: "Scheduler",
-    decision: Decision,
-    state: JobState,
-    step: StepState,
-    task: Task,
-    worker: WorkerState,
-    granted: dict[str, str],
-    now_s: float,
-) -> None:
-    task.last_run += 1
-    run = Run(task.key, task.last_run, worker.worker_id, step.step, step.step.charge)
-    run.checkpoint = task.checkpoint
-    run.ticket = granted.get(worker.worker_id, "")
-    run.placed_at_s = now_s
-    task.run = run
-    worker.add(run)
-    if step.step.tail_target_s:
-        # The job's other tasks say how loaded its users are: without them, fillers
-        # would stay away from here until the first report.
-        cell.pacer.note_own(worker, now_s)
-    if not state.started:
-        state.started = True
-        state.status = JobStatus.ACTIVE
-    cell.dirty.add(state.job.job_id)
-    decision.starts.append(run)
-    detail: dict[str, object] = {
-        "task": task.key,
-        "run": run.number,
-        "worker": worker.worker_id,
-        "waited_s": round(now_s - (step.ready_at_s or now_s), 3),
-        "report_age_s": round(now_s - worker.last_report_at_s, 3),
-        "free_cpu_millis": worker.free().cpu_millis,
-    }
-    cell.note(Note("start", state.job.job_id, detail))
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -118,6 +118,14 @@
         """Return the tasks that need a worker."""
         return [task for task in self.tasks if task.waiting]
 
+    def used(self) -> dict[str, int]:
+        """Count the tasks of the step that have a run, by worker."""
+        used: dict[str, int] = {}
+        for task in self.tasks:
+            if task.run is not None:
+                used[task.run.worker_id] = used.get(task.run.worker_id, 0) + 1
+        return used
+
     def away_s(self, now_s: float) -> float:
         """Return how long ago the last run ended of a task that ran and waits again."""
         ready_at_s = now_s if self.ready_at_s is None else self.ready_at_s
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
@@ -0,0 +1,49 @@
+"""Book an attempt of a task on a worker, whoever chose the place."""
+
+from typing import TYPE_CHECKING
+
+from .effects import Decision, Note
+from .progress import JobState, JobStatus, Run, StepState, Task
+from .workers import WorkerState
+
+if TYPE_CHECKING:
+    from .scheduler import Scheduler
+
+
+def start_task(
+    cell: "Scheduler",
+    decision: Decision,
+    state: JobState,
+    step: StepState,
+    task: Task,
+    worker: WorkerState,
+    granted: dict[str, str],
+    now_s: float,
+) -> Run:
+    """Book the next attempt of a task on a worker, and order its start."""
+    task.last_run += 1
+    run = Run(task.key, task.last_run, worker.worker_id, step.step, step.step.charge)
+    run.checkpoint = task.checkpoint
+    run.ticket = granted.get(worker.worker_id, "")
+    run.placed_at_s = now_s
+    task.run = run
+    worker.add(run)
+    if step.step.tail_target_s:
+        # The job's other tasks say how loaded its users are: without them, fillers
+        # would stay away from here until the first report.
+        cell.pacer.note_own(worker, now_s)
+    if not state.started:
+        state.started = True
+        state.status = JobStatus.ACTIVE
+    cell.dirty.add(state.job.job_id)
+    decision.starts.append(run)
+    detail: dict[str, object] = {
+        "task": task.key,
+        "run": run.number,
+        "worker": worker.worker_id,
+        "waited_s": round(now_s - (step.ready_at_s or now_s), 3),
+        "report_age_s": round(now_s - worker.last_report_at_s, 3),
+        "free_cpu_millis": worker.free().cpu_millis,
+    }
+    cell.note(Note("start", state.job.job_id, detail))
+    return run
