--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -36,3 +36,31 @@
     Given a store whose answers take 0.24 s on their way back
     When the process is suspended for 5 s while an answer is on its way
     Then its view is taken to be at least 3.5 s old when that answer is read
+
+  Scenario Outline: An instance that reads no configurations says so: <what>
+    # A shop closes a queue and opens others; callers of one instance are told by the old
+    # configuration, without end. That instance reaches the store's logs of jobs, but not the
+    # operator's, so it takes itself for up to date.
+    Given a cell of 3 instances and 4 workers
+    And one instance that gets no answers from the operator's log after "kept" ran there
+    When the queue "closed" is closed, and "opened" and "urgent/nested" are added
+    And 3 s pass in the cell
+    Then that instance answers <what> with <status>
+    And it is not ready
+
+    Examples:
+      | what                               | status |
+      | a count of the opened queue        | 503    |
+      | a count of the nested queue        | 503    |
+      | a count of the closed queue        | 503    |
+      | a new job for the closed queue     | 503    |
+      | the same job as before once more   | 200    |
+      | a query for that job               | 200    |
+
+  Scenario: A read that a relay shortened counts for no longer than it waited
+    # A job runs twice after a takeover, as in a look that misses what was stored before it:
+    # while the store is out of reach, reads do not wait for records, and an empty answer that
+    # came late counted as if the store had looked again after the whole wait.
+    Given a reader that waits 0.5 s, of a store that answers after 0.6 s and was out of reach
+    When a record is stored and the log is read whole after it, just as the store is back
+    Then the record was among what was read, each time of 20
--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -4,11 +4,14 @@
 
 from behave import given, then, when
 from border_steps import Ingress
-from cell_steps import STORE_FAULTS, new_loop, play
+from cell_steps import STORE_FAULTS, job_id, new_loop, play
+from support.cell_walk import plain
 
 from hornbeampaddle.cell.jobs import Queue
 from hornbeampaddle_cell.follower import Follower
-from hornbeampaddle_cell.ports import Keyed, Topic
+from hornbeampaddle_cell.peers import PeerBook
+from hornbeampaddle_cell.ports import Keyed, Topic, Unavailable
+from hornbeampaddle_cell.relay import Relay
 from hornbeampaddle_standins.cell.store import Link
 from hornbeampaddle_standins.cell.world import (
     BATCH,
@@ -195,3 +198,130 @@
 @then("its view is taken to be at least {age_s:g} s old when that answer is read")
 def view_age(context, age_s):
     assert context.age_s >= age_s, context.age_s
+
+
+KEPT_ID = job_id("cafe")
+NEW_ID = job_id("f00d")
+BODY = b'{"spec":"work","phases":[{"count":1,"cpu":500,"memMb":64}]}'
+REQUESTS = {
+    "a count of the opened queue": ("GET", "/opened/", b""),
+    "a count of the nested queue": ("GET", "/urgent/nested/", b""),
+    "a count of the closed queue": ("GET", "/closed/", b""),
+    "a new job for the closed queue": ("POST", f"/closed/{NEW_ID}", BODY),
+    "the same job as before once more": ("POST", f"/urgent/{KEPT_ID}", BODY),
+    "a query for that job": ("GET", f"/urgent/{KEPT_ID}", b""),
+}
+
+
+@given(
+    'one instance that gets no answers from the operator\'s log after "kept" ran there'
+)
+def no_operator_log(context):
+    world = context.world
+    world.configure(URGENT, BATCH, Queue("closed", "compute"))
+    context.narrow = next(name for name in world.instances if name != world.holder())
+
+    async def run_kept():
+        await asyncio.sleep(1.0)
+        await world.submit(KEPT_ID, URGENT, plain(1), via=context.narrow)
+        assert await world.until_done(KEPT_ID, 8.0)
+        world.store.unread.add((context.narrow, Topic.OPERATOR))
+
+    play(context, run_kept())
+
+
+@when('the queue "closed" is closed, and "opened" and "urgent/nested" are added')
+def change_queues(context):
+    opened = [Queue(name, "compute") for name in ("opened", "urgent/nested")]
+    context.world.configure(URGENT, BATCH, *opened)
+
+
+@then("that instance answers {what} with {status:d}")
+def answers_with(context, what, status):
+    method, path, body = REQUESTS[what]
+    request = Request(method, path, {"host": ROUTE_HOST}, body)
+    ingress = Ingress(context.world.instances[context.narrow])
+    response = play(context, ingress.handle(request))
+    assert response.status == status, response
+
+
+@then("it is not ready")
+def not_ready(context):
+    assert not context.world.instances[context.narrow].ready()
+
+
+class AwayAtTimes(SlowAnswers):
+    """A store port with slow answers that can be out of reach."""
+
+    away = False
+
+    async def read(self, *args):
+        if self.away:
+            return Unavailable("out of reach")
+        return await super().read(*args)
+
+
+@given(
+    "a reader that waits {wait_s:g} s, of a store that answers after {answer_s:g} s "
+    "and was out of reach"
+)
+def relayed_reader(context, wait_s, answer_s):
+    new_loop(context)
+
+    async def begin():
+        context.world = World(7)
+        context.store = AwayAtTimes(context.world.store.port("reader"), answer_s)
+        clock = SkewedClock(asyncio.get_running_loop(), 0.0)
+        context.relay = Relay(context.store, PeerBook("reader"), None, clock)
+        context.taken = []
+        context.follower = Follower(
+            context.relay, Topic.JOBS, clock, context.taken.extend
+        )
+        context.follower.wait_s = wait_s
+        context.world.tasks["reader"] = asyncio.create_task(context.follower.run())
+        await asyncio.sleep(5.0)
+
+    play(context, begin())
+
+
+@when(
+    "a record is stored and the log is read whole after it, just as the store is back"
+)
+def store_and_look_back(context):
+    context.missed = []
+
+    async def look_often():
+        for number in range(20):
+            context.store.away = True
+            while not context.relay.away:
+                await asyncio.sleep(0.01)
+            context.store.away = False
+            await asyncio.sleep(0.45 + 0.02 * number)
+            key = f"{number:016x}"
+            context.world.store.write(Topic.JOBS, Keyed(key, b"work"))
+            assert await context.follower.catch_up(5.0)
+            if all(record.key != key for record in context.taken):
+                context.missed.append(key)
+            await asyncio.sleep(2.0)
+
+    play(context, look_often())
+
+
+@when("a record is stored every {every_s:g} s for {for_s:g} s")
+def store_often(context, every_s, for_s):
+    context.ages_s = []
+
+    async def store():
+        deadline_s = world_s() + for_s
+        while world_s() < deadline_s:
+            context.world.store.write(Topic.JOBS, Keyed("key", b"work"))
+            for _ in range(round(every_s / 0.01)):
+                await asyncio.sleep(0.01)
+                context.ages_s.append(context.follower.age_s())
+
+    play(context, store())
+
+
+@then("the view was never taken to be older than {age_s:g} s")
+def never_older(context, age_s):
+    assert max(context.ages_s) <= age_s, max(context.ages_s)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -147,6 +147,11 @@
         self._peers_at_s = float("-inf")
         self._away_since_s: float | None = None
 
+    @property
+    def away(self) -> bool:
+        """Tell whether the store serves this instance only through its peers."""
+        return self._away_since_s is not None
+
     async def append(
         self,
         topic: Topic,
@@ -172,7 +177,7 @@
         """Read from an offset; wait for a record if there is none."""
         wait_s = min(span.wait_s, PEER_READ_WAIT_S)
         direct_span = span
-        if self._away_since_s is not None:
+        if self.away:
             # A long read that stays unanswered costs its whole wait before a peer is
             # asked; while the store is out of reach, that makes every view 2 s old.
             direct_span = replace(span, wait_s=0.0)
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
@@ -265,6 +265,8 @@
         """Read the newest record of each key."""
         self.store.reads += 1
         await asyncio.sleep(self.store.answer_s)
+        if (self.name, topic) in self.store.unread:
+            return await self._silence()
         refused = await self._refused()
         if refused is not None:
             return refused
