--- a/features/cell.feature
+++ b/features/cell.feature
@@ -596,3 +596,15 @@
     And 3 s pass in the cell
     Then no room is taken on any worker
     And no promise of the cell was broken
+
+  Scenario: Stops that get lost are repeated by one loop each
+    # A worker that answers no stop gets ever more of them: reports repeat a stop whose
+    # answer is late, and each repetition goes on until it is answered.
+    Given a cell of 3 instances and 4 workers
+    And a lasting job "ae01" of 4 tasks is at work
+    When stops are lost from now on
+    And the job "ae01" is cancelled at once
+    And 20 s pass in the cell
+    Then the holder sent at most 56 stops
+    When orders are carried out at once again
+    Then nothing of "ae01" runs 6 s later
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -207,3 +207,13 @@
     When urgent jobs of 4 x 8 cores come 3 times a second for 30 s
     Then no lasting task was away for longer than 6 s
     And lasting tasks made room for urgent jobs
+
+  Scenario: Every task of a lasting job that fills is at work in a free cell
+    # Three of four tasks of a standing job stay away for good in a cell without a reserved
+    # processor: one task at work was taken to be enough for their job, and each new job of
+    # others put the first one off.
+    Given 4 workers of 16 cores
+    And fillers of other jobs use all spare processors for 90 s
+    When a lasting filling job of 4 x 5650 thousandths of a core is handed in
+    And newer jobs are handed in for 12 s
+    Then 4 of its tasks are at work
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -707,3 +707,15 @@
 @then("the holder is the same")
 def same_holder(context):
     assert context.world.holder() == context.before, context.world.holder()
+
+
+@then("the holder sent at most {most:d} stops")
+def stops_sent(context, most):
+    instance = context.world.instances[context.world.holder()]
+    samples = next(iter(instance.metrics.worker_calls.collect())).samples
+    sent = sum(
+        sample.value
+        for sample in samples
+        if sample.name.endswith("_total") and sample.labels["call"] == "stop"
+    )
+    assert 0 < sent <= most, sent
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -398,6 +398,16 @@
     player.submit("late", BATCH, filler, 60.0)
 
 
+@when(
+    "a lasting filling job of {count:d} x {cpu_millis:d} thousandths of a core "
+    "is handed in"
+)
+def lasting_filling_job(context, count, cpu_millis):
+    context.player = player = prepared(context)
+    filler = step(count, cpu_millis, filler=True, lasting=True, image="day")
+    player.submit("late", LASTING, filler, 1e9)
+
+
 @given("fillers use the processors of the only worker in the rack of some data")
 def rack_used(context):
     def fill(player):
