--- a/features/platform_border.feature
+++ b/features/platform_border.feature
@@ -55,6 +55,7 @@
       | bytes that are no JSON |
       | no bytes of a text     |
       | JSON of a wrong form   |
+      | an address of no port  |
 
   Scenario: A request that arrived before the listener drains is answered
     # A caller's connection ends without an answer while an instance is being restarted.
--- a/features/steps/border_steps.py
+++ b/features/steps/border_steps.py
@@ -136,6 +136,7 @@
 RECORDS = {
     "bytes that are no JSON": b"{routes",
     "no bytes of a text": b'{"version": "\xff"}',
+    "an address of no port": b'{"service": "s", "address": "nowhere", "version": "v"}',
     "JSON of a wrong form": b'{"version": "seven"}',
 }
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -11,6 +11,7 @@
 import structlog
 
 from hornbeampaddle.cell.effects import PaceOrder, StopOrder
+from hornbeampaddle.cell.jobs import TaskKey
 from hornbeampaddle.cell.progress import Run, RunPhase
 from hornbeampaddle.cell.reports import (
     NoAnswer,
@@ -32,9 +33,10 @@
 SILENT_PAUSE_S = 0.3
 # The first report is not to wait for an end, it is needed for the takeover.
 FIRST_WAIT_S = 0.0
-# A stop that settled nothing is sent again after this pause: one in 0.8 s, with the
-# time that an answer may take.
+# A stop that settled nothing is sent again after a pause that doubles: at first one in
+# 0.8 s, with the time that an answer may take, then one in 1.6 s.
 STOP_PAUSE_S = 0.2
+STOP_PAUSE_MAX_S = 1.0
 
 
 class Session:
@@ -47,6 +49,7 @@
         self.port = port
         self.acked = asyncio.Event()
         self._silent_since_s: float | None = None
+        self._stopping: set[tuple[TaskKey, int]] = set()
 
     async def run(self) -> None:
         """Report after report, until the worker is gone or the holder ends."""
@@ -164,9 +167,21 @@
         taken and its task would never run again. Nothing but an answer, an end or
         the end of the worker's lease lets go of the run, and this goes on until then.
         """
+        name = (order.run.key, order.run.number)
+        if name in self._stopping:
+            # Guards against ever more loops for one run: a report that lists it
+            # orders the stop again while an answer is late.
+            return
+        self._stopping.add(name)
+        try:
+            await self._stop(order)
+        finally:
+            self._stopping.discard(name)
+
+    async def _stop(self, order: StopOrder) -> None:
         cell = self.holder.cell
+        pause_s = STOP_PAUSE_S
         while cell.booked(order.run):
-            # Reports that list the run are not to repeat the order meanwhile.
             order.run.stop_sent_at_s = self.holder.clock.now_s()
             if not self.holder.may_order():
                 await asyncio.sleep(SILENT_PAUSE_S)
@@ -175,7 +190,8 @@
             now_s = self.holder.clock.now_s()
             if not cell.orders.stop_answered(order, outcome, now_s):
                 return
-            await asyncio.sleep(STOP_PAUSE_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(STOP_PAUSE_MAX_S, 2 * pause_s)
 
     async def pace(self, order: PaceOrder) -> None:
         """Send a pace; a lost one is sent again with the next change."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/slow_starts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/slow_starts.py
@@ -12,6 +12,7 @@
 from .placing import choose_slow, has_spare, may_take
 from .progress import JobState, Run, StepState
 from .starting import start_task
+from .urgency import AWAY_MAX_S
 from .workers import WorkerState
 
 if TYPE_CHECKING:
@@ -45,7 +46,8 @@
     """
     waited_s = now_s - (step.ready_at_s or now_s)
     quiet = cell.quiet_s(step.key.job_id, now_s) >= QUIET_S
-    if not quiet and waited_s < STARVED_AFTER_S:
+    patience_s = AWAY_MAX_S if step.step.lasting else STARVED_AFTER_S
+    if not quiet and waited_s < patience_s:
         return False
     return left_idle(cell, state, step, now_s)
 
@@ -58,12 +60,14 @@
 
     Guards against a filling job that waits for ever, with room shown as free: every
     worker serves an image that it disturbs, or other fillers, which reserve no
-    processors, use them all. One task of it starts at a low pace then.
+    processors, use them all. One task of it starts at a low pace then; of a job that
+    lasts each, for each serves users of its own.
     """
     if now_s - (step.ready_at_s or now_s) < IDLE_JOB_AFTER_S:
         return False
     use_ratio = cell.use_ratio(cell.service_of(state.job))
-    return not state.runs() and use_ratio < IDLE_CELL_RATIO
+    served = bool(state.runs()) and not step.step.lasting
+    return not served and use_ratio < IDLE_CELL_RATIO
 
 
 def place_slow(
