--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 from border_steps import Ingress
-from cell_steps import STORE_FAULTS, job_id, new_loop, play
+from support.cell_scene import STORE_FAULTS, job_id, new_loop, play
 from support.cell_walk import plain
 
 from hornbeampaddle.cell.jobs import Queue
