--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
@@ -153,17 +153,8 @@
             # and would never take place: what came before it would stay untaken.
             return True
         match outcome:
-            case Batch(records, next_offset, end_offset, waited_s):
-                self._take(records, next_offset)
-                self._look_again = self.clock.now_s() - sent_at_s > LOOK_AGAIN_S
-                self._look_again &= bool(records)
-                if next_offset >= end_offset:
-                    self._good(sent_at_s + waited_s)
-                elif self.replacing:
-                    # Guards against reading what was replaced long ago, record by
-                    # record, while an answer is given from the one that it is at: a
-                    # configuration came into force seconds late on a narrow link.
-                    self.offset = None
+            case Batch():
+                self._take(outcome, sent_at_s)
                 return True
             case Expired():
                 self.offset = None
@@ -172,12 +163,24 @@
                 self._bad(detail)
         return False
 
-    def _take(self, records: Sequence[Keyed], next_offset: int) -> None:
-        self.offset = next_offset
-        if self.replacing:
-            records = list({record.key: record for record in records}.values())
-        if records:
-            self.handler(records)
+    def _take(self, batch: Batch, sent_at_s: float) -> None:
+        now_s = self.clock.now_s()
+        self.offset = batch.next_offset
+        self._look_again = bool(batch.records) and now_s - sent_at_s > LOOK_AGAIN_S
+        if batch.records:
+            self.handler(self._newest_of(batch.records))
+        if batch.next_offset >= batch.end_offset:
+            self._good(min(sent_at_s + batch.waited_s, now_s))
+        elif self.replacing:
+            # Guards against reading what was replaced long ago, record by record,
+            # while an answer is given from the one that it is at: a configuration
+            # came into force seconds late on a narrow link.
+            self.offset = None
+
+    def _newest_of(self, records: Sequence[Keyed]) -> Sequence[Keyed]:
+        if not self.replacing:
+            return records
+        return list({record.key: record for record in records}.values())
 
     def _good(self, complete_at_s: float) -> None:
         now_s = self.clock.now_s()
