Let the next holder know when the leases of silent workers are over

Cause: a holder that takes over cannot know since when a worker is silent, and waited for a whole lease from its own beginning. Lasting tasks of a worker that was lost shortly before the holder stayed away for 14 s beside free room (the known red scenario).

Change: the holder stores the seconds left of each silent worker's lease with its other records, and extends no such lease before a record without the worker is stored. The next holder counts from the time at which it read the record, which is after it was written. A holder that has not heard from the worker yet names it again.

Ruled out: storing times of one instance's clock (clocks of instances differ, and jump); the smallest of several records (a reader may have missed one in which the worker was back).

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -23,7 +23,13 @@
 from hornbeampaddle.cell.workers import WorkerListing
 
 from .leadership import HOLDER_KEY, HolderRecord, encode_holder
-from .ledger import CANCEL_MARK, INTERFERENCE_KEY, Change, Ledger
+from .ledger import (
+    CANCEL_MARK,
+    INTERFERENCE_KEY,
+    Change,
+    Ledger,
+    lapses_record,
+)
 from .metrics import MeteredWorker, Metrics
 from .ports import (
     AdvicePort,
@@ -110,6 +116,7 @@
         learned = self.ledger.special.get(INTERFERENCE_KEY)
         if learned:
             self.cell.model.inherit(_learned_decoder.decode(learned))
+        self.cell.lapses.inherit(self.ledger.lapses_at_s)
         for job_id in self.ledger.jobs:
             self._add_job(job_id, now_s)
         for job_id in list(self.ledger.cancelled):
@@ -268,6 +275,8 @@
         records = self._take_dropped()
         records += [Keyed(key, value) for key, value in decision.records.items()]
         records += self._learned(now_s)
+        if decision.lapses is not None:
+            records.append(lapses_record(decision.lapses))
         self._log_summary(now_s)
         unacked = any(worker.acked_end < end for worker, end in ends)
         if records or unacked or self._heartbeat_due(now_s):
@@ -275,6 +284,8 @@
                 records.append(self._heartbeat())
             if not await self.log.append(records):
                 return
+        if decision.lapses is not None:
+            self.cell.lapses.stored(now_s)
         for worker, end in ends:
             self._acknowledge(worker.worker_id, end)
         self._send_starts(decision)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -190,7 +190,7 @@
             if record.key == HOLDER_KEY:
                 self._take_holder(record, now_s)
             elif self.holder is None or self._replaced(self.holder):
-                self.ledger.take_progress(record)
+                self.ledger.take_progress(record, now_s)
         self.leadership.sign_of_life(now_s)
 
     def _replaced(self, holder: Holder) -> bool:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -20,8 +20,10 @@
 # Records of the log of progress that are no job's begin with this.
 SPECIAL_MARK = "."
 INTERFERENCE_KEY = ".interference"
+LAPSES_KEY = ".lapses"
 _job_decoder = msgspec.msgpack.Decoder(Job)
 _job_encoder = msgspec.msgpack.Encoder()
+_lapses_decoder = msgspec.msgpack.Decoder(dict[str, float])
 
 
 class Change(Enum):
@@ -38,6 +40,11 @@
     return Keyed(job.job_id, _job_encoder.encode(job))
 
 
+def lapses_record(left_s: dict[str, float]) -> Keyed:
+    """Return the record that says how long the leases of silent workers may last."""
+    return Keyed(LAPSES_KEY, msgspec.msgpack.encode(left_s))
+
+
 def cancel_record(job_id: str) -> Keyed:
     """Return the record by which a job is cancelled."""
     return Keyed(CANCEL_MARK + job_id, b"1")
@@ -51,6 +58,10 @@
     cancelled: set[str] = field(default_factory=set)
     progress: dict[str, bytes] = field(default_factory=dict)
     special: dict[str, bytes] = field(default_factory=dict)
+    # When the leases of silent workers are over, by this instance's clock. It is
+    # counted from the time at which the record was read: after it was written, so
+    # that the leases end no later.
+    lapses_at_s: dict[str, float] = field(default_factory=dict)
     by_queue: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
 
     def take_job(self, record: Keyed) -> tuple[Change, str]:
@@ -82,9 +93,12 @@
         self.progress.pop(job_id, None)
         self.cancelled.discard(job_id)
 
-    def take_progress(self, record: Keyed) -> None:
-        """Take in a record of the log of progress."""
-        if record.key.startswith(SPECIAL_MARK):
+    def take_progress(self, record: Keyed, read_at_s: float) -> None:
+        """Take in a record of the log of progress, read at a local time."""
+        if record.key == LAPSES_KEY:
+            left_s = _lapses_decoder.decode(record.value) if record.value else {}
+            self.lapses_at_s = {name: read_at_s + s for name, s in left_s.items()}
+        elif record.key.startswith(SPECIAL_MARK):
             self.special[record.key] = record.value or b""
         elif record.value is None:
             self.progress.pop(record.key, None)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/progress_log.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/progress_log.py
@@ -116,4 +116,4 @@
         self.stored_at_s = sent_at_s
         for record in records:
             if record.key != HOLDER_KEY:
-                self.ledger.take_progress(record)
+                self.ledger.take_progress(record, sent_at_s)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -33,6 +33,8 @@
 SILENT_PAUSE_S = 0.3
 # The first report is not to wait for an end, it is needed for the takeover.
 FIRST_WAIT_S = 0.0
+# Between looks at a lease that may not be extended: about one append to the store.
+LAPSE_PAUSE_S = 0.02
 # A stop that settled nothing is sent again after a pause that doubles: at first one in
 # 0.8 s, with the time that an answer may take, then one in 1.6 s.
 STOP_PAUSE_S = 0.2
@@ -137,7 +139,10 @@
             now_s = self.holder.clock.now_s()
             deadline_s = cell.lease_deadline(self.worker_id, now_s)
             if deadline_s is None:
-                return
+                # Its lease was running out before it reported to this holder: it gets
+                # a new one as soon as a record says so.
+                await asyncio.sleep(LAPSE_PAUSE_S)
+                continue
             outcome = await self.port.start(run, payload, deadline_s)
             if outcome == Refused(Reason.FENCED):
                 self.holder.lose("a start was refused for its token")
--- a/packages/hornbeampaddle/hornbeampaddle/cell/effects.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/effects.py
@@ -39,6 +39,8 @@
 
     ``records`` are stored first, in one append; ``starts`` are sent only after
     that has been acknowledged. Stops, paces and questions need no record.
+    ``lapses``, if given, is stored with the records: the seconds left of the lease of
+    each silent worker.
     """
 
     records: dict[str, bytes | None] = field(default_factory=dict)
@@ -46,6 +48,7 @@
     stops: list[StopOrder] = field(default_factory=list)
     paces: list[PaceOrder] = field(default_factory=list)
     questions: list[AdviceQuestion] = field(default_factory=list)
+    lapses: dict[str, float] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -17,6 +17,7 @@
 from .intake import Intake
 from .interference import Interference
 from .jobs import Job, StepKey
+from .lapses import Lapses
 from .orders import Orders
 from .progress import JobState, JobStatus, Run, RunPhase, encode, restore
 from .separating import Separator
@@ -51,6 +52,7 @@
         self.pacer = pacing.Pacer(settings, self.model)
         self.separator = Separator(self)
         self.waits = WaitBook()
+        self.lapses = Lapses()
         # Worked out once in a decision: each of hundreds of jobs that wait asks.
         self._use_ratios: dict[str, float] = {}
         # The two newest acceptances of jobs that end, the newest first.
@@ -97,7 +99,7 @@
             listing = WorkerListing(run.worker_id, "", NO_ADDRESS, "", NOTHING)
             worker = self._new_worker(listing)
             worker.listed = False
-            worker.lease_over_at_s = now_s + self._inherited_bound_s()
+            self._inherit_lease(worker, now_s)
         worker.add(run)
 
     def cancel(self, job_id: str, now_s: float) -> None:
@@ -124,7 +126,7 @@
         worker = self.workers.get(listing.worker_id)
         if worker is None:
             worker = self._new_worker(listing)
-            worker.lease_over_at_s = now_s + self._inherited_bound_s()
+            self._inherit_lease(worker, now_s)
             self.note(Note("worker_listed", "", {"worker": listing.worker_id}))
         was_draining = worker.listing.draining
         worker.relist(listing)
@@ -175,9 +177,12 @@
             if run.step.lasting or run.step.saves_checkpoints:
                 self.stop(run, "worker_draining")
 
-    def _inherited_bound_s(self) -> float:
+    def _inherit_lease(self, worker: WorkerState, now_s: float) -> None:
         # The holder before this one may renew for a while after it lapsed.
-        return self._lease_bound_s() + self.settings.renew_on_s
+        bound_s = now_s + self._lease_bound_s() + self.settings.renew_on_s
+        worker.lease_over_at_s = self.lapses.inherited_over_at_s(
+            worker.worker_id, bound_s
+        )
 
     def expire(self, now_s: float) -> None:
         """Give up the runs of workers whose lease has certainly passed."""
@@ -196,8 +201,9 @@
         """
         Return the deadline, on the worker's clock, for a lease from now on.
 
-        Nothing is returned before the worker's clock is known. The local time
-        by which that lease has passed is kept for ``expire``.
+        Nothing is returned before the worker's clock is known, or while a record says
+        that its lease is running out. The local time by which the lease has passed is
+        kept for ``expire``.
         """
         worker = self.workers[worker_id]
         if not worker.clock.known:
@@ -208,6 +214,8 @@
             # push the end of its lease ahead of us. A silent worker is only
             # told the deadline that it may know already.
             return worker.granted_s
+        if self.lapses.running_out(worker_id):
+            return worker.granted_s
         over_at_s = now_s + self._lease_bound_s() + self.settings.answer_timeout_s
         worker.lease_over_at_s = max(worker.lease_over_at_s, over_at_s)
         worker.granted_s = worker.clock.deadline_there(now_s + self.settings.lease_s)
@@ -349,6 +357,7 @@
                 decision.records[job_id] = encode(state)
         self.dirty.clear()
         self._close_finished(now_s)
+        decision.lapses = self.lapses.due(self, now_s)
         return decision
 
     def _note_pace(self, order: PaceOrder) -> None:
