Tell from logs where late jobs lose their time

Cause: trace tells one request's story; what to change for all late jobs was guessed.

The line of a finished job carries its objective.

Ruled out: counting each line by itself (a task that waits beside one that works longer costs nobody anything).

--- /dev/null
+++ b/features/losses.feature
@@ -0,0 +1,37 @@
+Feature: The logs tell where late jobs lost their time
+  An operator who sees callers wait asks what to change. The losses of all late jobs are
+  summed up by stage from the log lines alone.
+
+  Scenario: A job's critical path is followed from its end to its acceptance
+    # 10 s for work of 4 s: the second step's last task waited, was moved and was slowed.
+    Given the log of a job of two steps whose second was moved and slowed
+    Then its time is shared out as
+      | stage                            | seconds |
+      | accepted, not known to the holder | 0.5    |
+      | waits, below 3 s                 | 1.5     |
+      | at work                          | 3.0     |
+      | run lost: moves_away             | 2.0     |
+      | waits again after: moves_away    | 1.0     |
+      | paced down                       | 2.0     |
+    And it counts as one late job
+
+  Scenario: Time without a holder is told apart from time in a queue
+    Given the log of a job that waited for 6 s, 3 s of them while nobody held the cell
+    Then its time is shared out as
+      | stage            | seconds |
+      | waits: no_room   | 3.0     |
+      | no holder        | 3.0     |
+      | at work          | 1.0     |
+
+  Scenario: Jobs on time and cancelled jobs cost nothing
+    Given the log of a job that was on time and of one that was cancelled
+    Then no job is late and no stage costs anything
+
+  Scenario: The losses of a played cell
+    # The lines are those that instances really write.
+    Given a cell of 3 instances and 4 workers
+    And its log is kept
+    When 12 jobs of 2 steps of 6 tasks are handed in
+    And the holder dies
+    Then all jobs are shown as completed within 40 s
+    And its losses name 12 jobs that ended, and stages for each that was late
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/main.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/main.py
@@ -13,6 +13,7 @@
 from .commands.events import Events
 from .commands.explain import Explain
 from .commands.jobs import Jobs
+from .commands.losses import LossesCommand
 from .commands.plan import PlanCommand
 from .commands.request import RequestCommand
 from .commands.status import Status
@@ -48,6 +49,7 @@
         | Submit
         | CancelJob
         | Trace
+        | LossesCommand
         | Budget
         | Demo
     ]
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -313,6 +313,8 @@
             "why": why,
             "age_s": round(now_s - state.accepted_at_s, 3),
         }
+        if not state.job.lasting and not state.job.repeat_count:
+            detail["objective_s"] = round(state.job.objective_s(), 3)
         self.note(Note("job_finished", state.job.job_id, detail))
         self._close_advice(state)
         for run in state.runs():
