Leave entries that other writers broke; keep what is known of the rest

Cause: the platform's logs may hold entries of other writers: fields missing or of other types, states or services that nobody knows, bytes that cannot be read. A worker's entry without state or capacity named a ready worker; a record of our own logs that could not be decoded ended the reader, on every instance alike and again at each start.

A worker of a service that the configuration does not name opens no session. An entry of the operator's log was left already.

Ruled out: dropping the worker's session at once with its runs (its lease lapses by itself, its tasks are begun elsewhere only then); a limit of lines by time (the readers read a key every second, one line a key is enough).

--- /dev/null
+++ b/features/steps/foreign_steps.py
@@ -0,0 +1,247 @@
+"""Steps on records that other writers have put into the logs."""
+
+import asyncio
+import json
+import sys
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import msgspec
+import structlog
+from behave import given, then, when
+from hypothesis import given as any_of
+from hypothesis import settings
+from hypothesis import strategies as st
+from support.cell_scene import play
+
+sys.path.insert(0, str(Path(__file__).parent.parent.parent / "platform"))
+
+from hornbeampaddle.cell.progress import JobStatus  # noqa: E402
+from hornbeampaddle_cell.leadership import HOLDER_KEY, Leadership  # noqa: E402
+from hornbeampaddle_cell.ledger import Ledger  # noqa: E402
+from hornbeampaddle_cell.peers import PeerBook  # noqa: E402
+from hornbeampaddle_cell.ports import Keyed, Topic  # noqa: E402
+from hornbeampaddle_cell.settings import InstanceSettings  # noqa: E402
+from hornbeampaddle_platform.records import Records  # noqa: E402
+from hornbeampaddle_platform.store import decode_page, decode_records  # noqa: E402
+
+UNREADABLE = b"\xff\x00\xc1{"
+GOOD = {
+    "service": "compute",
+    "address": "10.0.0.9:8080",
+    "zone": "dc-1",
+    "version": "v1",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "memMb": 32768},
+    "labels": ["a", "r1-3"],
+    "seqNum": 4,
+}
+
+
+def without(name):
+    return {key: value for key, value in GOOD.items() if key != name}
+
+
+ENTRIES = {
+    "no service": without("service"),
+    "no address": without("address"),
+    "no data centre": without("zone"),
+    "no state": without("state"),
+    "no capacity": without("capacity"),
+    "no memory": GOOD | {"capacity": {"cpu": 16000}},
+    "a state that nobody knows": GOOD | {"state": "resting"},
+    "a service that is a number": GOOD | {"service": 7},
+    "labels that are a number": GOOD | {"labels": 7},
+    "a capacity that is a text": GOOD | {"capacity": "much"},
+    "no processors": GOOD | {"capacity": {"cpu": 0, "memMb": 32768}},
+    "an address without a port": GOOD | {"address": "10.0.0.9"},
+    "an address of port 70000": GOOD | {"address": "10.0.0.9:70000"},
+    "an address without a host": GOOD | {"address": ":8080"},
+}
+
+
+@given("a good worker's entry with {what}")
+def entry(context, what):
+    match what:
+        case "bytes that cannot be read":
+            context.value = UNREADABLE
+        case "an empty value":
+            context.value = b""
+        case _:
+            context.value = json.dumps(ENTRIES[what]).encode()
+    context.records = Records()
+
+
+@then("it names no worker")
+def names_none(context):
+    with structlog.testing.capture_logs() as context.lines:
+        assert context.records.worker(Keyed("i-1", context.value)) is None
+
+
+@then("that is logged once however often it comes")
+def logged_once(context):
+    with structlog.testing.capture_logs() as more:
+        for _ in range(20):
+            context.records.worker(Keyed("i-1", context.value))
+    events = [line["event"] for line in context.lines + more]
+    assert events == ["record: not understood"], events
+
+
+@then("the same entry in full names one")
+def names_one(context):
+    value = json.dumps(GOOD).encode()
+    assert context.records.worker(Keyed("i-1", value)).worker_id == "i-1"
+
+
+@given("the configuration names its services")
+def name_services(context):
+    world = context.world
+    known = next(iter(world.instances.values())).configuration
+    services = frozenset({"compute"})
+    newer = replace(known, version=known.version + 1, services=services)
+    world.store.write(Topic.OPERATOR, Keyed("config", msgspec.msgpack.encode(newer)))
+    play(context, asyncio.sleep(1.0))
+
+
+@when("a worker of a service that it does not name is listed")
+def list_other(context):
+    listing = replace(
+        context.world.workers["w0"].listing, worker_id="x0", service="other"
+    )
+    value = msgspec.msgpack.encode(listing)
+    context.world.store.write(Topic.WORKERS, Keyed("x0", value))
+
+
+def holder(context):
+    return context.world.instances[context.world.holder()].holder
+
+
+@then("the holder knows {count:d} workers")
+def knows(context, count):
+    assert len(holder(context).cell.workers) == count, holder(context).cell.workers
+
+
+@when('another writer overwrites the entry of "{name}" with nothing that can be read')
+def overwrite(context, name):
+    context.world.unlist_worker(name)
+    play(context, asyncio.sleep(0.5))
+
+
+@then('"{name}" has run nothing')
+def run_nothing(context, name):
+    assert not context.world.workers[name].position
+    assert not context.world.workers[name].runs
+
+
+@when('"{name}" writes its entry again')
+def write_again(context, name):
+    context.world.list_worker(context.world.workers[name])
+
+
+@then("the holder may use {count:d} workers")
+def may_use(context, count):
+    workers = holder(context).cell.workers.values()
+    usable = [w.worker_id for w in workers if w.usable(context.loop.time())]
+    assert len(usable) == count, usable
+
+
+@when('another writer stores bytes that cannot be read as "{key}" in the log of {log}')
+def store_unreadable(context, key, log):
+    context.world.store.write(Topic(log), Keyed(key, UNREADABLE))
+
+
+@then("{count:d} instances follow the logs")
+def follow(context, count):
+    ready = [i for i in context.world.instances.values() if i.callers.fresh()]
+    assert len(ready) == count, len(ready)
+
+
+def check_records(data):
+    decode_records(data)
+
+
+def check_workers(data):
+    Records().worker(Keyed("i-1", data))
+
+
+def check_operator(data):
+    Records().configuration(Keyed("config", data))
+
+
+def check_jobs(data):
+    ledger = Ledger()
+    ledger.take_job(Keyed("00000000000000aa", data))
+    ledger.take_job(Keyed("x00000000000000aa", data))
+    ledger.status("00000000000000aa")
+
+
+def check_progress(data):
+    ledger = Ledger()
+    for key in ("00000000000000aa", ".lapses", ".interference", ".swings", ".other"):
+        ledger.take_progress(Keyed(key, data), 1.0)
+    for value in ledger.progress.values():
+        assert JobStatus(msgspec.msgpack.decode(value)[0])
+
+
+def check_peers(data):
+    book = PeerBook("me")
+    book.take(Keyed("other", data))
+    book.shuffled()
+
+
+def check_holder(data):
+    watch = Leadership(InstanceSettings("me-1", "me", "dc-1", 1.0), Random(1))
+    watch.observe(data, 1.0)
+    assert watch.epoch >= 0, HOLDER_KEY
+
+
+def check_page(data):
+    decode_page(data)
+
+
+CHECKS = {
+    "the reader of records": check_records,
+    "the workers' log": check_workers,
+    "the operator's log": check_operator,
+    "the log of jobs": check_jobs,
+    "the log of progress": check_progress,
+    "the log of peers": check_peers,
+    "who watches the holder": check_holder,
+    "pages of newest records": check_page,
+}
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=12),
+    lambda inner: (
+        st.lists(inner, max_size=5)
+        | st.dictionaries(st.sampled_from([*GOOD, "items", "key"]), inner, max_size=6)
+    ),
+    max_leaves=12,
+)
+
+
+def packed(value):
+    try:
+        return msgspec.msgpack.encode(value)
+    except OverflowError:
+        return b""
+
+
+ANYTHING = (
+    st.binary(max_size=60)
+    | VALUES.map(packed)
+    | VALUES.map(lambda value: json.dumps(value).encode())
+)
+
+
+@then("any bytes at all are read or left by {what}")
+def read_or_left(context, what):
+    check = CHECKS[what]
+
+    @settings(max_examples=300, derandomize=True, database=None, deadline=None)
+    @any_of(ANYTHING)
+    def run(data):
+        with structlog.testing.capture_logs():
+            check(data)
+
+    run()
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -11,7 +11,6 @@
 from collections.abc import Coroutine, Sequence
 from dataclasses import asdict
 
-import msgspec
 import structlog
 
 from hornbeampaddle.cell.advice import Allowance
@@ -25,10 +24,10 @@
 from .leadership import HOLDER_KEY, HolderRecord, encode_holder
 from .ledger import (
     CANCEL_MARK,
-    INTERFERENCE_KEY,
     Change,
     Ledger,
     lapses_record,
+    slopes_record,
 )
 from .metrics import MeteredWorker, Metrics
 from .ports import (
@@ -59,7 +58,6 @@
 FORGET_COUNT = 100
 # What was learned is stored this often; it is about 1 KB.
 LEARNED_EVERY_S = 2.0
-_learned_decoder = msgspec.msgpack.Decoder(dict[str, dict[str, float]])
 # The state of the cell is logged this often; it costs about 1 ms.
 SUMMARY_EVERY_S = 1.0
 
@@ -113,9 +111,7 @@
     def begin(self) -> None:
         """Take in all jobs of the ledger, and what was learned before."""
         now_s = self.clock.now_s()
-        learned = self.ledger.special.get(INTERFERENCE_KEY)
-        if learned:
-            self.cell.model.inherit(_learned_decoder.decode(learned))
+        self.cell.model.inherit(self.ledger.slopes)
         self.cell.lapses.inherit(self.ledger.lapses_at_s)
         for job_id in self.ledger.jobs:
             self._add_job(job_id, now_s)
@@ -145,7 +141,7 @@
             case Change.FORGOTTEN:
                 self.cell.forget(job_id)
                 self._dropped.add(job_id)
-            case Change.REPEATED:
+            case Change.REPEATED | Change.UNREADABLE:
                 return
         self.wake()
 
@@ -349,8 +345,7 @@
         if now_s < self._learned_at_s:
             return []
         self._learned_at_s = now_s + LEARNED_EVERY_S
-        value = msgspec.msgpack.encode(self.cell.model.table())
-        return [Keyed(INTERFERENCE_KEY, value)]
+        return [slopes_record(self.cell.model.table())]
 
     def _log_summary(self, now_s: float) -> None:
         if now_s < self._summary_at_s:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -38,6 +38,7 @@
 from .relay import PeerCaller, Relay
 from .routing import Routing
 from .settings import InstanceSettings
+from .unreadable import Unreadable
 
 log = structlog.get_logger()
 
@@ -73,6 +74,7 @@
         self.make_worker = make_worker
         self.advice = advice
         self.ledger = Ledger()
+        self._other_services = Unreadable("workers")
         self.leadership = Leadership(settings, Random())
         self.holder: Holder | None = None
         self.stopping = False
@@ -363,7 +365,7 @@
         gone: list[str] = []
         for record in records:
             listing = self.codec.worker(record)
-            if listing is None:
+            if listing is None or not self._names_service(listing):
                 listed.pop(record.key, None)
                 gone.append(record.key)
             else:
@@ -371,6 +373,22 @@
         gone = [worker_id for worker_id in gone if worker_id not in listed]
         self.holder.list_workers(list(listed.values()), gone)
 
+    def _names_service(self, listing: WorkerListing) -> bool:
+        """
+        Tell whether a listing is of a service that the configuration names.
+
+        Guards against calls to whatever listens at the address of another writer's
+        entry. Workers write theirs every second, so one whose service comes later is
+        taken in then.
+        """
+        assert self.configuration is not None
+        services = self.configuration.services
+        if not services or listing.service in services:
+            self._other_services.readable(listing.worker_id)
+            return True
+        self._other_services.note(listing.worker_id, f"service {listing.service!r}")
+        return False
+
     def _reloaded(self, names: set[str]) -> None:
         """Take in that the list was read whole: others are no longer in it."""
         if self.holder is None:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/leadership.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/leadership.py
@@ -8,12 +8,13 @@
 offset of the claim, so no two holders ever share one.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 import msgspec
 
 from .settings import InstanceSettings
+from .unreadable import Unreadable
 
 HOLDER_KEY = ".holder"
 # Stands for a holder that is not us, until the log names it.
@@ -45,6 +46,7 @@
     holder: HolderRecord | None = None
     last_sign_s: float = float("-inf")
     delay_s: float = 0.0
+    unreadable: Unreadable = field(default_factory=lambda: Unreadable("progress"))
 
     def begin(self, now_s: float) -> None:
         """Start to watch; whoever holds the cell gets time to show it."""
@@ -63,8 +65,11 @@
         self.last_sign_s = now_s
 
     def observe(self, value: bytes | None, now_s: float) -> None:
-        """Take in a holder record."""
-        self.holder = _decoder.decode(value) if value else None
+        """Take in a holder record; one that cannot be read changes nothing."""
+        try:
+            self.holder = _decoder.decode(value) if value else None
+        except msgspec.DecodeError as error:
+            self.unreadable.note(HOLDER_KEY, str(error))
         self.last_sign_s = now_s
         self._draw_delay()
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -15,6 +15,7 @@
 from hornbeampaddle.cell.progress import JobStatus, decode_status
 
 from .ports import Keyed
+from .unreadable import Unreadable
 
 CANCEL_MARK = "x"
 # Records of the log of progress that are no job's begin with this.
@@ -24,6 +25,7 @@
 _job_decoder = msgspec.msgpack.Decoder(Job)
 _job_encoder = msgspec.msgpack.Encoder()
 _lapses_decoder = msgspec.msgpack.Decoder(dict[str, float])
+_slopes_decoder = msgspec.msgpack.Decoder(dict[str, dict[str, float]])
 
 
 class Change(Enum):
@@ -33,6 +35,7 @@
     CANCELLED = "cancelled"
     FORGOTTEN = "forgotten"
     REPEATED = "repeated"
+    UNREADABLE = "unreadable"
 
 
 def job_record(job: Job) -> Keyed:
@@ -40,6 +43,11 @@
     return Keyed(job.job_id, _job_encoder.encode(job))
 
 
+def slopes_record(slopes: dict[str, dict[str, float]]) -> Keyed:
+    """Return the record of what was learned of pairs of images."""
+    return Keyed(INTERFERENCE_KEY, msgspec.msgpack.encode(slopes))
+
+
 def lapses_record(left_s: dict[str, float]) -> Keyed:
     """Return the record that says how long the leases of silent workers may last."""
     return Keyed(LAPSES_KEY, msgspec.msgpack.encode(left_s))
@@ -57,12 +65,17 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)
     progress: dict[str, bytes] = field(default_factory=dict)
-    special: dict[str, bytes] = field(default_factory=dict)
+    # What the holder has learned of pairs of images.
+    slopes: dict[str, dict[str, float]] = field(default_factory=dict)
     # When the leases of silent workers are over, by this instance's clock. It is
     # counted from the time at which the record was read: after it was written, so
     # that the leases end no later.
     lapses_at_s: dict[str, float] = field(default_factory=dict)
     by_queue: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
+    unreadable_jobs: Unreadable = field(default_factory=lambda: Unreadable("jobs"))
+    unreadable_progress: Unreadable = field(
+        default_factory=lambda: Unreadable("progress")
+    )
 
     def take_job(self, record: Keyed) -> tuple[Change, str]:
         """Take in a record of the log of jobs."""
@@ -81,7 +94,11 @@
             # The first record of an id is the job; another instance took in
             # the same request again.
             return Change.REPEATED, job_id
-        job = _job_decoder.decode(record.value)
+        try:
+            job = _job_decoder.decode(record.value)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self.unreadable_jobs.note(job_id, str(error))
+            return Change.UNREADABLE, job_id
         self.jobs[job_id] = job
         self.by_queue[job.queue.name].add(job_id)
         return Change.ACCEPTED, job_id
@@ -95,15 +112,28 @@
 
     def take_progress(self, record: Keyed, read_at_s: float) -> None:
         """Take in a record of the log of progress, read at a local time."""
+        try:
+            self._take_progress(record, read_at_s)
+        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+            # Guards against a job that begins anew, or a holder that ends: what was
+            # read of the key before holds.
+            self.unreadable_progress.note(record.key, str(error))
+
+    def _take_progress(self, record: Keyed, read_at_s: float) -> None:
+        value = record.value
         if record.key == LAPSES_KEY:
-            left_s = _lapses_decoder.decode(record.value) if record.value else {}
+            left_s = _lapses_decoder.decode(value) if value else {}
             self.lapses_at_s = {name: read_at_s + s for name, s in left_s.items()}
+        elif record.key == INTERFERENCE_KEY:
+            self.slopes = _slopes_decoder.decode(value) if value else {}
         elif record.key.startswith(SPECIAL_MARK):
-            self.special[record.key] = record.value or b""
-        elif record.value is None:
+            return
+        elif value is None:
             self.progress.pop(record.key, None)
         else:
-            self.progress[record.key] = record.value
+            # Read for its form alone: what can be read now can be read later.
+            decode_status(value)
+            self.progress[record.key] = value
 
     def status(self, job_id: str) -> JobStatus | None:
         """Return a job's status, or nothing if it is not known."""
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
@@ -13,6 +13,7 @@
 from hornbeampaddle.machines import Address
 
 from .ports import Keyed
+from .unreadable import Unreadable
 
 # A record is renewed this often; at 40 instances that is one append in 1.5 s.
 RENEW_S = 60.0
@@ -20,6 +21,7 @@
 KEPT_S = 600.0
 # The records are read this often: a new peer is of use from then on.
 READ_S = 5.0
+PORT_MAX = 65_535
 
 
 class PeerRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -46,13 +48,26 @@
     own_name: str
     random: Random = field(default_factory=Random)
     _records: dict[str, PeerRecord] = field(default_factory=dict)
+    _unreadable: Unreadable = field(default_factory=lambda: Unreadable("peers"))
 
     def take(self, record: Keyed) -> None:
         """Take in a record of the log of peers."""
         if record.value is None:
             self._records.pop(record.key, None)
         elif record.key != self.own_name:
-            self._records[record.key] = _decoder.decode(record.value)
+            self._take(record.key, record.value)
+
+    def _take(self, name: str, value: bytes) -> None:
+        try:
+            record = _decoder.decode(value)
+        except msgspec.DecodeError as error:
+            self._unreadable.note(name, str(error))
+            return
+        if not 0 < record.port <= PORT_MAX:
+            self._unreadable.note(name, f"port {record.port}")
+            return
+        self._unreadable.readable(name)
+        self._records[name] = record
 
     def shuffled(self) -> list[Address]:
         """Return all peers in a random order, so that no one peer gets all calls."""
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
@@ -204,11 +204,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """The operator's newest configuration."""
+    """
+    The operator's newest configuration.
+
+    ``services`` are the names of all services, empty if it does not say.
+    """
 
     version: int
     routes: tuple[QueueRoute, ...]
     limits: CallerLimits
+    services: frozenset[str] = frozenset()
 
 
 class Codec(Protocol):
