Expect how the loads of users swing; place and pace fillers by it

Cause: the own slack of a serving job was taken from the middle of the last second's readings. Fillers waited beside idle processors and then kept serving tasks over their targets.

Paces are set for 0.4 s ahead, places by the lowest slack of 1.5 s. With it a place needs a slack of 1.3 (1.5 before). The waves are stored with the slopes; a new holder begins with them and gives up those that its first readings contradict.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -13,6 +13,7 @@
 
 from hornbeampaddle.cell.jobs import Job
 from hornbeampaddle.cell.progress import JobStatus, decode_status
+from hornbeampaddle.cell.swings import Wave
 
 from .ports import Keyed
 from .unreadable import Unreadable
@@ -22,10 +23,21 @@
 SPECIAL_MARK = "."
 INTERFERENCE_KEY = ".interference"
 LAPSES_KEY = ".lapses"
+SWINGS_KEY = ".swings"
+
+
+class SwingsRecord(msgspec.Struct, array_like=True, frozen=True):
+    """The period that the users' loads share, and each job's wave as of writing."""
+
+    period_s: float
+    waves: dict[str, tuple[float, float, float]]
+
+
 _job_decoder = msgspec.msgpack.Decoder(Job)
 _job_encoder = msgspec.msgpack.Encoder()
 _lapses_decoder = msgspec.msgpack.Decoder(dict[str, float])
 _slopes_decoder = msgspec.msgpack.Decoder(dict[str, dict[str, float]])
+_swings_decoder = msgspec.msgpack.Decoder(SwingsRecord)
 
 
 class Change(Enum):
@@ -48,6 +60,11 @@
     return Keyed(INTERFERENCE_KEY, msgspec.msgpack.encode(slopes))
 
 
+def swings_record(period_s: float, waves: dict[str, Wave]) -> Keyed:
+    """Return the record of how users' loads swing, as of now."""
+    return Keyed(SWINGS_KEY, msgspec.msgpack.encode(SwingsRecord(period_s, waves)))
+
+
 def lapses_record(left_s: dict[str, float]) -> Keyed:
     """Return the record that says how long the leases of silent workers may last."""
     return Keyed(LAPSES_KEY, msgspec.msgpack.encode(left_s))
@@ -65,8 +82,11 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)
     progress: dict[str, bytes] = field(default_factory=dict)
-    # What the holder has learned of pairs of images.
+    # What the holder has learned of pairs of images, and how users' loads swing, as of
+    # the local time at which that was read.
     slopes: dict[str, dict[str, float]] = field(default_factory=dict)
+    swings: SwingsRecord | None = None
+    swings_at_s: float = 0.0
     # When the leases of silent workers are over, by this instance's clock. It is
     # counted from the time at which the record was read: after it was written, so
     # that the leases end no later.
@@ -126,6 +146,9 @@
             self.lapses_at_s = {name: read_at_s + s for name, s in left_s.items()}
         elif record.key == INTERFERENCE_KEY:
             self.slopes = _slopes_decoder.decode(value) if value else {}
+        elif record.key == SWINGS_KEY:
+            self.swings = _swings_decoder.decode(value) if value else None
+            self.swings_at_s = read_at_s
         elif record.key.startswith(SPECIAL_MARK):
             return
         elif value is None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, field
 
 from .jobs import TaskKey
+from .swings import Swings
 
 # A reading loses half of its weight in about this many seconds.
 HALF_LIFE_S = 25.0
@@ -28,7 +29,7 @@
 PRIOR_SLOPE = 1.5
 # Weight of that prior, in units of squared shares: about 15 readings of a filler
 # that uses a tenth of a worker.
-PRIOR_WEIGHT = 0.15
+PRIOR_WEIGHT = 0.05
 # Weight of a slope that an earlier holder had learned: about a second of its
 # readings, since the amounts change.
 INHERITED_WEIGHT = 0.6
@@ -38,15 +39,8 @@
 # Weight of the constant part of a fit, by which an image's tasks differ from what
 # their jobs' own slack says.
 CONSTANT_WEIGHT = 2.0
-# Readings of a job's tasks count for its own slack while they are this young: one
-# report and a half. At 1.8 s the mean error was 3 % larger, as the load had moved on.
-OWN_AGE_S = 1.2
-# The own slack is the middle of the tasks' residuals: a disturbance that the fit has
-# not learned lowers some of them, the users' load lowers all. At 0.6 the model
-# expected 0.05 more slack than came, at 0.4 it missed a tenth of what was there.
-OWN_QUANTILE = 0.5
-# Fewer readings than this do not show what a job's own slack is.
-OWN_READINGS_MIN = 3
+# A reading is a figure of the last half second: of its middle.
+READING_AGE_S = 0.25
 # Slack beyond these bounds says only "far too little" or "plenty".
 SLACK_MIN = 0.1
 SLACK_MAX = 8.0
@@ -163,8 +157,7 @@
         self._solve_at_s = float("-inf")
         # Worked out when first asked for, until the fits change.
         self._likeness: dict[tuple[str, str], float] = {}
-        # Slack without the fillers, by job and task: when it was read, how much.
-        self._alone: dict[str, dict[TaskKey, tuple[float, float]]] = {}
+        self.swings = Swings()
 
     def observe(
         self, readings: list[Reading], uses: dict[str, float], now_s: float
@@ -175,16 +168,17 @@
         ``uses`` is the processor use of each filling image there, as a share of
         the worker's capacity.
         """
+        at_s = now_s - READING_AGE_S
         for reading in readings:
+            job_id = reading.key.job_id
             slack = min(SLACK_MAX, max(SLACK_MIN, reading.slack))
-            own, count = self.own(reading.key.job_id, now_s)
-            if count >= OWN_READINGS_MIN:
+            own = self.swings.expected(job_id, at_s)
+            if own is not None:
                 fit = self._fit(reading.image)
                 if fit is not None:
                     fit.add(uses, own - slack)
             alone = slack + self.pressure(reading.image, uses)
-            rows = self._alone.setdefault(reading.key.job_id, {})
-            rows[reading.key] = (now_s, alone)
+            self.swings.observe(job_id, alone, at_s)
 
     def _fit(self, serving: str) -> _Fit | None:
         fit = self._fits.get(serving)
@@ -196,20 +190,14 @@
         """Return how much slack fillers take from a serving image."""
         return sum(self.slope(serving, image) * use for image, use in uses.items())
 
-    def own(self, job_id: str, now_s: float) -> tuple[float, int]:
-        """Return a job's own slack, and from how many readings it comes."""
-        rows = self._alone.get(job_id)
-        if not rows:
-            return PRIOR_OWN, 0
-        fresh = sorted(
-            alone for at_s, alone in rows.values() if now_s - at_s < OWN_AGE_S
-        )
-        if not fresh:
-            return PRIOR_OWN, 0
-        return fresh[int(OWN_QUANTILE * (len(fresh) - 1))], len(fresh)
+    def own(self, job_id: str, from_s: float, ahead_s: float = 0.0) -> float:
+        """Return the lowest own slack that a job is expected to have in a span."""
+        own = self.swings.lowest(job_id, from_s, from_s + ahead_s)
+        return PRIOR_OWN if own is None else own
 
     def solve(self, now_s: float) -> None:
         """Fit again, if the last time was long ago."""
+        self.swings.choose(now_s)
         if now_s < self._solve_at_s + SOLVE_EVERY_S:
             return
         passed_s = min(SOLVE_EVERY_S * 5, now_s - self._solve_at_s)
@@ -218,15 +206,6 @@
         for fit in self._fits.values():
             fit.solve(kept)
         self._likeness.clear()
-        self._forget_old(now_s)
-
-    def _forget_old(self, now_s: float) -> None:
-        for job_id, rows in list(self._alone.items()):
-            for key, (at_s, _) in list(rows.items()):
-                if now_s - at_s > OWN_AGE_S:
-                    del rows[key]
-            if not rows:
-                del self._alone[job_id]
 
     def slope(self, serving: str, filling: str) -> float:
         """Return the slack that a filler takes for each worker that it fills."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/pacing.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 
 from .effects import PaceOrder
-from .interference import OWN_READINGS_MIN, Interference, Reading
+from .interference import Interference, Reading
 from .progress import Run, RunPhase
 from .settings import CellSettings
 from .workers import WorkerState
@@ -24,6 +24,11 @@
 # The slopes are estimates: take more than they say is needed, give less.
 TAKE_RATIO = 1.3
 GIVE_RATIO = 0.7
+# A pace is set for this long ahead: half of the time to the next report.
+PACE_AHEAD_S = 0.4
+# A filler is placed by the lowest slack of this span: most work for longer, but their
+# pace follows from there.
+PLACE_AHEAD_S = 1.5
 # One change of pace moves by no less than this, to save calls.
 PACE_STEP_PERCENT = 8
 
@@ -68,8 +73,9 @@
 
         A single reading is off by a tenth; its job's other tasks are not.
         """
-        own, count = self.model.own(reading.key.job_id, now_s)
-        if count < OWN_READINGS_MIN:
+        at_s = now_s + PACE_AHEAD_S
+        own = self.model.swings.expected(reading.key.job_id, at_s)
+        if own is None:
             return reading
         modelled = own - self.model.pressure(reading.image, uses)
         return replace(reading, slack=(reading.slack + modelled) / 2)
@@ -80,7 +86,7 @@
         for run in worker.runs.values():
             if not run.step.tail_target_s:
                 continue
-            own, _ = self.model.own(run.key.job_id, now_s)
+            own = self.model.own(run.key.job_id, now_s, PLACE_AHEAD_S)
             known = worker.own_slack.get(run.step.image, own)
             worker.own_slack[run.step.image] = min(own, known)
         worker.changed()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -21,7 +21,7 @@
 # A filler starts where the slack of every serving task is expected to stay above this,
 # at full speed: 1 is the target, the users' load takes up to 0.35 of slack a second,
 # and a pace is corrected within 1 s.
-PLACE_SLACK = 1.5
+PLACE_SLACK = 1.3
 
 
 @dataclass(frozen=True, slots=True)
