Place fillers only where their whole need is to spare

Cause: a filler was placed while half of its need was spare. What runs beside it then asks for more than the worker has, and whoever serves there loses slack: 0.35 at a worker that is asked for 1.15 of its processors.

Change: FILLER_SPARE_RATIO 1.0 in place of 0.5.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -21,7 +21,7 @@
 SLACK_MILLIS = 20_000
 # A filler is placed while a worker's spare processors cover this share of its need;
 # beyond that it would only slow those that came before it.
-FILLER_SPARE_RATIO = 0.5
+FILLER_SPARE_RATIO = 1.0
 # A serving task prefers workers that serve its own job or its image; worth this much
 # of a worker's free processors. The tasks of a job share the swing of its users' load,
 # so a worker with one job has room for fillers while that load is low.
