Split the placing of a step; name what a decision knows of its turn

Cause: what places a step took eight arguments, and functions of dispatch.py and slow_starts.py passed the same nine on; one of them was 70 lines long.

No decision changes.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/outlook.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/outlook.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from .interference import PRIOR_OWN, Interference
+from .progress import JobState
 from .workers import LASTING_USE_RATIO, PLACE_SLACK, WorkerState
 
 # Moments of a swing that are looked at: a wave is followed to within a few hundredths.
@@ -117,3 +118,19 @@
     serving = [run for run in worker.runs.values() if run.step.tail_target_s]
     kinds = [(run.key.job_id, run.step.image) for run in serving]
     return kinds, sum(run.charge.cpu_millis for run in serving)
+
+
+def waiting_shares(jobs: Iterable[JobState]) -> dict[str, float]:
+    """Return the images of the fillers that wait, each with its share of their need."""
+    needs: dict[str, float] = {}
+    for state in jobs:
+        if state.status.final:
+            continue
+        for steps in state.occurrences.values():
+            for step in steps:
+                if step.step.filler and step.ready_at_s is not None:
+                    image = step.step.image
+                    millis = step.step.need.cpu_millis * len(step.waiting())
+                    needs[image] = needs.get(image, 0.0) + millis
+    total = sum(needs.values())
+    return {image: millis / total for image, millis in needs.items() if millis}
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -19,7 +19,7 @@
 from .jobs import Job, StepKey
 from .lapses import Lapses
 from .orders import Orders
-from .outlook import Outlook
+from .outlook import Outlook, waiting_shares
 from .progress import JobState, JobStatus, Run, RunPhase, encode, restore
 from .separating import Separator
 from .settings import CellSettings
@@ -255,27 +255,11 @@
     def outlook(self, now_s: float) -> Outlook | None:
         """Return what workers open to the fillers that wait; nothing if none does."""
         if now_s >= self._outlook_until_s:
-            shares = self._waiting_shares()
+            shares = waiting_shares(self.open_jobs.values())
             self._outlook = Outlook(self.model, shares, now_s) if shares else None
             self._outlook_until_s = now_s + OUTLOOK_S
         return self._outlook
 
-    def _waiting_shares(self) -> dict[str, float]:
-        """Return the images of the fillers that wait, each with its share."""
-        needs: dict[str, float] = {}
-        for state in self.open_jobs.values():
-            if state.status.final:
-                continue
-            for steps in state.occurrences.values():
-                for step in steps:
-                    if step.step.filler and step.ready_at_s is not None:
-                        millis = step.step.need.cpu_millis * len(step.waiting())
-                        needs[step.step.image] = (
-                            needs.get(step.step.image, 0.0) + millis
-                        )
-        total = sum(needs.values())
-        return {image: millis / total for image, millis in needs.items() if millis}
-
     def quiet_s(self, job_id: str, now_s: float) -> float:
         """Return the time since another job that ends was accepted."""
         others = [at_s for at_s, other in self._newest if other != job_id]
--- a/packages/hornbeampaddle/hornbeampaddle/cell/slow_starts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/slow_starts.py
@@ -8,12 +8,10 @@
 
 from typing import TYPE_CHECKING
 
-from .effects import Decision
 from .placing import choose_slow, has_spare, may_take
 from .progress import JobState, Run, StepState
-from .starting import start_task
+from .turns import Turn
 from .urgency import AWAY_MAX_S
-from .workers import WorkerState
 
 if TYPE_CHECKING:
     from .scheduler import Scheduler
@@ -78,36 +76,29 @@
     return now_s - (step.ready_at_s or now_s) >= SLOW_AFTER_S
 
 
-def place_slow(
-    cell: "Scheduler",
-    decision: Decision,
-    state: JobState,
-    step: StepState,
-    workers: list[WorkerState],
-    granted: dict[str, str],
-    now_s: float,
-) -> None:
+def place_slow(turn: Turn) -> None:
     """Place one filler that found no worker to itself, at a pace that harms nobody."""
+    step, model = turn.step, turn.cell.model
     waiting = step.waiting()
     if not waiting:
         return
     share_min = 0.0
-    idle = left_idle(cell, state, step, now_s)
+    idle = left_idle(turn.cell, turn.state, step, turn.now_s)
     if not idle:
-        if not waits_enough(step, now_s):
+        if not waits_enough(step, turn.now_s):
             return
         share_min = SLOW_SHARE_MIN
     used = step.used()
     key = waiting[0].key
     # Guards against more tasks of a step on one worker than it allows, and against a
     # second run of a task beside a stray one: no ranking has sorted these workers out.
-    candidates = [w for w in workers if may_take(step.step, w, key, used)]
-    place = choose_slow(step.step, candidates, cell.model, share_min)
+    candidates = [w for w in turn.workers if may_take(step.step, w, key, used)]
+    place = choose_slow(step.step, candidates, model, share_min)
     if place is None:
         return
     worker, share = place
     crowded = idle and not has_spare(step.step, worker)
-    run = start_task(cell, decision, state, step, waiting[0], worker, granted, now_s)
+    run = turn.start(waiting[0], worker)
     begin_slowly(run, share, crowded)
 
 
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/turns.py
@@ -0,0 +1,68 @@
+"""What one decision knows of a step whose turn has come."""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .candidates import Candidates
+from .effects import Decision
+from .misfits import Misfits
+from .placing import Ranking
+from .progress import JobState, Run, StepState, Task
+from .starting import start_task
+from .workers import WorkerState
+
+if TYPE_CHECKING:
+    from .scheduler import Scheduler
+
+
+@dataclass(slots=True)
+class Turn:
+    """
+    A step to place, and the decision that places it.
+
+    ``workers`` are those that could run it, ``granted`` their tickets where the queue
+    takes advice.
+    """
+
+    cell: "Scheduler"
+    decision: Decision
+    candidates: Candidates
+    misfits: Misfits
+    state: JobState
+    step: StepState
+    workers: list[WorkerState]
+    now_s: float
+    granted: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def service(self) -> str:
+        """Return the service whose workers run the job."""
+        return self.cell.service_of(self.state.job)
+
+    @property
+    def advised(self) -> bool:
+        """Tell whether the queue takes advice on where a step may run."""
+        return self.state.job.queue.advice is not None
+
+    def ranking(self) -> Ranking:
+        """Return an empty ranking of workers for the step."""
+        return Ranking(
+            self.step.key.job_id,
+            self.step.step,
+            self.cell.model,
+            self.step.used(),
+            outlook=self.cell.outlook(self.now_s),
+        )
+
+    def start(self, task: Task, worker: WorkerState) -> Run:
+        """Book the next attempt of a task on a worker, and order its start."""
+        return start_task(
+            self.cell,
+            self.decision,
+            self.state,
+            self.step,
+            task,
+            worker,
+            self.granted,
+            self.now_s,
+        )
