Leave serving tasks in their places while a lasting one finds no room

There workers had left, the lasting tasks filled the other 28, and 45 of them waited, some for 11 s. Between 30 and 34 s twenty others changed places and kept room on two workers each; the tasks that waited began at 36.5 s, when the last of these reservations was over.

Change: no exchange and no move begins while a lasting task that some worker could run has waited for 3 s, which is longer than a reservation.

Ruled out: a takeover (over at 25.5 s, all workers had reported), silent workers (those that had left), a step's limit on a worker. Room promised to urgent tasks was held at the same time; it is bounded as before.

Measured: the scenario of a lasting task that finds no room fails before (exchanges go on) and passes now; one that no worker could hold stops nobody, before and now.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -91,6 +91,21 @@
     When two tasks that may not share a worker wait, one with its room reserved
     Then no worker has more than one of them
 
+  Scenario Outline: No task changes places while a lasting one finds no room: <what>
+    # Watchers of calendars stood still for 11 s beside free room, on a day on which workers
+    # left and the lasting tasks filled the others. Twenty tasks at a time changed places
+    # meanwhile, and each kept room on two workers: what was free was reserved. A task that
+    # no worker could ever hold is no reason to leave the others where they are.
+    Given an emulated day with seed 2 and fillers that all disturb somebody
+    And a lasting task that needs <what> comes after 3 s
+    When 25 s of it pass
+    Then <count> exchanges were made after 8 s
+
+    Examples:
+      | what                     | count |
+      | more than is free        | no    |
+      | more than any worker has | some  |
+
   Scenario Outline: Tasks that may run only in a few places change none: <what>
     # A watcher of a queue with advice ran where the queue's policy does not allow it, after
     # it had changed places with another task.
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -19,10 +19,15 @@
 )
 from hornbeampaddle.cell import workers as workers_module
 from hornbeampaddle.cell.advice import Allowance
-from hornbeampaddle.cell.jobs import Advice, StepKey, TaskKey
+from hornbeampaddle.cell.jobs import Advice, Job, StepKey, TaskKey
 from hornbeampaddle.cell.progress import Run, RunPhase
 from hornbeampaddle.resources import Resources
-from hornbeampaddle_standins.cell.demand import SERVING, Demand, DemandSettings
+from hornbeampaddle_standins.cell.demand import (
+    SERVING,
+    Demand,
+    DemandSettings,
+    Submission,
+)
 from hornbeampaddle_standins.cell.emulator import Emulator
 from hornbeampaddle_standins.cell.loads import HOSTILE, LARGE, OVERFULL
 
@@ -358,6 +363,40 @@
     assert len(set(workers)) == 2, workers
 
 
+@given("a lasting task that needs {what} comes after {at_s:d} s")
+def lasting_waits(context, what, at_s):
+    make = context.day
+    context.exchanged_at_s = []
+    need_millis = {"more than is free": 47_000, "more than any worker has": 49_000}
+    job = Job("wide", LASTING, "", (step(1, need_millis[what], lasting=True),), 0.0)
+
+    def day():
+        emulator = make()
+        decide, stop = emulator.cell.decide, emulator.cell.stop
+
+        def decide_with_it(now_s, wall_s):
+            if now_s >= emulator.begun_at_s + at_s and "wide" not in emulator.submitted:
+                emulator._submit(Submission(at_s, job, "serving", 0.0, (0.0,)))
+            return decide(now_s, wall_s)
+
+        def noting_stop(run, reason):
+            if reason == separating.REASON:
+                context.exchanged_at_s.append(emulator.now_s - emulator.begun_at_s)
+            stop(run, reason)
+
+        emulator.cell.decide = decide_with_it
+        emulator.cell.stop = noting_stop
+        return emulator
+
+    context.day = day
+
+
+@then("{count} exchanges were made after {since_s:d} s")
+def exchanged_after(context, count, since_s):
+    later_s = [at_s for at_s in context.exchanged_at_s if at_s > since_s]
+    assert bool(later_s) is (count == "some"), later_s
+
+
 @given("its serving jobs are of a queue with {what}")
 def bounded_queue(context, what):
     make = context.day
--- a/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
@@ -17,7 +17,8 @@
 from ..resources import NOTHING, Resources
 from .jobs import TaskKey
 from .outlook import Kind, Outlook, serving_on
-from .progress import Run, RunPhase
+from .placing import suits
+from .progress import Run, RunPhase, StepState
 from .workers import WorkerState
 
 if TYPE_CHECKING:
@@ -38,6 +39,9 @@
 # Room stays reserved for so long: a stop, its report and a start take 1 s, with one
 # answer lost 2 s.
 RESERVED_S = 2.5
+# A lasting task that has waited for so long finds no room: one that changes places is
+# back before its reservation is over.
+SHORT_AFTER_S = 3.0
 # Tasks that are compared in one look, at most: those whose leaving opens most, each
 # with so many others, drawn anew each time.
 LEAVING_MAX = 16
@@ -138,7 +142,7 @@
             return
         self._looked_at_s = now_s
         budget = self._budget()
-        if budget < 1:
+        if budget < 1 or self._room_is_short(now_s):
             return
         outlook = self.cell.outlook(now_s)
         if outlook is None:
@@ -161,6 +165,24 @@
         )
         return max(2, int(AWAY_RATIO * serving)) - len(self._reserved)
 
+    def _room_is_short(self, now_s: float) -> bool:
+        """
+        Tell whether a lasting task waits that some worker could run.
+
+        Guards against tasks that stay away for 10 s beside room that is free: each task
+        that changes places keeps room on two workers for about a second, and where the
+        lasting tasks fill the cell, that is the room that the others wait for.
+        """
+        workers = [w for w in self.cell.workers.values() if w.usable(now_s)]
+        return any(
+            _waits_s(step, now_s) > SHORT_AFTER_S
+            and any(suits(step.step, worker) for worker in workers)
+            for state in self.cell.open_jobs.values()
+            if state.job.lasting and not state.status.final
+            for steps in state.occurrences.values()
+            for step in steps
+        )
+
     def _begin(self, move: Relocation | Exchange, now_s: float) -> int:
         """Begin a move; return how many tasks are away for it."""
         match move:
@@ -320,6 +342,15 @@
     return not most or step_count(worker, moving.run.key) < most
 
 
+def _waits_s(step: StepState, now_s: float) -> float:
+    """Return how long the task of a step has waited that has waited longest."""
+    if step.step.filler or step.ready_at_s is None:
+        return 0.0
+    ready_at_s = step.ready_at_s
+    since_s = [max(ready_at_s, task.ended_at_s) for task in step.waiting()]
+    return now_s - min(since_s, default=now_s)
+
+
 def step_count(worker: WorkerState, key: TaskKey) -> int:
     """Count the tasks on a worker that are of the same step as this one."""
     return sum(other[:3] == key[:3] for other in worker.runs)
