--- /dev/null
+++ b/features/steps/compared_days_steps.py
@@ -0,0 +1,107 @@
+"""Steps that play several emulated days with and without a decision."""
+
+from contextlib import nullcontext
+from functools import cache
+from unittest.mock import patch
+
+from behave import given, then, when
+
+from hornbeampaddle.cell import dispatch, separating, slow_starts, urgency
+from hornbeampaddle_standins.cell.demand import Demand, DemandSettings
+from hornbeampaddle_standins.cell.emulator import Emulator
+from hornbeampaddle_standins.cell.loads import HOSTILE, OVERFULL
+
+DAYS = {
+    "fillers that all disturb somebody": DemandSettings(
+        pressing_ratio=1.0, batch_per_s=4.0
+    ),
+    "more for fillers than fits": OVERFULL,
+    "fillers that disturb most images": HOSTILE,
+}
+
+
+def due_order(state, step, usual, now_s):
+    """Sort jobs by due time in place of their worth for the work left."""
+    first = urgency.urgency(state, step, usual, now_s)[:-1]
+    return (*first, state.accepted_at_s + state.job.objective_s())
+
+
+def waited_long(step, now_s):
+    """Let fillers that end start slowly as well."""
+    return now_s - (step.ready_at_s or now_s) >= slow_starts.SLOW_AFTER_S
+
+
+CHANGES = {
+    "as it is": nullcontext,
+    "without exchanges": lambda: patch.object(
+        separating.Separator, "separate", lambda self, now_s: None
+    ),
+    "in the order of due times": lambda: patch.object(dispatch, "urgency", due_order),
+    "with slow starts": lambda: patch.object(slow_starts, "waits_enough", waited_long),
+}
+
+
+@cache
+def play_days(kind, count, seconds_s, change):
+    """Return the days of seeds 1 to ``count``; the same play always ends the same."""
+    emulators = [Emulator(Demand(n + 1, DAYS[kind])) for n in range(count)]
+    with CHANGES[change]():
+        for emulator in emulators:
+            emulator.play(seconds_s)
+    return emulators
+
+
+def batch_share(emulators):
+    """Return what batch callers got on all days together, as a share."""
+    batch = [emulator.earnings()["batch"] for emulator in emulators]
+    return sum(day.earned for day in batch) / sum(day.owed for day in batch)
+
+
+def largest_served(emulators):
+    """Return how many of the largest tenth of the batch jobs are done."""
+    count = 0
+    for emulator in emulators:
+        batch = [s for s in emulator.submitted.values() if s.kind == "batch"]
+        batch.sort(key=lambda s: s.job.work_millis_s(), reverse=True)
+        largest = batch[: len(batch) // 10]
+        count += sum(s.job.job_id in emulator.done_at_s for s in largest)
+    return count
+
+
+@given("{count:d} emulated days with {kind}")
+def several_days(context, count, kind):
+    context.count, context.kind = count, kind
+
+
+@when("{seconds:d} s of each pass")
+def pass_days(context, seconds):
+    context.days = lambda change: play_days(
+        context.kind, context.count, seconds, change
+    )
+
+
+@then("a fifth more cores are open to fillers over a swing than {change}")
+def opened(context, change):
+    got, other = (
+        sum(emulator.open_cores() for emulator in context.days(name))
+        for name in ("as it is", change)
+    )
+    assert got >= 1.2 * other, (got, other)
+
+
+@then("batch callers get {more:g} more of what they are owed than {change}")
+def more_for_batch(context, more, change):
+    got, other = (batch_share(context.days(name)) for name in ("as it is", change))
+    assert got >= other + more, (got, other)
+
+
+@then("the largest tenth of the batch jobs is served no less than {change}")
+def largest_no_less(context, change):
+    got, other = (largest_served(context.days(name)) for name in ("as it is", change))
+    assert got >= other, (got, other)
+
+
+@then("on no day fillers kept a serving task over its target for {seconds:d} s")
+def harm_on_days(context, seconds):
+    longest_s = max(emulator.longest_over_s for emulator in context.days("as it is"))
+    assert longest_s < seconds, longest_s
