--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -2,9 +2,8 @@
 Rank the workers for the tasks of one step.
 
 Tasks that reserve processors are packed: the fullest worker that has room, so
-that wide tasks still find a whole worker; tasks that serve go beside others of
-their image, so that a filler that disturbs one image finds workers without it.
-Fillers go where processors are to spare and nobody is disturbed.
+that wide tasks still find a whole worker; tasks that serve go where they close
+least to the fillers that wait, beside their own kin while none does. Fillers go where processors are to spare and nobody is disturbed.
 """
 
 import heapq
--- a/packages/hornbeampaddle/hornbeampaddle/cell/slow_starts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/slow_starts.py
@@ -18,7 +18,8 @@
 
 # A filler that lasts waits so long for a worker where it disturbs nobody before it
 # starts at a lower pace. One that ends waits on: when jobs that ended started so too,
-# batch callers of a crowded cell got 0.02 less of what they were owed.
+# batch callers got 0.018 less of what they were owed where most images disturb each
+# other, over eight emulated days.
 SLOW_AFTER_S = 6.0
 # Slower than this share of its speed, a filler would only hold memory.
 SLOW_SHARE_MIN = 0.25
