--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -3,7 +3,8 @@
 
 Tasks that reserve processors are packed: the fullest worker that has room, so
 that wide tasks still find a whole worker; tasks that serve go where they close
-least to the fillers that wait, beside their own kin while none does. Fillers go where processors are to spare and nobody is disturbed.
+least to the fillers that wait, beside their own kin while none does. Fillers go
+where processors are to spare and nobody is disturbed.
 """
 
 import heapq
