Log how soon after its start a run was lost with its worker

Cause: in the incident of crashing tasks the lines name the runs that a lost worker had, but not which of them had just been started, so a task that crashes its workers looks like those that ran beside it.

Change: a run keeps when its start was first sent and when a report first listed it; a worker keeps since when it is silent; run_released lines carry both.

--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -19,7 +19,7 @@
     context.player.submit(JOB_ID, LASTING, step(4, 8_000, lasting=True), 1e9)
     context.player.play(1.0)
     context.cell = context.player.cell
-    context.cell.worker_silent(WORKER_ID)
+    context.cell.worker_silent(WORKER_ID, context.player.now_s)
     context.worker = context.cell.workers[WORKER_ID]
     context.over_at_s = context.worker.lease_over_at_s
     context.granted_s = context.worker.granted_s
--- a/features/support/cell_player.py
+++ b/features/support/cell_player.py
@@ -59,6 +59,7 @@
         decision = self.cell.decide(self.now_s, self.now_s)
         for run in decision.starts:
             run.phase = RunPhase.SENDING
+            run.sent_at_s = self.now_s
             self.cell.orders.start_answered(run, Done(self.now_s), self.now_s)
         if self.allowed is not None:
             for question in decision.questions:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -117,9 +117,10 @@
         self._silent_since_s = None
 
     def _silent(self, detail: str) -> None:
-        self.holder.cell.worker_silent(self.worker_id)
+        now_s = self.holder.clock.now_s()
+        self.holder.cell.worker_silent(self.worker_id, now_s)
         if self._silent_since_s is None:
-            self._silent_since_s = self.holder.clock.now_s()
+            self._silent_since_s = now_s
             log.warning("worker: lost", worker=self.worker_id, detail=detail)
 
     async def start(self, run: Run, payload: str) -> None:
@@ -143,6 +144,8 @@
                 # a new one as soon as a record says so.
                 await asyncio.sleep(LAPSE_PAUSE_S)
                 continue
+            if run.sent_at_s == float("-inf"):
+                run.sent_at_s = now_s
             outcome = await self.port.start(run, payload, deadline_s)
             if outcome == Refused(Reason.FENCED):
                 self.holder.lose("a start was refused for its token")
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
@@ -173,6 +173,7 @@
             if run.phase is not RunPhase.RECORDING:
                 continue
             run.phase = RunPhase.SENDING
+            run.sent_at_s = self.now_s
             self._begin(run)
             self.cell.orders.start_answered(run, Done(self.now_s), self.now_s)
         for order in decision.stops:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -39,6 +39,7 @@
         first = not worker.reported
         worker.reported = True
         worker.silent = False
+        worker.silent_since_s = None
         worker.last_report_at_s = now_s
         listed = set()
         for ended in report.ended:
@@ -185,6 +186,7 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_at_s = now_s
             run.progressed_at_s = now_s
+        run.reported_at_s = min(run.reported_at_s, now_s)
         if row.checkpoint:
             run.checkpoint = row.checkpoint
         if row.progress_percent != run.progress_percent:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -61,6 +61,10 @@
     unanswered: int = 0
     placed_at_s: float = 0.0
     confirmed_at_s: float = float("inf")
+    # When its start was first sent; long ago if another holder has sent it.
+    sent_at_s: float = float("-inf")
+    # When a report first listed it as running.
+    reported_at_s: float = float("inf")
     stop_sent_at_s: float = float("-inf")
     stop_reason: str = ""
     progress_percent: float = 0.0
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -230,11 +230,13 @@
         worker.granted_s = worker.clock.deadline_there(now_s + self.settings.lease_s)
         return worker.granted_s
 
-    def worker_silent(self, worker_id: str) -> None:
+    def worker_silent(self, worker_id: str, now_s: float) -> None:
         """Take in that a worker has not answered; its lease is not renewed."""
         worker = self.workers.get(worker_id)
         if worker is not None:
             worker.silent = True
+            if worker.silent_since_s is None:
+                worker.silent_since_s = now_s
 
     def use_ratio(self, service: str) -> float:
         """Return the share of a service's processors reserved as the decision began."""
@@ -289,7 +291,12 @@
             "run": run.number,
             "worker": run.worker_id,
             "why": why,
+            "reported": run.reported_at_s != float("inf"),
         }
+        # A run that an earlier holder has sent has no known age.
+        if run.sent_at_s != float("-inf"):
+            lost_at_s = worker.lost_at_s(now_s) if worker is not None else now_s
+            detail["lost_after_s"] = round(lost_at_s - run.sent_at_s, 3)
         self.note(Note("run_released", run.key.job_id, detail))
 
     # Attempts
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -79,6 +79,8 @@
     granted_s: float | None = None
     lease_over_at_s: float = float("-inf")
     silent: bool = False
+    # When it first did not answer, since the last report.
+    silent_since_s: float | None = None
     last_report_at_s: float = float("-inf")
     rest_until_s: float = float("-inf")
     failures_in_row: int = 0
@@ -234,6 +236,10 @@
             _count(self.serving, step.image, sign)
             _count(self.serving_jobs, run.key.job_id, sign)
 
+    def lost_at_s(self, now_s: float) -> float:
+        """Return when a worker that is given up now stopped answering."""
+        return now_s if self.silent_since_s is None else self.silent_since_s
+
     def present(self) -> bool:
         """Tell whether the worker is listed, answers and stays."""
         if not self.listed or not self.reported or self.gone:
