Show that a task which crashes its workers is started for ever

Stand-ins of workers crash under such a task, refuse connections, and are back under another id 2 s later; they judge more than two starts after three crashes.

--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -2,11 +2,13 @@
 Stand in for workers: leases, tokens, runs, ends, checkpoints, pace.
 
 A worker judges what it is told: two runs of a task, a start after its end or
-its cancellation, and more than it holds are promises broken.
+its cancellation, ever more starts of a task that crashes its workers, and more than
+it holds are promises broken.
 """
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -21,6 +23,7 @@
     HoldOutcome,
     NoAnswer,
     OrderOutcome,
+    OtherIncarnation,
     Reason,
     Refused,
     Report,
@@ -38,6 +41,10 @@
 CONTACT_S = 3.0
 STOP_MAX_S = 0.4
 LEASE_MAX_S = 10.0
+# A task under which so many workers have crashed may be started less than three times
+# more.
+CRASHES_MAX = 3
+STARTS_AFTER_CRASHES_MAX = 2
 TICK_S = 0.05
 # The slack of a serving task alone: its target over its tail.
 ALONE_SLACK = 2.8
@@ -67,6 +74,9 @@
     started_at_s: list[float] = field(default_factory=list)
     over_target_s: float = 0.0
     spans: list[Span] = field(default_factory=list)
+    # By task that crashes its workers: how many crashed, and starts after the third.
+    crashes: Counter[TaskKey] = field(default_factory=Counter)
+    starts_after_crashes: Counter[TaskKey] = field(default_factory=Counter)
 
     def began(self, key: TaskKey, now_s: float, late: bool = False) -> Span:
         """Note that a run began, perhaps on an order that was carried out late."""
@@ -79,6 +89,10 @@
         cancelled_at_s = self.cancelled_at_s.get(key.job_id, math.inf)
         if now_s > cancelled_at_s + CANCEL_S and not late:
             self.broken.append(f"{now_s:.3f}: {key} starts after its cancellation")
+        if self.crashes[key] >= CRASHES_MAX:
+            self.starts_after_crashes[key] += 1
+            if self.starts_after_crashes[key] > STARTS_AFTER_CRASHES_MAX:
+                self.broken.append(f"{now_s:.3f}: {key} keeps crashing workers")
         self.running[key] = self.running.get(key, 0) + 1
         self.begun_at_s[key] = now_s
         span = Span(key, now_s)
@@ -151,6 +165,13 @@
     stalled: bool = False
     # Refuses every order and has then done nothing; it still reports.
     unwell: bool = False
+    # The run that crashes the worker so many seconds after its start, if any does.
+    crash_after_s: Callable[[Run], float | None] = lambda run: None
+    # What happens around a crash: who restarts the worker, and where.
+    on_crash: Callable[["CellWorker"], None] = lambda worker: None
+    # Crashed, so that connections are refused; and replaced at its address.
+    refuses: bool = False
+    replaced: bool = False
     # An order is being carried out long after it was sent.
     acting_late: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -170,6 +191,21 @@
             self.judge.ended(key, live.span, self.now_s())
         self.runs.clear()
 
+    def crash(self) -> None:
+        """End with everything that runs; connections are closed at once."""
+        if not self.alive:
+            return
+        self.die()
+        self.refuses = True
+        self.changed.set()
+        self.on_crash(self)
+
+    def _crash_under(self, run: Run) -> None:
+        live = self.runs.get(run.key)
+        if live is not None and live.run.number == run.number:
+            self.judge.crashes[run.key] += 1
+            self.crash()
+
     async def live(self) -> None:
         """Let time pass for what runs."""
         while self.alive:
@@ -258,6 +294,10 @@
         live.done_s = live.saved_s = float(run.checkpoint or 0)
         self.runs[run.key] = live
         self.highest[run.key] = run.number
+        after_s = self.crash_after_s(run)
+        if after_s is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(after_s, self._crash_under, run)
         taken = NOTHING
         for other in self.runs.values():
             taken = taken + other.run.charge
@@ -381,7 +421,7 @@
         if (self.caller, self.worker.listing.worker_id) in self.faults.cut:
             return await self._silence()
         if not self.worker.alive:
-            return await self._silence()
+            return await self._dead()
         fate = self.faults.fates.get(kind)
         if fate is OrderFate.UNWELL:
             return Refused(Reason.UNWELL)
@@ -410,6 +450,13 @@
         act()
         self.worker.acting_late = False
 
+    async def _dead(self) -> NoAnswer | OtherIncarnation:
+        if self.worker.replaced:
+            return OtherIncarnation()
+        if self.worker.refuses:
+            return NoAnswer("connection refused")
+        return await self._silence()
+
     async def _silence(self) -> NoAnswer:
         await asyncio.sleep(CALLER_PATIENCE_S)
         return NoAnswer("timed out")
@@ -448,7 +495,7 @@
             return outcome
         await self.worker.wait_for_end(wait_s)
         if not self.worker.alive:
-            return await self._silence()
+            return await self._dead()
         return Report(
             sent_at_s,
             self.worker.now_s(),
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from hornbeampaddle.cell.advice import Allowance
-from hornbeampaddle.cell.jobs import Job, Queue, Step, StepKey
+from hornbeampaddle.cell.jobs import Job, Queue, Step, StepKey, TaskKey
 from hornbeampaddle.cell.progress import JobStatus, Run
 from hornbeampaddle.cell.settings import CellSettings
 from hornbeampaddle.cell.workers import WorkerListing
@@ -38,6 +38,10 @@
 ROUTE_HOST = "host"
 # A message between two instances takes this long one way.
 PEER_S = 0.002
+# A worker that crashed is back at its address after this long, and its old entry goes
+# after three signs of life that did not come.
+RESTART_S = 2.0
+UNLIST_S = 3.3
 LIMITS = CallerLimits(16_384, 262_144, 3.0, 15.0)
 URGENT = Queue("urgent", "compute", 0, 4, 1.5, 0.25)
 BATCH = Queue("batch", "compute", 2, 2, 2.0, 1.0)
@@ -120,6 +124,10 @@
     relays: bool = False
     advised: Callable[[StepKey, Sequence[str]], Allowance | None] | None = None
     accepted: dict[str, Job] = field(default_factory=dict)
+    # Tasks that crash each worker that starts them, so many seconds after the start.
+    crashing: dict[TaskKey, float] = field(default_factory=dict)
+    # Crashed workers are silent, and do not come back.
+    crashes_dark: bool = False
 
     def __post_init__(self) -> None:
         """Draw everything from the seed."""
@@ -127,6 +135,7 @@
         self.faults = OrderFaults(Random(self.seed + 1))
         self.version = 0
         self.lives = 0
+        self.restarts = 0
 
     # Building
 
@@ -153,6 +162,8 @@
         )
         skew_s = self.random.uniform(-50, 50)
         worker = CellWorker(listing, self.judge, self._work, self.slope_of, skew_s)
+        worker.crash_after_s = lambda run: self.crashing.get(run.key)
+        worker.on_crash = self._crashed
         self.workers[name] = worker
         self.list_worker(worker)
         self.tasks[name] = asyncio.create_task(worker.live())
@@ -167,6 +178,23 @@
         """Drop a worker's entry."""
         self.store.write(Topic.WORKERS, Keyed(name, None))
 
+    def _crashed(self, worker: CellWorker) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(UNLIST_S, self.unlist_worker, worker.listing.worker_id)
+        if self.crashes_dark:
+            worker.refuses = False
+        else:
+            loop.call_later(RESTART_S, self._restart_worker, worker)
+
+    def _restart_worker(self, worker: CellWorker) -> None:
+        self.restarts += 1
+        worker.replaced = True
+        name, _, _ = worker.listing.worker_id.partition("+")
+        room = worker.listing.capacity
+        self.add_worker(
+            f"{name}+{self.restarts}", room.cpu_millis, room.memory_bytes // MIB
+        )
+
     def _work(self, run: Run) -> tuple[float, bool]:
         spread = Random(f"{self.seed} {run.key}").uniform(0.5, 1.5)
         fails = self.random.random() < self.fail_ratio
