Give up tasks that crash the workers that start them

Callers saw: work lost again and again, on one worker after the other.

Cause: a run that is lost with its worker has no end. Only ends counted as attempts, so its task waited again as if it had never run, and nothing bounded how often.

Mend (cell/crashes.py): the loss of a worker counts against the runs that no report has shown yet, else against the youngest. Two losses within 0.25 s of the starts, or four in all, end the job as failed. A suspected task starts apart from other new starts, so that those beside it are not given up with it. The counts are stored with the job's progress in the same append as the next start. A worker that is no longer listed when its lease is over counts as lost, so a holder that takes over finds out by itself; one that is back with its id does not. What has been at work for 10 s is forgotten.

Why it holds: a task has at most four losses, two starts less than what is tolerated after the third; the count and the next start cannot be stored apart.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -4,21 +4,91 @@
 
   Scenario: A task that crashes each worker that starts it is given up
     # Users see their work lost again and again: one task of a job brings each worker down
-    # as it starts. Its run ends with the worker, counts as no attempt, and the task is
-    # started again at once, on the next worker.
+    # as it starts. Its run ends with the worker, counts as no attempt, and the task was
+    # started again at once, on the next worker, for ever: nothing counted such losses.
+    # The runs were released as "worker_replaced" 25 ms after their starts, unreported.
     Given a cell of 3 instances and 6 workers
     And a lasting job "ba01" of 6 tasks is at work
     When a job "ba02" of 6 tasks is handed in, of which task 0 crashes its workers
     Then the job "ba02" is shown as failed within 20 s
     And 6 tasks of "ba01" are at work within 6 s
-    And at most 4 workers crashed
+    And at most 2 workers crashed
     And no promise of the cell was broken
 
   Scenario: What is known of a crashing task survives its holders
-    # The same, and each time the worker goes, so does the holder: the next one reads how
-    # often the task ran, not under how many of these runs a worker crashed.
+    # The same, and each time the worker goes, so does the holder. The next one read how
+    # often the task ran, not under how many of these runs a worker crashed, and had to
+    # find out itself that a worker is gone which is no longer listed.
     Given a cell of 3 instances and 6 workers
     When a job "ba03" of 6 tasks is handed in, of which task 0 crashes its workers
     And the holder dies soon after each crash, 4 times
     Then the job "ba03" is shown as failed within 40 s
     And no promise of the cell was broken
+
+  Scenario: Those that run beside a crashing task finish
+    # Users of other jobs would be told that theirs failed: they started on the same worker
+    # in the same moment, twice. The suspected task starts apart, so the second loss tells.
+    Given a cell of 3 instances and 4 workers
+    When a job "ba04" of 3 tasks is handed in, of which task 1 crashes its workers
+    And 8 jobs of 2 steps of 6 tasks are handed in
+    Then the job "ba04" is shown as failed within 20 s
+    And all jobs but "ba04" are shown as completed within 40 s
+    And no promise of the cell was broken
+
+  Scenario: Workers that go down by themselves fail nobody's job
+    # Users would see jobs fail that could be done: workers go down and up by turns, for
+    # reasons of their own, and take what they run with them.
+    Given a cell of 3 instances and 8 workers
+    When 30 jobs of 2 steps of 4 tasks are handed in while a worker crashes every 1.5 s
+    Then all jobs are shown as completed within 60 s
+    And no promise of the cell was broken
+
+  Scenario: A task whose workers vanish is given up as well
+    # The workers are silent and do not come back at their address. Nobody says that they
+    # crashed: their leases run out while the list names them no more.
+    Given a cell of 3 instances and 8 workers
+    And workers that crash stay away
+    When a job "ba05" of 2 tasks is handed in, of which task 0 crashes its workers
+    Then the job "ba05" is shown as failed within 60 s
+    And at most 4 workers crashed
+    And no promise of the cell was broken
+
+  Scenario: A task that crashes its workers after a while is given up as well
+    # Reports have shown the task at work each time, so nothing tells it from those beside
+    # it at first.
+    Given a cell of 3 instances and 6 workers
+    And tasks take 4 s
+    And crashing tasks crash after 1.5 s
+    When a job "ba06" of 2 tasks is handed in, of which task 0 crashes its workers
+    Then the job "ba06" is shown as failed within 40 s
+    And at most 4 workers crashed
+    And no promise of the cell was broken
+
+  Scenario: A lasting task that was lost now and then is not given up
+    # An operator would find a watch failed after weeks: its task was lost with a worker
+    # now and then, and each of these losses still counted.
+    Given a cell of 3 instances and 4 workers
+    And a lasting job "ba07" of 1 tasks is at work
+    When the worker of "ba07" crashes 6 times after 1 s, with 13 s at work in between
+    Then 1 tasks of "ba07" are at work within 6 s
+    And no promise of the cell was broken
+
+  Scenario: What is at work is not blamed for what starts beside it
+    # Users would see their long tasks fail: several crashing tasks come one after the other
+    # and bring down the worker beneath the same long task again and again.
+    Given a cell of 3 instances and 3 workers
+    And tasks take 8 s
+    When a job "ba09" of 3 tasks is handed in
+    And 6 jobs of which a task crashes its workers come, one every 5 s
+    Then the job "ba09" is shown as completed within 60 s
+    And no promise of the cell was broken
+
+  Scenario: A worker that was only out of reach was not crashed by its task
+    # Users would see jobs fail in a data centre that was cut off several times: its workers
+    # were not listed and their leases ran out, but they are back with the same ids.
+    Given a cell of 3 instances and 4 workers
+    And tasks take 30 s
+    When a job "ba08" of 8 tasks is handed in
+    And all workers are out of reach and unlisted for 15 s
+    Then no task of "ba08" is suspected
+    And no promise of the cell was broken
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from behave import then, when
-from support.cell_scene import job_id, play
+from behave import given, then, when
+from support.cell_scene import act, job_id, play, running, submit_job
 from support.cell_walk import plain
 
 from hornbeampaddle.cell.jobs import TaskKey
@@ -11,18 +11,110 @@
 from hornbeampaddle_standins.cell.world import URGENT
 
 CRASH_AFTER_S = 0.01
+AT_WORK_S = 6.0
 # From a crash to the death of the holder that sees it: before or after what it decided
 # is stored.
 HOLDER_AFTER_S = (0.001, 0.02, 2.01, 2.03)
 
 
+@given("workers that crash stay away")
+def crashes_dark(context):
+    context.world.crashes_dark = True
+
+
+@given("crashing tasks crash after {after_s:g} s")
+def crash_after(context, after_s):
+    context.crash_after_s = after_s
+
+
+@when('a job "{name}" of {tasks:d} tasks is handed in')
+def hand_in_tasks(context, name, tasks):
+    submit_job(context, name, 1, tasks, URGENT)
+
+
+@when(
+    "{jobs:d} jobs of {steps:d} steps of {tasks:d} tasks are handed in "
+    "while a worker crashes every {pause_s:g} s"
+)
+def hand_in_while_crashing(context, jobs, steps, tasks, pause_s):
+    world = context.world
+
+    async def crash_one():
+        alive = [name for name, worker in world.workers.items() if worker.alive]
+        world.workers[world.random.choice(sorted(alive))].crash()
+
+    for number in range(jobs):
+        submit_job(context, f"cc{number:02d}", steps, tasks, URGENT)
+        play(context, crash_one())
+        play(context, asyncio.sleep(pause_s))
+
+
+@when(
+    'the worker of "{name}" crashes {times:d} times after {after_s:g} s, '
+    "with {at_work_s:g} s at work in between"
+)
+def worker_crashes(context, name, times, after_s, at_work_s):
+    world = context.world
+    for _ in range(times):
+        play(context, asyncio.sleep(after_s))
+        act(context, busy_worker(world).crash)
+        assert play(context, world.until(lambda: running(world, name) == 1, AT_WORK_S))
+        play(context, asyncio.sleep(at_work_s))
+        act(context, busy_worker(world).crash)
+        assert play(context, world.until(lambda: running(world, name) == 1, AT_WORK_S))
+
+
+def busy_worker(world):
+    return next(worker for worker in world.workers.values() if worker.runs)
+
+
+@when("{jobs:d} jobs of which a task crashes its workers come, one every {pause_s:g} s")
+def crashing_jobs(context, jobs, pause_s):
+    for number in range(jobs):
+        hand_in_crashing(context, f"cd{number:02d}", 1, 0)
+        play(context, asyncio.sleep(pause_s))
+
+
+@when("all workers are out of reach and unlisted for {seconds_s:g} s")
+def out_of_reach(context, seconds_s):
+    world = context.world
+    play(context, asyncio.sleep(2.0))
+    world.faults.cut |= {(i, w) for i in world.instances for w in world.workers}
+    play(context, asyncio.sleep(3.0))
+    for name in world.workers:
+        act(context, world.unlist_worker, name)
+    play(context, asyncio.sleep(seconds_s))
+    world.faults.cut.clear()
+    for worker in world.workers.values():
+        act(context, world.list_worker, worker)
+    play(context, asyncio.sleep(3.0))
+
+
+@then('no task of "{name}" is suspected')
+def none_suspected(context, name):
+    world = context.world
+    cell = world.instances[world.holder()].holder.cell
+    steps = cell.jobs[job_id(name)].occurrences[0]
+    suspects = [t for step in steps for t in step.tasks if t.crashed_runs]
+    assert not suspects, suspects
+
+
+@then('all jobs but "{name}" are shown as completed within {seconds_s:g} s')
+def others_completed(context, name, seconds_s):
+    for other in context.world.accepted:
+        if other != job_id(name):
+            done = play(context, context.world.until_done(other, seconds_s))
+            assert done, other
+
+
 @when(
     'a job "{name}" of {tasks:d} tasks is handed in, '
     "of which task {position:d} crashes its workers"
 )
 def hand_in_crashing(context, name, tasks, position):
     world = context.world
-    world.crashing[TaskKey(job_id(name), 0, 0, position)] = CRASH_AFTER_S
+    after_s = getattr(context, "crash_after_s", CRASH_AFTER_S)
+    world.crashing[TaskKey(job_id(name), 0, 0, position)] = after_s
     context.outcome = play(context, world.submit(job_id(name), URGENT, plain(tasks)))
 
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -144,7 +144,7 @@
                 # a new one as soon as a record says so.
                 await asyncio.sleep(LAPSE_PAUSE_S)
                 continue
-            if run.sent_at_s == float("-inf"):
+            if run.sent_at_s == float("inf"):
                 run.sent_at_s = now_s
             outcome = await self.port.start(run, payload, deadline_s)
             if outcome == Refused(Reason.FENCED):
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -5,6 +5,7 @@
 
 from .advice import tickets
 from .candidates import Candidates
+from .crashes import choose_apart, suspected
 from .effects import Decision
 from .gangs import begin_run, choose_workers
 from .misfits import Misfits
@@ -107,6 +108,10 @@
             else:
                 reason = WaitReason.ROOM_RESERVED
             continue
+        if suspected(task):
+            if not _start_apart(turn, task, ranking):
+                reason = WaitReason.APART
+            continue
         worker = ranking.choose(task.key, task.last_worker_id)
         if worker is None and any(task.key in w.runs for w in turn.workers):
             # Guards against a worker's room that one task hides from all that ask for
@@ -124,11 +129,28 @@
             return _wait_for_spare(turn)
         turn.start(task, worker)
         ranking.booked(worker)
-    if reason is WaitReason.STRAY_RUN:
+    if reason in (WaitReason.STRAY_RUN, WaitReason.APART):
         _no_room(turn)
     return reason
 
 
+def _start_apart(turn: Turn, task: Task, ranking: Ranking) -> bool:
+    """Start a task that may crash its worker apart from others; tell if it did."""
+    step = turn.step.step
+    fitting = [
+        worker
+        for worker in _worth_a_look(turn)
+        if may_take(step, worker, task.key, ranking.used)
+        and (not step.filler or has_spare(step, worker))
+    ]
+    worker = choose_apart(fitting, task.last_worker_id)
+    if worker is None:
+        return False
+    turn.start(task, worker)
+    ranking.booked(worker)
+    return True
+
+
 def _worth_a_look(turn: Turn) -> list[WorkerState]:
     """Return the workers to rank: a filler needs one that is open to it."""
     if turn.step.step.filler and not turn.advised:
@@ -154,6 +176,8 @@
 def _start_at_home(turn: Turn, task: Task, home: WorkerState) -> bool:
     """Start a task where room is reserved for it, once it is free; tell if it did."""
     separator = turn.cell.separator
+    if home.trial is not None:
+        return False
     if not home.usable(turn.now_s) or home.listing.service != turn.service:
         # A configuration may have moved the queue since the room was reserved.
         separator.settle(task.key)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ..resources import NOTHING
+from . import crashes
 from .effects import Note, StopOrder
 from .jobs import Step, TaskKey
 from .progress import JobState, JobStatus, Run, RunPhase, Task
@@ -66,6 +67,7 @@
         task = state.task(row.key) if state is not None else None
         if state is None or task is None:
             return
+        crashes.survived(self.cell, task, row.number)
         run = task.run
         ours = (
             run is not None
@@ -186,7 +188,7 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_at_s = now_s
             run.progressed_at_s = now_s
-        run.reported_at_s = min(run.reported_at_s, now_s)
+        self._survives(worker, run, now_s)
         if row.checkpoint:
             run.checkpoint = row.checkpoint
         if row.progress_percent != run.progress_percent:
@@ -202,6 +204,15 @@
         self._repeat_stop(run, now_s)
         self._stop_if_stuck(worker, run, now_s)
 
+    def _survives(self, worker: WorkerState, run: Run, now_s: float) -> None:
+        run.reported_at_s = min(run.reported_at_s, now_s)
+        if worker.trial is run:
+            worker.end_trial()
+        state = self.cell.jobs.get(run.key.job_id)
+        task = state.task(run.key) if state is not None else None
+        if task is not None and task.run is run:
+            crashes.forget_if_proven(self.cell, task, run, now_s)
+
     def _repeat_stop(self, run: Run, now_s: float) -> None:
         # Guards against a stop that was answered and changed nothing. The run would
         # go on for as long as its lease is renewed; a stop without an answer is sent
@@ -232,6 +243,8 @@
             step = Step(1, left)
         stray = Run(row.key, row.number, worker.worker_id, step, step.charge)
         stray.phase = RunPhase.RUNNING
+        stray.sent_at_s = float("-inf")
+        stray.reported_at_s = now_s
         stray.confirmed_at_s = now_s
         if apart:
             worker.add_stray(stray)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -61,8 +61,8 @@
     unanswered: int = 0
     placed_at_s: float = 0.0
     confirmed_at_s: float = float("inf")
-    # When its start was first sent; long ago if another holder has sent it.
-    sent_at_s: float = float("-inf")
+    # When its start was first sent: not yet, or long ago if another holder has sent it.
+    sent_at_s: float = float("inf")
     # When a report first listed it as running.
     reported_at_s: float = float("inf")
     stop_sent_at_s: float = float("-inf")
@@ -78,6 +78,11 @@
     # It was placed where others use all processors: more speed would slow them.
     shares_processors: bool = False
 
+    @property
+    def reported(self) -> bool:
+        """Tell whether a report has listed it as running."""
+        return self.reported_at_s != float("inf")
+
 
 @dataclass(slots=True)
 class Task:
@@ -86,12 +91,16 @@
 
     ``failed_runs`` holds the numbers of the attempts that failed, not only how
     many: an end that is listed again, to this holder or the next, counts once.
+    ``crashed_runs`` holds those under which a worker was lost, ``prompt_crashes`` those
+    of them where that was within a moment of the start.
     """
 
     key: TaskKey
     done: bool = False
     last_run: int = 0
     failed_runs: list[int] = field(default_factory=list)
+    crashed_runs: list[int] = field(default_factory=list)
+    prompt_crashes: list[int] = field(default_factory=list)
     checkpoint: str = ""
     run: Run | None = None
     last_worker_id: str = ""
@@ -206,13 +215,17 @@
 
     Each row of ``occurrences`` is an occurrence's number and, task by task in
     the order of the steps: 1 for done, 0 for untouched, otherwise the last run,
-    the numbers of the
-    failed runs, the worker of the attempt that may be running (or empty) and
-    the newest checkpoint.
+    the numbers of the failed runs, the worker of the attempt that may be running
+    (or empty) and the newest checkpoint.
+
+    Each row of ``crashes`` is an occurrence's number, the place of a task in that
+    order, the runs under which a worker was lost, and those of them where that was
+    prompt.
     """
 
     status: int
     occurrences: list[tuple[int, list[TaskCell]]]
+    crashes: list[tuple[int, int, list[int], list[int]]] = []
 
 
 _decoder = msgspec.msgpack.Decoder(ProgressRecord)
@@ -222,10 +235,15 @@
 def encode(state: JobState) -> bytes:
     """Return the record of a job's progress."""
     rows = []
+    crashes = []
     for number, steps in state.occurrences.items():
-        tasks = [_packed(task) for step in steps for task in step.tasks]
-        rows.append((number, tasks))
-    return _encoder.encode(ProgressRecord(int(state.status), rows))
+        tasks = [task for step in steps for task in step.tasks]
+        rows.append((number, [_packed(task) for task in tasks]))
+        for place, task in enumerate(tasks):
+            if task.crashed_runs and not task.done:
+                row = (number, place, task.crashed_runs, task.prompt_crashes)
+                crashes.append(row)
+    return _encoder.encode(ProgressRecord(int(state.status), rows, crashes))
 
 
 def decode_status(value: bytes) -> JobStatus:
@@ -261,6 +279,10 @@
         tasks = [(step.step, task) for step in steps for task in step.tasks]
         for (step, task), cell in zip(tasks, packed, strict=True):
             _unpack(task, step, cell)
+    for number, place, crashed, prompt in record.crashes:
+        tasks_there = [t for s in state.open_occurrence(number) for t in s.tasks]
+        tasks_there[place].crashed_runs = crashed
+        tasks_there[place].prompt_crashes = prompt
     return state
 
 
@@ -278,4 +300,5 @@
             step.charge,
             RunPhase.INHERITED,
             task.checkpoint,
+            sent_at_s=float("-inf"),
         )
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -6,12 +6,13 @@
 store and which orders to give. It owns no socket and no clock.
 """
 
+import math
 from collections.abc import Callable, Iterable
 
 from ..clocks import RemoteClock
 from ..machines import Address
 from ..resources import NOTHING
-from . import dispatch, moving, pacing
+from . import crashes, dispatch, moving, pacing
 from .advice import AdviceBook, Allowance
 from .effects import Decision, Note, PaceOrder, StopOrder
 from .intake import Intake
@@ -163,10 +164,21 @@
             "runs": len(worker.runs),
         }
         self.note(Note("worker_ended", "", detail))
-        for run in worker.all_runs():
-            self.release(run, now_s, f"worker_{why}")
+        self._give_up_runs(worker, now_s, f"worker_{why}")
         del self.workers[worker_id]
 
+    def _give_up_runs(self, worker: WorkerState, now_s: float, why: str) -> None:
+        """Release all that a lost worker had; find out whether a task crashed it."""
+        # A worker that is listed shows signs of life to the list, if not to us, and one
+        # that drains was about to exit.
+        crashed = worker.gone or not worker.listed
+        hopeless: list[JobState] = []
+        if crashed and not worker.listing.draining:
+            hopeless = crashes.count(self, worker, now_s)
+        for run in worker.all_runs():
+            self.release(run, now_s, why)
+        crashes.give_up(self, hopeless, now_s)
+
     def _new_worker(self, listing: WorkerListing) -> WorkerState:
         clock = RemoteClock(self.settings.clock_error_ratio)
         worker = WorkerState(listing, clock)
@@ -200,8 +212,7 @@
                 continue
             if worker.runs:
                 self.note(Note("lease_over", "", {"worker": worker.worker_id}))
-            for run in worker.all_runs():
-                self.release(run, now_s, "lease_over")
+                self._give_up_runs(worker, now_s, "lease_over")
             worker.reported = False
             if not worker.listed:
                 del self.workers[worker.worker_id]
@@ -291,10 +302,10 @@
             "run": run.number,
             "worker": run.worker_id,
             "why": why,
-            "reported": run.reported_at_s != float("inf"),
+            "reported": run.reported,
         }
         # A run that an earlier holder has sent has no known age.
-        if run.sent_at_s != float("-inf"):
+        if math.isfinite(run.sent_at_s):
             lost_at_s = worker.lost_at_s(now_s) if worker is not None else now_s
             detail["lost_after_s"] = round(lost_at_s - run.sent_at_s, 3)
         self.note(Note("run_released", run.key.job_id, detail))
--- a/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from .crashes import suspected
 from .effects import Decision, Note
 from .progress import JobState, JobStatus, Run, StepState, Task
 from .workers import WorkerState
@@ -28,6 +29,8 @@
     run.placed_at_s = now_s
     task.run = run
     worker.add(run)
+    if suspected(task):
+        worker.trial = run
     if step.step.tail_target_s:
         # The job's other tasks say how loaded its users are: without them, fillers
         # would stay away from here until the first report.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
@@ -38,6 +38,7 @@
     GANG_ENDING = "gang_ending"
     ROOM_RESERVED = "room_reserved"
     STRAY_RUN = "stray_run"
+    APART = "apart"
 
 
 @dataclass(slots=True)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -72,6 +72,8 @@
     taken: Resources = NOTHING
     # Room that is kept for tasks on their way here.
     held: Resources = NOTHING
+    # A run of a suspected task: nothing more starts here until a report shows it.
+    trial: Run | None = None
     seen_end: int = 0
     acked_end: int = 0
     # The last deadline that was sent, on the worker's clock, and the local time
@@ -111,7 +113,9 @@
         return self.listing.worker_id
 
     def free(self) -> Resources:
-        """Return the room that is certain to be free."""
+        """Return the room that is certain to be free; none during a trial."""
+        if self.trial is not None:
+            return NOTHING
         if self._free is None:
             self._free = self.listing.capacity - self.taken - self.held
         return self._free
@@ -131,6 +135,11 @@
         self.held = self.held - room
         self.changed()
 
+    def end_trial(self) -> None:
+        """Let other tasks start here again."""
+        self.trial = None
+        self.changed()
+
     def changed(self) -> None:
         """Forget what was worked out from the state before."""
         self._free = None
@@ -210,6 +219,8 @@
 
     def remove(self, run: Run) -> None:
         """Give an attempt's room back; its end is known."""
+        if self.trial is run:
+            self.end_trial()
         if self.strays.get((run.key, run.number)) is run:
             del self.strays[run.key, run.number]
             self.taken = self.taken - run.charge
