Tell the story of a job that crashed its workers

Operators saw: hornbeampaddle trace broke off (max of an empty list) for a job that was given up because a task crashes its workers: it looked for failed attempts, and there is none. The scenario ended in that error before.

--- a/features/trace.feature
+++ b/features/trace.feature
@@ -30,6 +30,15 @@
     And 30 s pass in the cell
     Then the story of "ba03" says "failed: task 0/0/0 failed 4 times"
 
+  Scenario: A request that failed because a task crashed its workers
+    # A caller reads "failed" although no attempt failed: two workers went as the task
+    # started. The reader of the logs looked for failed attempts only, and broke off.
+    Given a cell of 3 instances and 6 workers
+    And its log is kept
+    When a job "ba06" of 2 tasks is handed in, of which task 1 crashes its workers
+    And 10 s pass in the cell
+    Then the story of "ba06" says "failed: task 0/0/1 was started as 2 workers crashed"
+
   Scenario: A request whose task finds no place
     # A caller waits and sees nothing run. All workers are full of tasks that last.
     Given a cell of 3 instances and 4 workers
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/story.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/story.py
@@ -81,6 +81,8 @@
 def _cause(own: list[Line], around: list[Line]) -> str:
     finished = _events(own, "job_finished")
     if finished and finished[-1]["status"] == "failed":
+        if finished[-1]["why"] == "crashes_workers":
+            return _crashed(own)
         return _failed(own)
     if finished and finished[-1]["status"] == "cancelled":
         return "cancelled: a caller asked for it"
@@ -108,12 +110,26 @@
     return "never accepted: no instance of these logs answered it"
 
 
-def _failed(own: list[Line]) -> str:
-    failures = [line for line in _events(own, "run_ended") if line["how"] == "failed"]
+def _crashed(own: list[Line]) -> str:
+    suspected = _events(own, "crash_suspected")
+    task, workers = _most_hit(suspected)
+    return (
+        f"failed: task {task} was started as {len(workers)} workers crashed, "
+        f"{', '.join(workers)}; it is not started again"
+    )
+
+
+def _most_hit(lines: list[Line]) -> tuple[str, list[str]]:
+    """Return the task with the most lines, and the workers that they name."""
     by_task: dict[str, list[str]] = {}
-    for line in failures:
+    for line in lines:
         by_task.setdefault(_task(line), []).append(line["worker"])
-    task, workers = max(by_task.items(), key=lambda item: len(item[1]))
+    return max(by_task.items(), key=lambda item: len(item[1]))
+
+
+def _failed(own: list[Line]) -> str:
+    failures = [line for line in _events(own, "run_ended") if line["how"] == "failed"]
+    task, workers = _most_hit(failures)
     return (
         f"failed: task {task} failed {len(workers)} times, "
         f"on {', '.join(workers)}; that is all its attempts"
