--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -10,7 +10,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from random import Random
 
@@ -30,7 +30,7 @@
     RunningRow,
 )
 from hornbeampaddle.cell.workers import WorkerListing
-from hornbeampaddle.resources import NOTHING
+from hornbeampaddle.resources import NOTHING, Resources
 
 ANSWER_S = 0.002
 CALLER_PATIENCE_S = 0.6
@@ -41,6 +41,9 @@
 CONTACT_S = 3.0
 STOP_MAX_S = 0.4
 LEASE_MAX_S = 10.0
+# A worker that says of itself each second what it holds has shrunk for the cell so long
+# after it did: the time of contact and one sign of life.
+SHRUNK_AFTER_S = CONTACT_S + 1.1
 # A task under which so many workers have crashed may be started less than three times
 # more.
 CRASHES_MAX = 3
@@ -165,6 +168,9 @@
     stalled: bool = False
     # Refuses every order and has then done nothing; it still reports.
     unwell: bool = False
+    # What it held before it shrank, and until when a start may count on that.
+    held_before: Resources = NOTHING
+    held_until_s: float = 0.0
     # The run that crashes the worker so many seconds after its start, if any does.
     crash_after_s: Callable[[Run], float | None] = lambda run: None
     # What happens around a crash: who restarts the worker, and where.
@@ -191,6 +197,17 @@
             self.judge.ended(key, live.span, self.now_s())
         self.runs.clear()
 
+    def resize(self, capacity: Resources) -> None:
+        """Hold more or less from now on, while running."""
+        self.held_before = self.listing.capacity
+        self.held_until_s = self.now_s() + SHRUNK_AFTER_S
+        self.listing = replace(self.listing, capacity=capacity)
+
+    def _room(self) -> Resources:
+        if self.now_s() < self.held_until_s:
+            return self.listing.capacity.largest(self.held_before)
+        return self.listing.capacity
+
     def crash(self) -> None:
         """End with everything that runs; connections are closed at once."""
         if not self.alive:
@@ -301,7 +318,7 @@
         taken = NOTHING
         for other in self.runs.values():
             taken = taken + other.run.charge
-        if not taken.fits_in(self.listing.capacity):
+        if not taken.fits_in(self._room()):
             self.judge.broken.append(f"{self.now_s():.3f}: {run.worker_id} is over")
 
     def _extend(self, deadline_s: float) -> None:
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 import msgspec
@@ -169,6 +169,12 @@
         self.tasks[name] = asyncio.create_task(worker.live())
         return worker
 
+    def resize_worker(self, name: str, cpu_millis: int) -> None:
+        """Let a worker hold more or less while it runs, and say so."""
+        worker = self.workers[name]
+        worker.resize(replace(worker.listing.capacity, cpu_millis=cpu_millis))
+        self.list_worker(worker)
+
     def list_worker(self, worker: CellWorker) -> None:
         """Write a worker's entry."""
         value = msgspec.msgpack.encode(worker.listing)
