Withdraw starts from a worker that shrank

Users of the machine saw it overrun: a task was started on a worker that held enough when the start was decided and had shrunk since.

Cause: room is looked at when a start is decided. A start without an answer is sent again until it is carried out, however long that takes.

Mend: when a worker's entry says that it holds less and not all that is booked there fits, the starts that have no answer are stopped; an answered stop refuses a late start.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -139,8 +139,11 @@
             self._inherit_lease(worker, now_s)
             self.note(Note("worker_listed", "", {"worker": listing.worker_id}))
         was_draining = worker.listing.draining
+        shrank = not worker.listing.capacity.fits_in(listing.capacity)
         worker.relist(listing)
         worker.listed = True
+        if shrank:
+            self._withdraw_starts(worker)
         if listing.draining and not was_draining:
             self._leave(worker)
         return worker
@@ -198,6 +201,27 @@
             if run.step.lasting or run.step.saves_checkpoints:
                 self.stop(run, "worker_draining")
 
+    def _withdraw_starts(self, worker: WorkerState) -> None:
+        """
+        Stop the starts that have no answer yet where not all that is booked fits.
+
+        Guards against a worker that is overrun: a start without an answer is sent again
+        until it is carried out, which may be long after its room was looked at. All of
+        them are stopped, for any of them may be carried out before its stop. What runs
+        stays; it was started in room that was there.
+        """
+        detail: dict[str, object] = {
+            "worker": worker.worker_id,
+            "cpu_millis": worker.listing.capacity.cpu_millis,
+            "taken_cpu_millis": worker.taken.cpu_millis,
+        }
+        self.note(Note("worker_shrank", "", detail))
+        if worker.taken.fits_in(worker.listing.capacity):
+            return
+        for run in list(worker.runs.values()):
+            if run.phase in (RunPhase.RECORDING, RunPhase.SENDING):
+                self.stop(run, "worker_shrank")
+
     def _inherit_lease(self, worker: WorkerState, now_s: float) -> None:
         # The holder before this one may renew for a while after it lapsed.
         bound_s = now_s + self._lease_bound_s() + self.settings.renew_on_s
