Start nothing by a list of workers that is too old

Users of the machine saw it overrun: the list of workers could not be read while the log of progress could be written, a worker shrank meanwhile, and new tasks filled it as before.

Cause: nothing asked how old the list is. A start without an answer was also sent again by a list of any age.

Why it holds: the age counts from when the last whole read was sent, as for the configuration. When the store is away for everything the holder gives no orders anyhow.

--- a/features/shrinking_workers.feature
+++ b/features/shrinking_workers.feature
@@ -28,6 +28,19 @@
     Then the job "bb02" is shown as completed within 40 s
     And no promise of the cell was broken
 
+  Scenario: A start that waited is not sent again by a list that is too old
+    # Both at once: the start has no answer, and that its worker shrank cannot be read.
+    Given a cell of 3 instances and 2 workers
+    When a job "bb05" of 4 tasks that take 6 cores each is handed in while no worker is reached
+    And the list of workers cannot be read by anyone
+    And every worker shrinks to 8 cores
+    And 5 s pass in the cell
+    And the workers are reached again
+    And 3 s pass in the cell
+    And the list of workers can be read again
+    Then the job "bb05" is shown as completed within 40 s
+    And no promise of the cell was broken
+
   Scenario: What a worker gives back is used, and what it holds again as well
     # Tasks that run stay where they are, nothing is added while they need more than there
     # is, and the room is used as soon as it is back.
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -8,7 +8,8 @@
 """
 
 import asyncio
-from collections.abc import Coroutine, Sequence
+import math
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import asdict
 
 import structlog
@@ -102,6 +103,9 @@
         self._dropped: set[str] = set()
         self._releasing = False
         self._next_turn_s = float("-inf")
+        # Returns as of when the list of workers is complete.
+        self.list_complete_at_s: Callable[[], float] = lambda: float("inf")
+        self._list_recent = True
 
     def _log_note(self, note: Note) -> None:
         self.metrics.noted(note)
@@ -265,6 +269,7 @@
         await asyncio.sleep(self._next_turn_s - self.clock.now_s())
         self._woken.clear()
         now_s = self.clock.now_s()
+        self._watch_list(now_s)
         decision = self.cell.decide(now_s, self.clock.wall_s())
         took_s = self.clock.now_s() - now_s
         self._next_turn_s = now_s + min(TURN_GAP_MAX_S, TURN_GAP_RATIO * took_s)
@@ -289,6 +294,18 @@
             self._acknowledge(worker.worker_id, end)
         self._send_starts(decision)
 
+    def _watch_list(self, now_s: float) -> None:
+        """Tell the cell how old the list of workers is; log when that changes much."""
+        self.cell.list_complete_at_s = self.list_complete_at_s()
+        age_s = round(now_s - self.cell.list_complete_at_s, 3)
+        if not math.isfinite(age_s):
+            return
+        recent = self.cell.list_recent(now_s)
+        if recent != self._list_recent:
+            event = "workers: list recent again" if recent else "workers: list too old"
+            log.warning(event, epoch=self.epoch, age_s=age_s)
+        self._list_recent = recent
+
     def _give_urgent(self, decision: Decision) -> None:
         for stop in decision.stops:
             session = self._sessions.get(stop.worker_id)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -345,6 +345,7 @@
         workers.wait_s = 0.0
         workers.pause_s = self.settings.workers_read_s
         workers.on_reload = self._reloaded
+        holder.list_complete_at_s = lambda: workers.complete_at_s
         following = asyncio.create_task(workers.run())
         try:
             await holder.run()
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -138,6 +138,10 @@
                 await asyncio.sleep(SILENT_PAUSE_S)
                 continue
             now_s = self.holder.clock.now_s()
+            if not cell.list_recent(now_s):
+                # The worker may have shrunk, and said so where nobody can read it.
+                await asyncio.sleep(SILENT_PAUSE_S)
+                continue
             deadline_s = cell.lease_deadline(self.worker_id, now_s)
             if deadline_s is None:
                 # Its lease was running out before it reported to this holder: it gets
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -47,6 +47,8 @@
         self.settings = settings
         self.jobs: dict[str, JobState] = {}
         self.workers: dict[str, WorkerState] = {}
+        # As of when the list of workers is complete; known where a list is followed.
+        self.list_complete_at_s = float("inf")
         self.open_jobs: dict[str, JobState] = {}
         self.dirty: set[str] = set()
         self.advice = AdviceBook()
@@ -148,6 +150,15 @@
             self._leave(worker)
         return worker
 
+    def list_recent(self, now_s: float) -> bool:
+        """
+        Tell whether the list of workers is recent enough to start anything by it.
+
+        Guards against workers that are overrun: they say there that they hold less, and
+        that cannot be read while everything else can.
+        """
+        return now_s - self.list_complete_at_s <= self.settings.list_recent_s
+
     def unlist_worker(self, worker_id: str) -> None:
         """Take in that the list no longer names a worker."""
         worker = self.workers.get(worker_id)
@@ -405,9 +416,10 @@
         self.expire(now_s)
         self.model.solve(now_s)
         decision = Decision()
-        moving.move_slow_fillers(self, now_s)
-        self.separator.separate(now_s)
-        dispatch.place(self, decision, now_s, wall_s)
+        if self.list_recent(now_s):
+            moving.move_slow_fillers(self, now_s)
+            self.separator.separate(now_s)
+            dispatch.place(self, decision, now_s, wall_s)
         decision.stops = self._take_stops(now_s)
         decision.paces = self.pacer.take()
         for order in decision.paces:
