Count attempts that are lost with their workers, on the own interface

Users of the own interface saw work lost again and again: a task that brings down its workers was started for ever, as on the users' platform. Only attempts that a worker said had failed were counted.

Change: an owner counts the attempts in a row of a task that are gone without an end; the fourth ends it as failed (task_losses_max). An attempt that ran for 30 s does not count.

Shown: the scenario of jobs.feature was red (still running after 60 s).

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -32,6 +32,26 @@
     Then the job "broken" is over with 2 tasks "failed" within 60 s
     And at most 6 attempts began
 
+  # What a user sees: work that is lost again and again, on one worker after the other.
+  # Order: a task brings down its worker as it starts; the worker is back, without it;
+  # the owner finds the attempt gone and starts the next.
+  # Cause it had: only attempts that the worker says have failed were counted.
+  Scenario: A task that crashes its workers ends as failed after four attempts
+    Given 3 entry instances and 4 workers
+    And the first task of the job "broken" crashes its workers
+    When a job "broken" of 1 tasks of 1 s is submitted to "e0"
+    Then the job "broken" is over with 1 tasks "failed" within 60 s
+    And at most 4 attempts began
+    And no promise was broken
+
+  # What a user sees: a long job that fails in a data centre whose workers are now and then
+  # replaced, though each attempt had run for long.
+  Scenario: Attempts that ran for long before their worker was lost do not count
+    Given 3 entry instances and 4 workers
+    And a job "archive" of 1 tasks of 60 s is submitted to "e0"
+    When its worker loses everything after each of 5 attempts has run for 32 s
+    Then the job "archive" is done within 90 s
+
   # What a user sees: a service that was added and confirmed answers nothing.
   # Order: its workers are full of batch tasks; those are evicted.
   # Cause it had: its slots were looked at again only at the next change.
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -8,6 +8,8 @@
 from hornbeampaddle_wire.http_messages import Request
 
 WATCH_STEP_S = 0.05
+# Long enough for the owner to hear of an attempt's end and to have it recorded.
+OWNER_AFTER_S = 1.5
 
 
 def _runs(context):
@@ -255,3 +257,42 @@
 @then("no attempt began")
 def none_began(context):
     assert context.scene.ledger.attempts_begun == 0
+
+
+@step('the first task of the job "{job_id}" crashes its workers')
+def crashes(context, job_id):
+    for machine in context.scene.machines.values():
+        machine.crashed_by.add(f"{job_id}/0")
+
+
+@when('the owner of "{job_id}" dies after each of the first {times:d} attempts')
+def owner_dies(context, job_id, times):
+    scene = context.scene
+    for number in range(times):
+        begun = number + 1
+        assert scene.until(lambda begun=begun: scene.ledger.attempts_begun >= begun)
+        scene.pass_s(OWNER_AFTER_S)
+        owners = [
+            name
+            for name, instance in scene.instances.items()
+            if job_id in instance.control.jobs.table.jobs
+            and instance.control.jobs.table.jobs[job_id].owner
+            == instance.control.jobs.name
+        ]
+        for name in owners:
+            scene.kill(name)
+            scene.start(name)
+
+
+@when(
+    "its worker loses everything after each of {times:d} attempts "
+    "has run for {run_s:g} s"
+)
+def worker_loses(context, times, run_s):
+    scene = context.scene
+    for _ in range(times):
+        assert scene.until(lambda: any(m.runs for m in scene.machines.values()))
+        scene.pass_s(run_s)
+        for machine in scene.machines.values():
+            if machine.runs:
+                machine.crash()
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/settings.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/settings.py
@@ -142,6 +142,7 @@
     unsent_log_records: int | None = Field(None, ge=1)
     config_snapshot_records: int | None = Field(None, ge=1)
     task_failures_max: int | None = Field(None, ge=1)
+    task_losses_max: int | None = Field(None, ge=2)
 
     def limits(self) -> Limits:
         """Return the defaults with these overrides."""
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/worker.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/worker.py
@@ -59,6 +59,8 @@
     fails_everything: bool = False
     epoch: int = 0
     decider: str = ""
+    # Tasks that bring the worker down as they start; it is back at once.
+    crashed_by: set[str] = field(default_factory=set)
     runs: dict[AttemptId, _Run] = field(default_factory=dict)
     ended: dict[AttemptId, Attempt] = field(default_factory=dict)
     requests: dict[str, RequestRun] = field(default_factory=dict)
@@ -95,6 +97,8 @@
         self.ledger.attempt_begun(order.attempt.task_id)
         if self.fails_everything:
             self._end(order.attempt, Ending.FAILED, now_s)
+        if order.attempt.task_id in self.crashed_by:
+            self.crash()
         return Started(now_s)
 
     def renew(
--- a/packages/hornbeampaddle/hornbeampaddle/defaults.py
+++ b/packages/hornbeampaddle/hornbeampaddle/defaults.py
@@ -49,3 +49,6 @@
     unsent_log_records: int = 5_000
     config_snapshot_records: int = 500
     task_failures_max: int = 3
+    # Attempts in a row that are lost with their workers soon after their starts: a
+    # worker that is lost by chance takes a task with it once or twice.
+    task_losses_max: int = 4
--- a/packages/hornbeampaddle/hornbeampaddle/jobs.py
+++ b/packages/hornbeampaddle/hornbeampaddle/jobs.py
@@ -69,6 +69,9 @@
     worker_id: str = ""
     generation: int = 0
     failures: int = 0
+    # Attempts in a row that were lost with their workers, and since when this one runs.
+    losses: int = 0
+    running_s: float | None = None
     failed_on: set[str] = field(default_factory=set)
     over_by_s: float = 0.0
     asked_s: float = 0.0
--- a/packages/hornbeampaddle/hornbeampaddle/owner.py
+++ b/packages/hornbeampaddle/hornbeampaddle/owner.py
@@ -30,6 +30,8 @@
 PLACED_PER_TICK = 256
 RETRY_BACKOFF_S = 0.5
 ROOM_ASKED_S = 0.1
+# An attempt that has run for so long did not bring its worker down by being started.
+PROVEN_S = 30.0
 UNSETTLED = (TaskState.PLACED, TaskState.DOUBT, TaskState.INHERITED)
 
 
@@ -159,7 +161,7 @@
                 # has been replaced came late, and what it says may be over.
                 pass
             case AttemptRunning():
-                self._on_running(job, task, notice, work)
+                self._on_running(job, task, notice, now_s, work)
             case AttemptEnded():
                 self._on_ended(job, task, notice, now_s, work)
             case AttemptInDoubt():
@@ -189,7 +191,7 @@
         self._on_worker.get(task.worker_id, set()).discard(task.task_id)
 
     def _on_running(
-        self, job: Job, task: Task, notice: AttemptRunning, work: Work
+        self, job: Job, task: Task, notice: AttemptRunning, now_s: float, work: Work
     ) -> None:
         if job.cancelled:
             work.commands.append(Cancel(task.attempt(), notice.worker_id))
@@ -201,6 +203,8 @@
             task.takeover = None
         task.state = TaskState.RUNNING
         task.gone_s = None
+        if task.running_s is None:
+            task.running_s = now_s
         self._unsettled.discard(task.task_id)
         work.commands.append(Adopt(task.attempt(), notice.worker_id))
 
@@ -451,11 +455,29 @@
         return now_s > task.over_by_s and task.worker_id not in listed
 
     def _over(self, job: Job, task: Task, now_s: float, work: Work) -> None:
+        end = next_state(job, task, Ending.LAPSED)
         if task.state is not TaskState.INHERITED:
             self._count_use(job, -1)
-        end = next_state(job, task, Ending.LAPSED)
+            self._count_loss(task, now_s)
+        if end is None and task.losses >= self.limits.task_losses_max:
+            end = TaskEnd.FAILED
         self._settle(job, task, end, now_s, work)
 
+    def _count_loss(self, task: Task, now_s: float) -> None:
+        """
+        Count an attempt that was lost with its worker.
+
+        Guards against a task that brings down each worker that starts it. It shows as
+        attempts that are gone without an end, one worker after the other, each with all
+        that ran there. Losses in a row are bounded, and one after a long run is the
+        worker's own.
+        """
+        gone_s = now_s if task.gone_s is None else task.gone_s
+        if task.running_s is not None and gone_s - task.running_s > PROVEN_S:
+            task.losses = 0
+        else:
+            task.losses += 1
+
     def _place_some(
         self,
         queue: deque[str],
@@ -519,6 +541,7 @@
                 return None
 
     def _next_attempt(self, job: Job, task: Task) -> None:
+        task.running_s = None
         task.number = task.number + 1 if task.term == job.term else 1
         task.term = job.term
 
