Keep what is known of failing and crashing tasks when their owner is lost

Users of the own interface saw a task that fails, or brings its workers down, tried again and again while instances came and went.

Cause: how often a task had failed was kept by its owner alone; a successor began at zero.

Mend: the attempts that failed, and those in a row that were lost, go into the record of how far tasks are, by their term and number, so that one which is told twice counts once. An inherited task's failed attempt counts too, though it does not settle the task.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -44,6 +44,25 @@
     And at most 4 attempts began
     And no promise was broken
 
+  # What a user sees: the same, for as long as instances come and go.
+  # Order: the owner dies between the attempts; its successor takes the job over.
+  # Cause it had: how often a task had failed was known to its owner alone.
+  # A worker whose decider died with the owner is asked by the next one what it has, and
+  # has nothing: that an attempt went with it, nobody can tell. One more for each owner.
+  Scenario Outline: What is known of a task that <does> survives its owners
+    Given 3 entry instances and 4 workers
+    And <what>
+    When a job "broken" of 1 tasks of 1 s is submitted to "e0"
+    And the owner of "broken" dies after each of the first 2 attempts
+    Then the job "broken" is over with 1 tasks "failed" within 60 s
+    And at most <most> attempts began
+    And no promise was broken
+
+    Examples:
+      | does                  | what                                                  | most |
+      | crashes its workers   | the first task of the job "broken" crashes its workers | 6    |
+      | fails on each worker  | every worker fails whatever it starts                  | 3    |
+
   # What a user sees: a long job that fails in a data centre whose workers are now and then
   # replaced, though each attempt had run for long.
   Scenario: Attempts that ran for long before their worker was lost do not count
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/commands/explain.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/commands/explain.py
@@ -23,6 +23,6 @@
             print(json.dumps(value))
             return
         print(f"{self.task}: {value['why']}")
-        for name in ("attempt", "failures", "failed_on", "owner"):
+        for name in ("attempt", "failures", "losses", "failed_on", "owner"):
             if value.get(name):
                 print(f"  {name}: {value[name]}")
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/jobkeeper.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/jobkeeper.py
@@ -35,6 +35,7 @@
     JobCancelled,
     JobSnapshot,
     JobSpec,
+    Setbacks,
     Succession,
     TasksAdvanced,
     TasksEnded,
@@ -76,6 +77,7 @@
         self._waiting: dict[str, list[asyncio.Future[JobAnswer]]] = {}
         self._ended: dict[str, TaskEnd] = {}
         self._advanced: dict[str, tuple[int, int]] = {}
+        self._setbacks: dict[str, Setbacks] = {}
         # Owners that we tried to succeed; the append may still take effect.
         self.attempted: set[str] = set()
 
@@ -98,6 +100,7 @@
         self.owner.evictions = evictions
         self._ended.clear()
         self._advanced.clear()
+        self._setbacks.clear()
         self._event(f"Our jobs were taken over; go on as {self.name}.")
 
     def _record_id(self) -> str:
@@ -251,7 +254,8 @@
 
     def busy(self) -> bool:
         """Tell whether tasks wait to be placed or ends to be recorded."""
-        return bool(self._ended or self._advanced) or self.owner.has_queued()
+        unrecorded = self._ended or self._advanced or self._setbacks
+        return bool(unrecorded) or self.owner.has_queued()
 
     def authority_until_s(self) -> float:
         """Return the local time until which this instance may act as owner."""
@@ -262,6 +266,7 @@
     def _do(self, work: Work) -> None:
         self._ended.update(work.ended)
         self._advanced.update(work.advanced)
+        self._setbacks.update(work.setbacks)
         for command in work.commands:
             self._command(command)
 
@@ -310,10 +315,13 @@
                 return
             for task_id in ids:
                 del self._ended[task_id]
-        if self._advanced:
-            record = TasksAdvanced(self._record_id(), dict(self._advanced))
+        if self._advanced or self._setbacks:
+            record = TasksAdvanced(
+                self._record_id(), dict(self._advanced), dict(self._setbacks)
+            )
             if self.link.append(record):
                 self._advanced.clear()
+                self._setbacks.clear()
 
     def _succeed_lost(self, now_s: float) -> None:
         # An instance that has just started has had no time to hear its peers.
@@ -383,4 +391,5 @@
         ended={task_id: end.value for task_id, end in job.ended.items()},
         advanced=dict(job.advanced),
         cancelled=job.cancelled,
+        setbacks=dict(job.setbacks),
     )
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
@@ -230,7 +230,8 @@
             "why": why,
             "worker_id": task.worker_id,
             "attempt": str(task.attempt()),
-            "failures": task.failures,
+            "failures": len(task.failed),
+            "losses": len(task.lost),
             "failed_on": sorted(task.failed_on),
             "owner": job.owner,
         }
--- a/packages/hornbeampaddle/hornbeampaddle/jobs.py
+++ b/packages/hornbeampaddle/hornbeampaddle/jobs.py
@@ -21,6 +21,7 @@
     JobCancelled,
     JobSnapshot,
     JobSpec,
+    Setbacks,
     Succession,
     TasksAdvanced,
     TasksEnded,
@@ -68,9 +69,11 @@
     number: int = 0
     worker_id: str = ""
     generation: int = 0
-    failures: int = 0
-    # Attempts in a row that were lost with their workers, and since when this one runs.
-    losses: int = 0
+    # Attempts that failed, and those in a row that were lost with their workers, as
+    # (term, number): one that is told again, to this owner or the next, counts once.
+    failed: list[tuple[int, int]] = field(default_factory=list)
+    lost: list[tuple[int, int]] = field(default_factory=list)
+    # Since when the last attempt is known to run.
     running_s: float | None = None
     failed_on: set[str] = field(default_factory=set)
     over_by_s: float = 0.0
@@ -87,6 +90,10 @@
         """Return the id of the last attempt."""
         return AttemptId(self.task_id, self.term, self.number)
 
+    def setbacks(self) -> Setbacks:
+        """Return what counts against the task's limits."""
+        return Setbacks(list(self.failed), list(self.lost))
+
 
 @dataclass(slots=True)
 class Job:
@@ -99,6 +106,7 @@
     told_at: int = -1
     ended: dict[str, TaskEnd] = field(default_factory=dict)
     advanced: dict[str, tuple[int, int]] = field(default_factory=dict)
+    setbacks: dict[str, Setbacks] = field(default_factory=dict)
     cancelled: bool = False
     tasks: dict[str, Task] = field(default_factory=dict)
 
@@ -193,6 +201,8 @@
             job.ended.setdefault(task_id, TaskEnd(end))
         for task_id, advanced in record.advanced.items():
             job.advanced[task_id] = max(advanced, job.advanced.get(task_id, (0, 0)))
+        for task_id, setbacks in record.setbacks.items():
+            job.setbacks.setdefault(task_id, setbacks)
         return []
 
     def knows(self, job_id: str) -> bool:
@@ -224,6 +234,9 @@
         for task_id in job.task_ids():
             number, generation = job.advanced.get(task_id, (0, 0))
             task = Task(task_id, state, generation=generation)
+            setbacks = job.setbacks.get(task_id)
+            if setbacks is not None:
+                task.failed, task.lost = list(setbacks.failed), list(setbacks.lost)
             if task_id in job.ended:
                 task.state = TaskState.ENDED
                 task.end = job.ended[task_id]
@@ -268,6 +281,10 @@
             job = self.jobs.get(job_of(task_id))
             if job is not None:
                 job.advanced[task_id] = (number, generation)
+        for task_id, setbacks in record.setbacks.items():
+            job = self.jobs.get(job_of(task_id))
+            if job is not None:
+                job.setbacks[task_id] = setbacks
 
     def owned(self) -> list[Job]:
         """Return the unfinished jobs that this instance owns."""
--- a/packages/hornbeampaddle/hornbeampaddle/owner.py
+++ b/packages/hornbeampaddle/hornbeampaddle/owner.py
@@ -24,6 +24,7 @@
 )
 from .owners import lapse_wait_s, succession_wait_s
 from .placement import Fits, NoRoomNow, Rooms
+from .records import Setbacks
 from .resources import NOTHING, Resources
 from .takeover import Takeover
 
@@ -42,12 +43,23 @@
     commands: list[Command] = field(default_factory=list)
     ended: dict[str, TaskEnd] = field(default_factory=dict)
     advanced: dict[str, tuple[int, int]] = field(default_factory=dict)
+    setbacks: dict[str, Setbacks] = field(default_factory=dict)
 
     def add(self, other: "Work") -> None:
         """Add what another input led to."""
         self.commands.extend(other.commands)
         self.ended.update(other.ended)
         self.advanced.update(other.advanced)
+        self.setbacks.update(other.setbacks)
+
+    def set_back(self, task: Task) -> None:
+        """
+        Have a task's failures and losses recorded.
+
+        Guards against a task that is tried for ever while owners come and go: each
+        successor would begin to count anew.
+        """
+        self.setbacks[task.task_id] = task.setbacks()
 
 
 @dataclass(slots=True)
@@ -227,11 +239,12 @@
             # not heard yet. Only an end after which there is no later attempt
             # settles an inherited task before its time.
             if end not in (TaskEnd.DONE, TaskEnd.CANCELLED):
+                self._count_setback(task, notice.ending, now_s, work)
                 return
         elif notice.ending is not Ending.LAPSED:
             self._count_use(job, -1)
-        self._learn(task, notice, now_s)
-        if task.failures >= self.limits.task_failures_max:
+        self._learn(task, notice, now_s, work)
+        if len(task.failed) >= self.limits.task_failures_max:
             end = TaskEnd.FAILED
         acknowledge = Acknowledge(task.attempt(), notice.worker_id)
         if notice.ending is Ending.LAPSED:
@@ -260,12 +273,14 @@
         """Note a read through the log's end that was asked for at a local time."""
         self._log_read_s = max(self._log_read_s, asked_s)
 
-    def _learn(self, task: Task, notice: AttemptEnded, now_s: float) -> None:
+    def _learn(
+        self, task: Task, notice: AttemptEnded, now_s: float, work: Work
+    ) -> None:
         match notice.ending:
             case Ending.FAILED:
-                task.failures += 1
+                self._count_setback(task, notice.ending, now_s, work)
                 task.failed_on.add(notice.worker_id)
-                task.not_before_s = now_s + RETRY_BACKOFF_S * task.failures
+                task.not_before_s = now_s + RETRY_BACKOFF_S * len(task.failed)
                 self.rooms.failed(notice.worker_id, now_s)
             case Ending.DONE:
                 self.rooms.succeeded(notice.worker_id)
@@ -458,25 +473,42 @@
         end = next_state(job, task, Ending.LAPSED)
         if task.state is not TaskState.INHERITED:
             self._count_use(job, -1)
-            self._count_loss(task, now_s)
-        if end is None and task.losses >= self.limits.task_losses_max:
+            self._count_setback(task, Ending.LAPSED, now_s, work)
+        if end is None and self._hopeless(task):
             end = TaskEnd.FAILED
         self._settle(job, task, end, now_s, work)
 
-    def _count_loss(self, task: Task, now_s: float) -> None:
+    def _hopeless(self, task: Task) -> bool:
+        if len(task.failed) >= self.limits.task_failures_max:
+            return True
+        return len(task.lost) >= self.limits.task_losses_max
+
+    def _count_setback(
+        self, task: Task, ending: Ending, now_s: float, work: Work
+    ) -> None:
         """
-        Count an attempt that was lost with its worker.
+        Count the last attempt if it failed, or was lost with its worker.
 
         Guards against a task that brings down each worker that starts it. It shows as
         attempts that are gone without an end, one worker after the other, each with all
         that ran there. Losses in a row are bounded, and one after a long run is the
         worker's own.
         """
+        attempt = (task.term, task.number)
+        match ending:
+            case Ending.FAILED if attempt not in task.failed:
+                task.failed.append(attempt)
+            case Ending.LAPSED if self._ran_long(task, now_s):
+                task.lost.clear()
+            case Ending.LAPSED if attempt not in task.lost:
+                task.lost.append(attempt)
+            case _:
+                return
+        work.set_back(task)
+
+    def _ran_long(self, task: Task, now_s: float) -> bool:
         gone_s = now_s if task.gone_s is None else task.gone_s
-        if task.running_s is not None and gone_s - task.running_s > PROVEN_S:
-            task.losses = 0
-        else:
-            task.losses += 1
+        return task.running_s is not None and gone_s - task.running_s > PROVEN_S
 
     def _place_some(
         self,
--- a/packages/hornbeampaddle/hornbeampaddle/records.py
+++ b/packages/hornbeampaddle/hornbeampaddle/records.py
@@ -134,15 +134,28 @@
     ended: dict[str, str]
 
 
+class Setbacks(Struct, frozen=True, array_like=True):
+    """
+    The attempts of a task that count against its limits, as (term, number).
+
+    ``failed`` are all that failed, ``lost`` those in a row that went with their
+    workers.
+    """
+
+    failed: list[tuple[int, int]]
+    lost: list[tuple[int, int]]
+
+
 class TasksAdvanced(Struct, frozen=True, tag=True):
     """
-    The newest attempt number and checkpoint generation of tasks.
+    How far tasks are, as their owner knows it.
 
     ``advanced`` maps a task id to (attempt number, generation).
     """
 
     record_id: str
     advanced: dict[str, tuple[int, int]]
+    setbacks: dict[str, Setbacks] = msgspec.field(default_factory=dict)
 
 
 class JobCancelled(Struct, frozen=True, tag=True):
@@ -178,6 +191,7 @@
     ended: dict[str, str]
     advanced: dict[str, tuple[int, int]]
     cancelled: bool = False
+    setbacks: dict[str, Setbacks] = msgspec.field(default_factory=dict)
 
 
 HomeRecord = (
