Follow a worker that shrinks, on the own interface

Users of a machine saw it overrun by tasks and requests after it had shrunk: its decider counted with what it held when it was claimed, and open slots stayed open.

Mend: the instance list's capacity goes into the worker's book at once; what runs beyond it is evicted as before, with its checkpoint, and slots that do not fit by themselves close until the room is back. Found by looking for the new rule on the own interface.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -167,6 +167,36 @@
     Then the job "archive" is over with 1 tasks "cancelled" within 10 s
     And no attempt began
 
+  # What a user sees: a machine that is overrun by what is started on it.
+  # Order: a worker holds less than before and the list says so; jobs are handed in.
+  # Cause it had: its decider counted with what the worker held when it was claimed.
+  Scenario Outline: A worker that shrinks gets nothing beyond what it holds, <then>
+    Given 2 entry instances and 2 workers
+    And 1 s pass
+    When the worker "w0" shrinks to 2 cores
+    And <then>
+    And a job "archive" of 24 tasks of 1 s is submitted to "e0"
+    Then the job "archive" is done within 30 s
+    And no promise was broken
+
+    Examples:
+      | then                        |
+      | 1 s pass                    |
+      | instance "e1" dies          |
+
+  # What a user sees: the same, while requests keep the slots of a service in use.
+  # Order: the slots of a service fill a worker that shrinks below them.
+  # Cause it had: slots that were open stayed open.
+  Scenario: A worker that shrinks below its slots takes no more requests
+    Given 2 entry instances and 2 workers
+    And a service "checks" that fills its workers
+    When the worker "w0" shrinks to 2 cores
+    And 40 requests to "checks" that take 0.2 s come one after the other
+    Then all of them are answered
+    And no promise was broken
+    When the worker "w0" grows to 8 cores
+    Then its slots are open again within 3 s
+
   # What a user sees: an urgent job that waits behind a wave of batch work.
   Scenario: An urgent job starts within 2.4 s on a full data centre
     Given 3 entry instances and 4 workers
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -1,15 +1,20 @@
 """Steps for batch work under pressure."""
 
+from dataclasses import replace
+
 from behave import step, then, when
 from support.scene import GIB, HOME
 
 from hornbeampaddle.intents import AddService, ChangeQuota, Drain, DropService
 from hornbeampaddle.records import Needs
+from hornbeampaddle.resources import Resources
 from hornbeampaddle_wire.http_messages import Request
 
 WATCH_STEP_S = 0.05
 # Long enough for the owner to hear of an attempt's end and to have it recorded.
 OWNER_AFTER_S = 1.5
+# Until all instances have read the list and what was on its way has arrived.
+LISTED_S = 1.5
 
 
 def _runs(context):
@@ -296,3 +301,42 @@
         for machine in scene.machines.values():
             if machine.runs:
                 machine.crash()
+
+
+@when('the worker "{worker_id}" {how} to {cores:d} cores')
+def resize(context, worker_id, how, cores):
+    """Let the list say it first: what is on its way is allowed a moment."""
+    scene = context.scene
+    machine = scene.machines[worker_id]
+    capacity = Resources(1000 * cores, 32 * GIB, 0)
+    resized = replace(machine.worker, capacity=capacity)
+    scene.listed.put(resized)
+    scene.pass_s(LISTED_S)
+    machine.worker = resized
+
+
+@when(
+    '{count:d} requests to "{service}" that take {run_s:g} s come one after the other'
+)
+def requests_in_turn(context, count, service, run_s):
+    scene = context.scene
+    scene.run_s = run_s
+    names = sorted(scene.instances)
+    context.answers = count
+    for number in range(count):
+        request = scene.request(service, timeout_s=20.0)
+        scene.call_later(names[number % len(names)], request, number)
+        scene.pass_s(run_s / 4)
+
+
+@then("all of them are answered")
+def all_answered(context):
+    scene = context.scene
+    assert scene.until(lambda: len(scene.outcomes) == context.answers)
+    statuses = {response.status for response in scene.outcomes.values()}
+    assert statuses == {200}, statuses
+
+
+@then("its slots are open again within {within_s:g} s")
+def slots_again(context, within_s):
+    slots_open(context, within_s)
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/fleet.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/fleet.py
@@ -55,7 +55,7 @@
             if known is None or known.worker.address != worker.address:
                 self._add(worker)
             else:
-                known.worker = worker
+                known.relist(worker)
         for worker_id in list(self.deciders):
             if worker_id not in listed and not self.deciders[worker_id].holding:
                 del self.deciders[worker_id]
@@ -253,9 +253,12 @@
         # Guards against a worker overrun by a new service: its slots open only
         # once the batch attempts in its room are known to be over.
         fits = not decider.book.overdrawn() and not decider.book.blocked
+        # Guards against a worker that shrank below its slots and is overrun by them:
+        # no attempt can make room there, so they close until the room is back.
+        slots_fit = decider.book.reserved.fits_in(decider.book.capacity)
         for name in wanted:
             lane = self.slots.lanes[(decider.worker.worker_id, name)]
-            lane.open = usable and (lane.open or fits)
+            lane.open = usable and slots_fit and (lane.open or fits)
         if usable and not fits:
             self._making_room.add(decider.worker.worker_id)
         else:
--- a/packages/hornbeampaddle/hornbeampaddle/decider.py
+++ b/packages/hornbeampaddle/hornbeampaddle/decider.py
@@ -112,6 +112,16 @@
         self.book = Book(self.worker.capacity)
         self.clock = RemoteClock(self.timing.clock_rate_error_ratio)
 
+    def relist(self, worker: Worker) -> None:
+        """
+        Take in what the instance list says of the worker now.
+
+        Guards against a worker that is overrun because it holds less than when it was
+        claimed. It shows when its room shrinks while it runs.
+        """
+        self.worker = worker
+        self.book.capacity = worker.capacity
+
     @property
     def holding(self) -> bool:
         """Tell whether the worker last answered that our epoch is in force."""
