Count a worker's loss against all of its young runs

Users of the machines saw the same task go on: one that crashes its workers a second after its start was started six and more times, where operators tolerate five.

Cause: the loss counted against runs that no report had shown yet, if there were any, and something else has nearly always just been started beside a task that is at work.

Mend: it counts against all runs that have been at work for less than 10 s; so every task is bounded at four losses. That others are not given up for it: the loss within a moment of a start counts as such only against what no report has shown, and once a task is given up for two of these, the same losses are taken from all others. For this each loss names its worker in the record.

Ruled out: to blame the unreported only, with a longer trial; the worker would be closed to others for as long.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -92,3 +92,20 @@
     And all workers are out of reach and unlisted for 15 s
     Then no task of "ba08" is suspected
     And no promise of the cell was broken
+
+  Scenario Outline: Random faults, crashing tasks and shrinking workers, seed <seed>
+    # 20010, 20028: tasks crashed their workers a second after their starts, and were never
+    # blamed for it beside what had just been started; one went on for seven workers.
+    # 20037, 20046: others were given up beside crashing tasks, for they had started within
+    # the same moment; a report had shown them already.
+    Given a random walk with crashing tasks and shrinking workers and seed <seed>
+    Then no promise of the cell was broken
+    And every accepted job came to its end
+    And no job was given up but those that crash workers
+
+    Examples:
+      | seed  |
+      | 20010 |
+      | 20028 |
+      | 20037 |
+      | 20046 |
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -13,7 +13,16 @@
     running,
     submit_job,
 )
-from support.cell_walk import FAULTS, FAULTS_UNWELL, build, new_world, plain, walk
+from support.cell_walk import (
+    FAULTS,
+    FAULTS_BREAKING,
+    FAULTS_UNWELL,
+    build,
+    given_up,
+    new_world,
+    plain,
+    walk,
+)
 
 from hornbeampaddle.cell.jobs import Job
 from hornbeampaddle.cell.progress import JobStatus
@@ -311,6 +320,16 @@
     random_walk(context, seed, FAULTS_UNWELL)
 
 
+@given("a random walk with crashing tasks and shrinking workers and seed {seed:d}")
+def random_walk_breaking(context, seed):
+    random_walk(context, seed, FAULTS_BREAKING)
+
+
+@then("no job was given up but those that crash workers")
+def none_given_up(context):
+    assert not given_up(context.world), given_up(context.world)
+
+
 @then("no worker's room is booked")
 def nothing_booked(context):
     world = context.world
--- a/features/steps/compared_days_steps.py
+++ b/features/steps/compared_days_steps.py
@@ -39,7 +39,7 @@
         separating.Separator, "separate", lambda self, now_s: None
     ),
     "in the order of due times": lambda: patch.object(dispatch, "urgency", due_order),
-    "without giving up": lambda: patch.object(crashes, "_hopeless", lambda task: False),
+    "without giving up": lambda: patch.object(crashes, "count", lambda *_: []),
     "with slow starts": lambda: patch.object(slow_starts, "waits_enough", waited_long),
 }
 
--- a/features/support/cell_walk.py
+++ b/features/support/cell_walk.py
@@ -3,7 +3,8 @@
 import asyncio
 from random import Random
 
-from hornbeampaddle.cell.jobs import Step
+from hornbeampaddle.cell.jobs import Step, TaskKey
+from hornbeampaddle.cell.progress import JobStatus
 from hornbeampaddle.resources import Resources
 from hornbeampaddle_standins.cell.store import StoreFault
 from hornbeampaddle_standins.cell.world import BATCH, MIB, URGENT, World
@@ -127,9 +128,32 @@
     world.faults.lost_ratio = 0.0
 
 
+async def _resize(world, random):
+    """Let a worker hold less for a while."""
+    alive = sorted(name for name, w in world.workers.items() if w.alive)
+    name = random.choice(alive)
+    whole = world.workers[name].listing.capacity.cpu_millis
+    world.resize_worker(name, round(whole * random.uniform(0.1, 0.7)))
+    await asyncio.sleep(random.uniform(2, 10))
+    if world.workers[name].alive:
+        world.resize_worker(name, whole)
+
+
+async def _crashing(world, random):
+    """Hand in a job of which a task crashes its workers, at once or after a while."""
+    job_id = f"{len(world.crashing):08x}".rjust(16, "f")
+    tasks = random.randint(1, 4)
+    key = TaskKey(job_id, 0, 0, random.randrange(tasks))
+    world.crashing[key] = random.choice([0.001, 0.01, 0.1, 1.0])
+    if world.instances:
+        await _submit(world, random, job_id, [plain(tasks)])
+
+
 FAULTS = [_kill, _kill_holder, _store, _orders, _cut, _compact, _flap, _crash]
 # Workers that refuse orders as often as all of two other faults.
 FAULTS_UNWELL = [*FAULTS, _unwell, _unwell]
+# Workers that shrink, and tasks that crash them, as often as all of four others.
+FAULTS_BREAKING = [*FAULTS, _resize, _resize, _crashing, _crashing]
 
 
 async def walk(world, faults=FAULTS):
@@ -148,6 +172,29 @@
     await asyncio.sleep(40.0)
 
 
+def given_up(world):
+    """
+    Return the jobs that were given up for crashes and have no task that crashes.
+
+    A job whose attempts were used up is not among them.
+    """
+    cell = world.instances[world.holder()].holder.cell
+    crashing = {key.job_id for key in world.crashing}
+    return [
+        job_id
+        for job_id, state in cell.jobs.items()
+        if state.status is JobStatus.FAILED
+        and job_id not in crashing
+        and not _used_up(state)
+    ]
+
+
+def _used_up(state):
+    limit = state.job.queue.attempts_max
+    tasks = (t for steps in state.occurrences.values() for s in steps for t in s.tasks)
+    return any(len(task.failed_runs) >= limit for task in tasks)
+
+
 def new_world(seed):
     """Return the world of a seed; in every other one instances relay for each other."""
     return World(seed, work_s=1.5, fail_ratio=0.02, relays=seed % 2 == 0)
--- a/features/support/cell_walks.py
+++ b/features/support/cell_walks.py
@@ -8,7 +8,7 @@
 
 from hornbeampaddle.cell.progress import JobStatus
 
-from .cell_walk import new_world, walk
+from .cell_walk import FAULTS, FAULTS_BREAKING, given_up, new_world, walk
 from .virtual_loop import VirtualLoop
 
 PROCESSES = 4
@@ -26,7 +26,9 @@
 
     async def go():
         world = new_world(seed)
-        await walk(world)
+        # In every third walk workers shrink, and tasks crash them.
+        await walk(world, FAULTS if seed % 3 else FAULTS_BREAKING)
+        wrong = [f"{job_id} was given up" for job_id in given_up(world)]
         states = {name: await world.status(name) for name in world.accepted}
         await world.close()
         open_ = [
@@ -34,7 +36,7 @@
             for name, state in states.items()
             if not isinstance(state, JobStatus) or not state.final
         ]
-        return world.judge.broken[:3], open_[:3]
+        return (world.judge.broken + wrong)[:3], open_[:3]
 
     return seed, *loop.run_until_complete(go())
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
@@ -11,7 +11,8 @@
 the worker has survived it. So the next loss tells the task from those beside it.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from .effects import Note
@@ -34,40 +35,79 @@
 CRASHES_MAX = 4
 
 
-def to_blame(worker: WorkerState, now_s: float) -> list[Run]:
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """A run that may have crashed its worker, and whose it is."""
+
+    run: Run
+    state: JobState
+    task: Task
+
+
+def count(cell: "Scheduler", worker: WorkerState, now_s: float) -> list[JobState]:
+    """Count a worker's loss against its young runs; return jobs to give up."""
+    suspects = list(_suspects(cell, worker, now_s))
+    _count_prompt(suspects, worker.lost_at_s(now_s))
+    for suspect in suspects:
+        suspect.task.crashed_runs[suspect.run.number] = worker.worker_id
+        _note(cell, suspect)
+    sure = [s for s in suspects if _crashes_promptly(s.task)]
+    for suspect in sure:
+        _clear_others(cell, suspect.task)
+    hopeless = [s for s in suspects if len(s.task.crashed_runs) >= CRASHES_MAX]
+    return [suspect.state for suspect in [*sure, *hopeless]]
+
+
+def _suspects(
+    cell: "Scheduler", worker: WorkerState, now_s: float
+) -> Iterator[Suspect]:
     """
     Return the runs that may have crashed a worker that is lost.
 
-    These are the runs that no report has shown yet; if there are none, those that have
-    been at work for a short time.
+    All that have been at work for a short time are among them. If only those counted
+    that no report has shown yet, a task that crashes its workers after a second would
+    never be found, for something else has always just been started.
     """
     lost_at_s = worker.lost_at_s(now_s)
-    # What was sent later never reached the worker.
-    sent = [run for run in worker.all_runs() if run.sent_at_s <= lost_at_s]
-    unreported = [run for run in sent if not run.reported]
-    if unreported:
-        return unreported
     proven_at_s = worker.last_report_at_s - PROVEN_S
-    return [run for run in sent if run.reported_at_s > proven_at_s]
+    for run in worker.all_runs():
+        # What was sent after the loss never reached the worker.
+        if run.sent_at_s > lost_at_s or run.reported_at_s <= proven_at_s:
+            continue
+        state = cell.jobs.get(run.key.job_id)
+        task = state.task(run.key) if state is not None else None
+        if state is None or task is None or task.done or state.status.final:
+            continue
+        yield Suspect(run, state, task)
+
+
+def _count_prompt(suspects: list[Suspect], lost_at_s: float) -> None:
+    prompt = [s for s in suspects if lost_at_s - s.run.sent_at_s <= PROMPT_S]
+    # What a report has shown already has survived what the newest may not have.
+    prompt = [s for s in prompt if not s.run.reported] or prompt
+    most = max((len(s.task.prompt_crashes) for s in prompt), default=0)
+    for suspect in prompt:
+        numbers = suspect.task.prompt_crashes
+        # Beside a task that was tried here because it is suspected, others are not.
+        if len(numbers) == most and suspect.run.number not in numbers:
+            numbers.append(suspect.run.number)
 
 
-def count(cell: "Scheduler", worker: WorkerState, now_s: float) -> list[JobState]:
-    """Count a worker's loss against its newest runs; return jobs to give up."""
-    lost_at_s = worker.lost_at_s(now_s)
-    blamed = [(run, _owner(cell, run)) for run in to_blame(worker, now_s)]
-    known = [(run, *owner) for run, owner in blamed if owner is not None]
-    prompt = [
-        (run, task) for run, _, task in known if lost_at_s - run.sent_at_s <= PROMPT_S
-    ]
-    most = max((len(task.prompt_crashes) for _, task in prompt), default=0)
-    for run, task in prompt:
-        # Beside a task that was tried here because it is suspected, others are not.
-        if len(task.prompt_crashes) == most:
-            _add(task.prompt_crashes, run.number)
-    for run, _, task in known:
-        _add(task.crashed_runs, run.number)
-        _note(cell, worker, run, task)
-    return [state for _, state, task in known if _hopeless(task)]
+def _clear_others(cell: "Scheduler", guilty: Task) -> None:
+    """
+    Forget the losses of other tasks that a task has brought about.
+
+    Guards against a long task that is given up because several crashing ones were
+    started beside it, one after the other.
+    """
+    workers = {guilty.crashed_runs[number] for number in guilty.prompt_crashes}
+    for state in cell.open_jobs.values():
+        for task in state.tasks():
+            if task is guilty:
+                continue
+            for number, worker_id in list(task.crashed_runs.items()):
+                if worker_id in workers:
+                    survived(cell, task, number)
 
 
 def give_up(cell: "Scheduler", jobs: Iterable[JobState], now_s: float) -> None:
@@ -78,9 +118,8 @@
 
 
 def survived(cell: "Scheduler", task: Task, number: int) -> None:
-    """Take in that the worker of a run is alive, which was thought to have crashed."""
-    if number in task.crashed_runs:
-        task.crashed_runs.remove(number)
+    """Take in that a run did not crash its worker, or that nothing did."""
+    if task.crashed_runs.pop(number, None) is not None:
         cell.dirty.add(task.key.job_id)
     if number in task.prompt_crashes:
         task.prompt_crashes.remove(number)
@@ -120,30 +159,17 @@
     return unreported, name == avoid, len(worker.runs), name
 
 
-def _owner(cell: "Scheduler", run: Run) -> tuple[JobState, Task] | None:
-    state = cell.jobs.get(run.key.job_id)
-    task = state.task(run.key) if state is not None else None
-    if state is None or task is None or task.done or state.status.final:
-        return None
-    return state, task
-
-
-def _add(numbers: list[int], number: int) -> None:
-    if number not in numbers:
-        numbers.append(number)
-
-
-def _hopeless(task: Task) -> bool:
-    prompt = len(task.prompt_crashes) >= PROMPT_CRASHES_MAX
-    return prompt or len(task.crashed_runs) >= CRASHES_MAX
+def _crashes_promptly(task: Task) -> bool:
+    return len(task.prompt_crashes) >= PROMPT_CRASHES_MAX
 
 
-def _note(cell: "Scheduler", worker: WorkerState, run: Run, task: Task) -> None:
+def _note(cell: "Scheduler", suspect: Suspect) -> None:
+    run, task = suspect.run, suspect.task
     cell.dirty.add(run.key.job_id)
     detail: dict[str, object] = {
         "task": run.key,
         "run": run.number,
-        "worker": worker.worker_id,
+        "worker": run.worker_id,
         "crashes": len(task.crashed_runs),
         "prompt": len(task.prompt_crashes),
     }
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -6,6 +6,7 @@
 rebuilds the state from the newest records.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -91,15 +92,15 @@
 
     ``failed_runs`` holds the numbers of the attempts that failed, not only how
     many: an end that is listed again, to this holder or the next, counts once.
-    ``crashed_runs`` holds those under which a worker was lost, ``prompt_crashes`` those
-    of them where that was within a moment of the start.
+    ``crashed_runs`` holds those under which a worker was lost, with the worker,
+    ``prompt_crashes`` those of them where that was within a moment of the start.
     """
 
     key: TaskKey
     done: bool = False
     last_run: int = 0
     failed_runs: list[int] = field(default_factory=list)
-    crashed_runs: list[int] = field(default_factory=list)
+    crashed_runs: dict[int, str] = field(default_factory=dict)
     prompt_crashes: list[int] = field(default_factory=list)
     checkpoint: str = ""
     run: Run | None = None
@@ -184,15 +185,15 @@
         tasks = steps[key.step].tasks
         return tasks[key.position] if key.position < len(tasks) else None
 
+    def tasks(self) -> Iterator[Task]:
+        """Return every task of the occurrences that are open."""
+        for steps in self.occurrences.values():
+            for state in steps:
+                yield from state.tasks
+
     def runs(self) -> list[Run]:
         """Return every attempt that has not ended."""
-        return [
-            task.run
-            for steps in self.occurrences.values()
-            for state in steps
-            for task in state.tasks
-            if task.run is not None
-        ]
+        return [task.run for task in self.tasks() if task.run is not None]
 
     def all_done(self) -> bool:
         """Tell whether every occurrence has ended well."""
@@ -219,13 +220,13 @@
     (or empty) and the newest checkpoint.
 
     Each row of ``crashes`` is an occurrence's number, the place of a task in that
-    order, the runs under which a worker was lost, and those of them where that was
-    prompt.
+    order, the runs under which a worker was lost with the worker, and those of them
+    where that was prompt.
     """
 
     status: int
     occurrences: list[tuple[int, list[TaskCell]]]
-    crashes: list[tuple[int, int, list[int], list[int]]] = []
+    crashes: list[tuple[int, int, dict[int, str], list[int]]] = []
 
 
 _decoder = msgspec.msgpack.Decoder(ProgressRecord)
@@ -280,9 +281,8 @@
         for (step, task), cell in zip(tasks, packed, strict=True):
             _unpack(task, step, cell)
     for number, place, crashed, prompt in record.crashes:
-        tasks_there = [t for s in state.open_occurrence(number) for t in s.tasks]
-        tasks_there[place].crashed_runs = crashed
-        tasks_there[place].prompt_crashes = prompt
+        task = [t for step in state.open_occurrence(number) for t in step.tasks][place]
+        task.crashed_runs, task.prompt_crashes = crashed, prompt
     return state
 
 
