Keep suspected tasks apart from each other

Cause: both were suspected after two losses, and each suspected task went to the worker where least is at stake: the same one, again and again.

Of two that were lost together the next loss then tells one.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -98,6 +98,8 @@
     # blamed for it beside what had just been started; one went on for seven workers.
     # 20037, 20046: others were given up beside crashing tasks, for they had started within
     # the same moment; a report had shown them already.
+    # 30045, 30129: one was lost four times together with the same crashing task, for both
+    # were suspected and went where least was at stake.
     Given a random walk with crashing tasks and shrinking workers and seed <seed>
     Then no promise of the cell was broken
     And every accepted job came to its end
@@ -109,3 +111,5 @@
       | 20028 |
       | 20037 |
       | 20046 |
+      | 30045 |
+      | 30129 |
--- a/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
@@ -143,14 +143,27 @@
     return bool(task.prompt_crashes) or len(task.crashed_runs) > 1
 
 
-def choose_apart(workers: Iterable[WorkerState], avoid: str) -> WorkerState | None:
+def choose_apart(
+    workers: Iterable[WorkerState], avoid: str, now_s: float
+) -> WorkerState | None:
     """
     Return the worker for a suspected task: the one where least is at stake.
 
-    ``workers`` have room for it. Those with a run that no report has shown yet come
-    last, then the worker where the task was lost.
+    ``workers`` have room for it. One with another suspected task is not taken: two that
+    were lost together would be again and again, and nothing would tell them apart.
+    Workers with a run that no report has shown yet come last, then the one where the
+    task was lost.
     """
-    return min(workers, key=lambda w: _stake(w, avoid), default=None)
+    apart = (worker for worker in workers if not _on_trial(worker, now_s))
+    return min(apart, key=lambda w: _stake(w, avoid), default=None)
+
+
+def _on_trial(worker: WorkerState, now_s: float) -> bool:
+    """Tell whether a suspected task has not been at work here for long."""
+    return any(
+        run.suspected and now_s - run.reported_at_s < PROVEN_S
+        for run in worker.runs.values()
+    )
 
 
 def _stake(worker: WorkerState, avoid: str) -> tuple[int, bool, int, str]:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -76,6 +76,8 @@
     pace_percent: int = 100
     # The pace that is ordered as soon as the worker has confirmed the start.
     first_pace_percent: int = 100
+    # Its task may have crashed workers before.
+    suspected: bool = False
     # It was placed where others use all processors: more speed would slow them.
     shares_processors: bool = False
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
@@ -30,6 +30,7 @@
     task.run = run
     worker.add(run)
     if suspected(task):
+        run.suspected = True
         worker.trial = run
     if step.step.tail_target_s:
         # The job's other tasks say how loaded its users are: without them, fillers
