Let the soak crash workers by tasks and shrink workers

With every third seed, jobs come whose first task brings its workers down, at once or after up to 0.6 s, and workers hold less for a while; connections close, and the worker is back under another id 2 s later. The soak checks that just these jobs end as failed, besides what it checked. Earlier seeds of the regression play as before.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -11,3 +11,11 @@
       | seed |
       | 1    |
       | 3502 |
+
+  Scenario Outline: Seed <seed>, with tasks that crash their workers and workers that shrink
+    When the soak runs seed <seed> for 8 s
+    Then it finds no problem
+
+    Examples:
+      | seed |
+      | 3    |
