--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -93,6 +93,20 @@
     Then no task of "ba08" is suspected
     And no promise of the cell was broken
 
+  Scenario: A start that was sent to a worker which had gone already says nothing
+    # Users would see a job fail whose task was never started: the decision was stored
+    # slowly, the worker went meanwhile, and the start was sent after that, four times.
+    Given 6 workers of 16 cores
+    When a task's worker goes silent before its start is sent, 5 times
+    Then the task is not suspected and its job not given up
+
+  Scenario: A worker that said that it leaves was not crashed by its task
+    # Users would see jobs fail while the workers of a service are replaced one after the
+    # other: a task without checkpoints stays until its worker exits, five times.
+    Given 6 workers of 16 cores
+    When a task's worker drains and exits soon after its start, 5 times
+    Then the task is not suspected and its job not given up
+
   Scenario Outline: Random faults, crashing tasks and shrinking workers, seed <seed>
     # 20010, 20028: tasks crashed their workers a second after their starts, and were never
     # blamed for it beside what had just been started; one went on for seven workers.
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -1,13 +1,15 @@
 """Steps on tasks that crash the workers that start them."""
 
 import asyncio
+from dataclasses import replace
 
 from behave import given, then, when
+from support.cell_player import LASTING, prepared, step
 from support.cell_scene import act, job_id, play, running, submit_job
 from support.cell_walk import plain
 
 from hornbeampaddle.cell.jobs import TaskKey
-from hornbeampaddle.cell.progress import JobStatus
+from hornbeampaddle.cell.progress import JobStatus, RunPhase
 from hornbeampaddle_standins.cell.world import URGENT
 
 CRASH_AFTER_S = 0.01
@@ -90,6 +92,42 @@
     play(context, asyncio.sleep(3.0))
 
 
+@when("a task's worker goes silent before its start is sent, {times:d} times")
+def gone_before(context, times):
+    context.player = player = prepared(context)
+    cell = player.cell
+    player.submit("late", LASTING, step(1, 2000, lasting=True), 1e9)
+    for _ in range(times):
+        (run,) = cell.decide(player.now_s, player.now_s).starts
+        cell.worker_silent(run.worker_id, player.now_s + 0.1)
+        run.phase = RunPhase.SENDING
+        run.sent_at_s = player.now_s + 0.2
+        player.now_s += 2.0
+        cell.worker_ended(run.worker_id, player.now_s, "replaced")
+
+
+@when("a task's worker drains and exits soon after its start, {times:d} times")
+def drained(context, times):
+    context.player = player = prepared(context)
+    cell = player.cell
+    player.submit("late", URGENT, step(1, 2000), 1e9)
+    for _ in range(times):
+        (run,) = cell.decide(player.now_s, player.now_s).starts
+        run.phase = RunPhase.SENDING
+        run.sent_at_s = player.now_s
+        listing = cell.workers[run.worker_id].listing
+        cell.list_worker(replace(listing, draining=True), player.now_s)
+        player.now_s += 0.1
+        cell.worker_ended(run.worker_id, player.now_s, "replaced")
+
+
+@then("the task is not suspected and its job not given up")
+def not_suspected(context):
+    state = context.player.cell.jobs["late"]
+    assert not state.status.final, state.status
+    assert not any(task.crashed_runs for task in state.tasks())
+
+
 @then('no task of "{name}" is suspected')
 def none_suspected(context, name):
     world = context.world
