Give up no job for workers that go down by themselves

Cause: what had just been started on a worker that went with others counted as what had brought it down; and a lasting task's loss after seconds at work counted as one by its start.

Mend: where two other workers stopped answering within 0.25 s, the loss counts among the four only: a task brings down the worker that runs it, no other. A run that was reported for 5 s (10 s before) is no longer to blame. Every task stays bounded at four losses.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
@@ -26,10 +26,13 @@
 # it: a closed connection shows within 30 ms.
 PROMPT_S = 0.25
 # A run that was reported for so long did not crash its worker by being started.
-PROVEN_S = 10.0
-# Two workers lost within a moment of a task's starts are no coincidence: about one in a
-# hundred runs is lost so with a worker that goes up and down all the time.
+PROVEN_S = 5.0
+# Two workers lost within a moment of a task's starts are no coincidence ...
 PROMPT_CRASHES_MAX = 2
+# ... unless so many others stopped answering in the same moment: a task brings down the
+# worker that runs it, and a rack or a release takes several.
+TOGETHER_MIN = 2
+TOGETHER_S = 0.25
 # Losses that come later prove little, but they are bounded as well: operators tolerate
 # two starts after the third loss.
 CRASHES_MAX = 4
@@ -47,7 +50,9 @@
 def count(cell: "Scheduler", worker: WorkerState, now_s: float) -> list[JobState]:
     """Count a worker's loss against its young runs; return jobs to give up."""
     suspects = list(_suspects(cell, worker, now_s))
-    _count_prompt(suspects, worker.lost_at_s(now_s))
+    lost_at_s = worker.lost_at_s(now_s)
+    if not _went_together(cell, worker, lost_at_s):
+        _count_prompt(suspects, lost_at_s)
     for suspect in suspects:
         suspect.task.crashed_runs[suspect.run.number] = worker.worker_id
         _note(cell, suspect)
@@ -81,6 +86,21 @@
         yield Suspect(run, state, task)
 
 
+def _went_together(cell: "Scheduler", worker: WorkerState, lost_at_s: float) -> bool:
+    """
+    Tell whether other workers stopped answering in the same moment.
+
+    Guards against jobs that are given up for what had just been started on workers that
+    go down several at a time, for reasons of their own.
+    """
+    others = {
+        name
+        for name, at_s in cell.silences
+        if name != worker.worker_id and abs(at_s - lost_at_s) <= TOGETHER_S
+    }
+    return len(others) >= TOGETHER_MIN
+
+
 def _count_prompt(suspects: list[Suspect], lost_at_s: float) -> None:
     prompt = [s for s in suspects if lost_at_s - s.run.sent_at_s <= PROMPT_S]
     # What a report has shown already has survived what the newest may not have.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Callable, Iterable
 
 from ..clocks import RemoteClock
@@ -33,6 +34,8 @@
 # What workers open to fillers is worked out anew after so long: users' loads swing over
 # several seconds.
 OUTLOOK_S = 0.4
+# A quarter of the largest cell's workers may stop answering in one moment.
+SILENCES_KEPT = 128
 # Stands for the address of a worker that only an old record names.
 NO_ADDRESS = Address("", 0)
 
@@ -49,6 +52,8 @@
         self.workers: dict[str, WorkerState] = {}
         # As of when the list of workers is complete; known where a list is followed.
         self.list_complete_at_s = float("inf")
+        # Workers that stopped answering, and when; the last of them.
+        self.silences: deque[tuple[str, float]] = deque(maxlen=SILENCES_KEPT)
         self.open_jobs: dict[str, JobState] = {}
         self.dirty: set[str] = set()
         self.advice = AdviceBook()
@@ -283,6 +288,7 @@
             worker.silent = True
             if worker.silent_since_s is None:
                 worker.silent_since_s = now_s
+                self.silences.append((worker_id, now_s))
 
     def use_ratio(self, service: str) -> float:
         """Return the share of a service's processors reserved as the decision began."""
