Specify how a crashing task is given up, whoever holds the cell

What a holder must know survives its replacement: the losses are stored in the append that stores the next start, and a successor counts the vanished worker of the newest run.

The traces are not replayed through the code.

--- a/features/model.feature
+++ b/features/model.feature
@@ -12,6 +12,7 @@
       | takeover      | 1000   |
       | slots         | 100    |
       | cell          | 700    |
+      | crashes       | 100    |
 
   Scenario Outline: <specification> needs <guard>
     When the checker explores "<specification>" without "<guard>"
@@ -43,3 +44,7 @@
       | cell          | leases_waited_out         |
       | cell          | fence_before_read         |
       | cell          | end_recorded_before_acknowledged |
+      | crashes       | stored_with_next_start    |
+      | crashes       | successor_counts_vanished |
+      | crashes       | counted_by_run            |
+      | crashes       | gives_up                  |
--- a/features/steps/walk_steps.py
+++ b/features/steps/walk_steps.py
@@ -3,10 +3,15 @@
 from behave import then, when
 from support.walk import walk
 
-from model import cell, slots, takeover
+from model import cell, crashes, slots, takeover
 from model.check import check
 
-MODULES = {"takeover": takeover, "slots": slots, "cell": cell}
+MODULES = {
+    "takeover": takeover,
+    "slots": slots,
+    "cell": cell,
+    "crashes": crashes,
+}
 
 
 @when("a walk with seed {seed:d} is taken")
--- a/model/check.py
+++ b/model/check.py
@@ -7,10 +7,10 @@
 
 from minicheck import check_safety
 
-from . import cell, slots, takeover
+from . import cell, crashes, slots, takeover
 
 MAX_STATES = 2_000_000
-SPECIFICATIONS = (takeover, slots, cell)
+SPECIFICATIONS = (takeover, slots, cell, crashes)
 
 
 @dataclass(frozen=True)
