Tell a failed job's story from logs that are only partly there

Operators with the log of one instance saw hornbeampaddle trace break off (max of an empty list) where a job's end is in it and what led to it is not. Both scenarios ended in that error before; the story now says that the lines are missing.

--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -45,6 +45,20 @@
         assert one_line(line, 0.0)
 
 
+@given("a log with nothing but the end of a job that failed: {why}")
+def only_the_end(context, why):
+    line = {
+        "event": "job_finished",
+        "instance": "i0",
+        "job": "ba07".rjust(16, "0"),
+        "status": "failed",
+        "why": why,
+        "age_s": 1.0,
+        "timestamp": 1.0,
+    }
+    LINES[:] = [json.dumps(line)]
+
+
 @given("a log writer with a reader that stands still")
 def slow_reader(context):
     context.read_end, write_end = os.pipe()
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -39,6 +39,17 @@
     And 10 s pass in the cell
     Then the story of "ba06" says "failed: task 0/0/1 was started as 2 workers crashed"
 
+  Scenario Outline: A failed request whose lines are only partly there: <why>
+    # An operator has the log of one instance only: the job's end is in it, what led to it
+    # is not. The reader looked for the task with the most lines, and broke off.
+    Given a log with nothing but the end of a job that failed: <why>
+    Then the story of "ba07" says "failed: the lines that tell which task are not in these logs"
+
+    Examples:
+      | why             |
+      | attempts_used   |
+      | crashes_workers |
+
   Scenario: A request whose task finds no place
     # A caller waits and sees nothing run. All workers are full of tasks that last.
     Given a cell of 3 instances and 4 workers
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/story.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/story.py
@@ -25,6 +25,8 @@
 BEFORE_S = 5.0
 # A task that waited longer than this waited for room or for a holder.
 LONG_WAIT_S = 0.5
+# Of a failed request, where the logs of some instances are missing.
+UNNAMED = "failed: the lines that tell which task are not in these logs"
 
 Line = dict[str, Any]
 
@@ -112,6 +114,8 @@
 
 def _crashed(own: list[Line]) -> str:
     suspected = _events(own, "crash_suspected")
+    if not suspected:
+        return UNNAMED
     task, workers = _most_hit(suspected)
     return (
         f"failed: task {task} was started as {len(workers)} workers crashed, "
@@ -129,6 +133,8 @@
 
 def _failed(own: list[Line]) -> str:
     failures = [line for line in _events(own, "run_ended") if line["how"] == "failed"]
+    if not failures:
+        return UNNAMED
     task, workers = _most_hit(failures)
     return (
         f"failed: task {task} failed {len(workers)} times, "
