Drop a guard of the crash counts that nothing needs

Cause: of several tasks lost within a moment of their starts only the most suspected was counted. While two such losses end a job, the task that ends takes the loss from all others, so the guard changed nothing: found when each guard was taken out in turn.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
@@ -105,11 +105,9 @@
     prompt = [s for s in suspects if lost_at_s - s.run.sent_at_s <= PROMPT_S]
     # What a report has shown already has survived what the newest may not have.
     prompt = [s for s in prompt if not s.run.reported] or prompt
-    most = max((len(s.task.prompt_crashes) for s in prompt), default=0)
     for suspect in prompt:
         numbers = suspect.task.prompt_crashes
-        # Beside a task that was tried here because it is suspected, others are not.
-        if len(numbers) == most and suspect.run.number not in numbers:
+        if suspect.run.number not in numbers:
             numbers.append(suspect.run.number)
 
 
