--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -295,7 +295,7 @@
         self._send_starts(decision)
 
     def _watch_list(self, now_s: float) -> None:
-        """Tell the cell how old the list of workers is; log when that changes much."""
+        """Tell the cell how old the list of workers is; log when it gets too old."""
         self.cell.list_complete_at_s = self.list_complete_at_s()
         age_s = round(now_s - self.cell.list_complete_at_s, 3)
         if not math.isfinite(age_s):
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
@@ -23,6 +23,7 @@
 from hornbeampaddle.resources import NOTHING, Resources
 
 from .demand import Demand, Submission
+from .workers import RESTART_S
 
 TICK_S = 0.1
 # From a stop to the listed end, and from a start to the first work of a task that
@@ -31,8 +32,6 @@
 RESTORE_S = 0.4
 # A serving task is at work after so long.
 WARM_UP_S = 0.6
-# A worker that crashed is back under another id after so long.
-RESTART_S = 2.0
 # A worker's report shows tails and uses of this long a span.
 WINDOW_S = 0.5
 # A new pace holds from here on.
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -44,6 +44,8 @@
 # A worker that says of itself each second what it holds has shrunk for the cell so long
 # after it did: the time of contact and one sign of life.
 SHRUNK_AFTER_S = CONTACT_S + 1.1
+# A worker that crashed is back at its address after so long, under another id.
+RESTART_S = 2.0
 # A task under which so many workers have crashed may be started less than three times
 # more.
 CRASHES_MAX = 3
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -32,15 +32,13 @@
 from hornbeampaddle_cell.settings import InstanceSettings
 
 from .store import CellStore
-from .workers import CellWorker, Judge, OrderFaults, WorkerAccess
+from .workers import RESTART_S, CellWorker, Judge, OrderFaults, WorkerAccess
 
 MIB = 2**20
 ROUTE_HOST = "host"
 # A message between two instances takes this long one way.
 PEER_S = 0.002
-# A worker that crashed is back at its address after this long, and its old entry goes
-# after three signs of life that did not come.
-RESTART_S = 2.0
+# The entry of a worker that crashed goes after three signs of life that did not come.
 UNLIST_S = 3.3
 LIMITS = CallerLimits(16_384, 262_144, 3.0, 15.0)
 URGENT = Queue("urgent", "compute", 0, 4, 1.5, 0.25)
