Plan, confirm and show evacuations on the own interface

An operator of the own interface could only drain a data centre, which stops what runs there; the users ask that nothing new starts and that what runs, runs on. `plan evacuate DATA_CENTRE` and `plan take-back` write a record of their own; workers there get no request and no attempt, evictions follow drains only. `status`, `workers` and `explain` say so. A job that fits only there waits and is not refused: its room comes back. Two scenarios, and the command line's.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -16,6 +16,8 @@
     Then it exits with 0 and prints "gets no new work"
     When the command "confirm drain.json" is run
     Then it exits with 0 and prints "In force at offset 1"
+    When the command "plan evacuate brno --out evacuate.json" is run
+    Then it exits with 0 and prints "what runs there runs on"
     When the command "config history" is run
     Then it exits with 0 and prints "applied"
     When the command "plan drain rack nowhere --out none.json" is run
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -4,8 +4,9 @@
 import json
 
 from behave import step, then, when
+from support.scene import HOME
 
-from hornbeampaddle.intents import AddService, Drain
+from hornbeampaddle.intents import AddService, Drain, Evacuate
 from hornbeampaddle.records import Needs
 
 
@@ -142,3 +143,41 @@
     applied = [h for h in history if h["record_id"] == context.plan["plan_id"]]
     assert [h["applied"] for h in applied] == [True], history
     assert len(scene.look("e1", "/v1/config")["drains"]) == 1
+
+
+@when('an operator plans at "{name}" to evacuate the data centre')
+def plan_evacuation(context, name):
+    context.plan = context.scene.plan(name, Evacuate(HOME))
+
+
+@when('an operator plans at "{name}" to evacuate "{data_centre}"')
+def plan_unknown_evacuation(context, name, data_centre):
+    intent = Evacuate(data_centre)
+    context.answer = context.scene.operate(name, "/v1/plans", intent)
+
+
+@then('the intent is refused because "{reason}"')
+def intent_refused(context, reason):
+    status, body = context.answer
+    assert status == 422, context.answer
+    assert reason in json.dumps(body), body
+
+
+@then("the plan stops nothing")
+def stops_nothing(context):
+    assert not [e for e in context.plan["effects"] if e["verb"] == "stop"]
+
+
+@then('"status" and "explain" say that "{job_id}" waits for the data centre')
+def say_evacuated(context, job_id):
+    scene = context.scene
+    assert scene.look("e0", "/v1/status")["evacuated"] == HOME
+    whys = {scene.look(n, f"/v1/explain/{job_id}/0")["why"] for n in scene.instances}
+    wanted = f"waits until the data centre {HOME} is no longer evacuated"
+    assert wanted in whys, whys
+
+
+@when('an operator takes the data centre back at "{name}"')
+def take_back(context, name):
+    plan = context.scene.plan(name, Evacuate(HOME, False))
+    assert context.scene.confirm(name, plan)[0] == 200
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -74,3 +74,28 @@
     And the log service is well again
     And the operator confirms the plan at "e1"
     Then the plan is in force once
+
+  # What a user sees: tasks start in a data centre that is to be emptied, or end there.
+  Scenario: Nothing new starts in an evacuated data centre, and what runs there runs on
+    Given 3 entry instances and 4 workers
+    And a service "checks" that is "exclusive"
+    And a job "archive" of 4 tasks of 9 s is submitted to "e0"
+    And all 4 attempts run
+    When an operator plans at "e1" to evacuate the data centre
+    Then the plan stops nothing
+    When the operator confirms the plan at "e1"
+    Then the plan is in force
+    When a job "late" of 4 tasks of 1 s is submitted to "e2"
+    And 10 s pass
+    Then the job "archive" is done within 10 s
+    And no attempt was stopped
+    And at most 4 attempts began
+    And "status" and "explain" say that "late" waits for the data centre
+    When an operator takes the data centre back at "e2"
+    Then the job "late" is done within 10 s
+    And no promise was broken
+
+  Scenario: A data centre that nobody knows is not evacuated
+    Given 2 entry instances and 2 workers
+    When an operator plans at "e0" to evacuate "nowhere"
+    Then the intent is refused because "names no worker in data centre nowhere"
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/commands/plan.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/commands/plan.py
@@ -15,6 +15,7 @@
     ChangeQuota,
     Drain,
     DropService,
+    Evacuate,
     Intent,
 )
 from hornbeampaddle.records import JobSpec, Needs
@@ -151,6 +152,30 @@
         self.make(Drain(self.zone, self.name, False))
 
 
+@cappa.command(name="evacuate", help="Let nothing new start in a data centre.")
+@dataclass
+class PlanEvacuate(PlanOptions):
+    """Plan an evacuation; what runs there runs on."""
+
+    data_centre: str = ""
+
+    def __call__(self) -> None:
+        """Make the plan."""
+        self.make(Evacuate(self.data_centre, True))
+
+
+@cappa.command(name="take-back", help="End the evacuation of a data centre.")
+@dataclass
+class PlanTakeBack(PlanOptions):
+    """Plan the end of an evacuation."""
+
+    data_centre: str = ""
+
+    def __call__(self) -> None:
+        """Make the plan."""
+        self.make(Evacuate(self.data_centre, False))
+
+
 @cappa.command(name="set-limit", help="Limit a service's requests in flight.")
 @dataclass
 class PlanSetLimit(PlanOptions):
@@ -214,6 +239,8 @@
         | PlanRemoveService
         | PlanDrain
         | PlanUndrain
+        | PlanEvacuate
+        | PlanTakeBack
         | PlanSetLimit
         | PlanSetQuota
         | PlanAddJob
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/commands/workers.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/commands/workers.py
@@ -12,6 +12,7 @@
     "rack",
     "standing",
     "draining",
+    "evacuated",
     "decider",
     "epoch",
     "attempts",
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/context.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/context.py
@@ -53,6 +53,13 @@
     def usable(self, worker: Worker) -> bool:
         """Tell whether a worker may get new work."""
         listed = self.workers.get(worker.worker_id)
+        if listed is None or listed.standing.value != "live":
+            return False
+        return self.configuration.takes_work(listed)
+
+    def keeps_work(self, worker: Worker) -> bool:
+        """Tell whether what runs on a worker may run on there."""
+        listed = self.workers.get(worker.worker_id)
         if listed is None or listed.standing.value != "live":
             return False
         return not self.configuration.is_draining(listed)
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/fleet.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/fleet.py
@@ -104,7 +104,7 @@
         return now_s >= context.started_s + context.timing.suspect_after_s
 
     def _evict(self, decider: Decider, now_s: float) -> list[Notice]:
-        drained = not self.context.usable(decider.worker)
+        drained = not self.context.keeps_work(decider.worker)
         if not drained and not decider.book.overdrawn():
             return []
         notices: list[Notice] = []
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
@@ -152,6 +152,7 @@
             "authority_left_s": control.jobs.authority_until_s() - now_s,
             "workers_held": len(control.fleet.held()),
             "workers_listed": len(context.workers),
+            "evacuated": ", ".join(sorted(context.configuration.evacuations)),
             "jobs": len(control.jobs.table.jobs),
             "jobs_over": len(control.jobs.table.finished),
             "evictions": control.jobs.owner.evictions,
@@ -165,6 +166,7 @@
     def _workers(self) -> dict[str, object]:
         now_s = self.context.now_s()
         sick = set(self.control.jobs.rooms.sick(now_s))
+        evacuations = self.context.configuration.evacuations
         rows = []
         for worker in self.context.workers.values():
             decider = self.control.fleet.deciders.get(worker.worker_id)
@@ -176,6 +178,7 @@
                     "rack": worker.rack,
                     "standing": worker.standing.value,
                     "draining": self.context.configuration.is_draining(worker),
+                    "evacuated": worker.data_centre in evacuations,
                     "decider": room.decider if room else "",
                     "epoch": decider.epoch if decider and held else 0,
                     "attempts": len(decider.book.holds) if decider and held else None,
@@ -216,7 +219,7 @@
             return _json({"task_id": task_id, "why": detail, "owner": job.owner})
         job, task = found
         why = {
-            TaskState.PENDING: "waits for room, its team's quota or a retry's delay",
+            TaskState.PENDING: self._why_pending(),
             TaskState.PLACED: f"start asked of {task.worker_id}, no answer yet",
             TaskState.RUNNING: f"runs on {task.worker_id}",
             TaskState.DOUBT: f"{task.worker_id} is silent; waits for its lease to end",
@@ -237,6 +240,13 @@
         }
         return _json(body)
 
+    def _why_pending(self) -> str:
+        evacuations = self.context.configuration.evacuations
+        home = self.context.settings.data_centre
+        if home in evacuations:
+            return f"waits until the data centre {home} is no longer evacuated"
+        return "waits for room, its team's quota or a retry's delay"
+
     def _config(self) -> dict[str, object]:
         configuration = self.context.configuration
         peers = self.context.membership.members.values()
@@ -246,6 +256,7 @@
             "peers": {peer.instance_id: peer.config_offset for peer in peers},
             "services": list(configuration.services.values()),
             "drains": list(configuration.drains.values()),
+            "evacuations": list(configuration.evacuations.values()),
             "quotas": list(configuration.quotas.values()),
             "history": [{"record_id": r, **_verdict(a)} for r, a in history.items()],
         }
--- a/packages/hornbeampaddle/hornbeampaddle/configuration.py
+++ b/packages/hornbeampaddle/hornbeampaddle/configuration.py
@@ -17,6 +17,7 @@
     Needs,
     RemoveService,
     SetDrain,
+    SetEvacuation,
     SetLimit,
     SetQuota,
     SetService,
@@ -75,6 +76,8 @@
             return f"service:{change.service}"
         case SetDrain():
             return f"{change.zone}:{change.name}"
+        case SetEvacuation():
+            return f"evacuation:{change.data_centre}"
         case SetQuota():
             return f"quota:{change.team}"
 
@@ -96,6 +99,7 @@
     offset: int = UNKNOWN_OFFSET
     services: dict[str, SetService] = field(default_factory=dict)
     drains: dict[tuple[str, str], SetDrain] = field(default_factory=dict)
+    evacuations: dict[str, SetEvacuation] = field(default_factory=dict)
     quotas: dict[str, SetQuota] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     applied: dict[str, int] = field(default_factory=dict)
@@ -167,6 +171,10 @@
                 self.drains[(change.zone, change.name)] = change
             case SetDrain():
                 self.drains.pop((change.zone, change.name), None)
+            case SetEvacuation(evacuated=True):
+                self.evacuations[change.data_centre] = change
+            case SetEvacuation():
+                self.evacuations.pop(change.data_centre, None)
             case SetQuota():
                 self.quotas[change.team] = change
             case SetLimit():
@@ -197,6 +205,7 @@
         self.offset = snapshot.through_offset
         self.services = {s.service: s for s in snapshot.services}
         self.drains = {(d.zone, d.name): d for d in snapshot.drains}
+        self.evacuations = {e.data_centre: e for e in snapshot.evacuations}
         self.quotas = {q.team: q for q in snapshot.quotas}
         self.versions = dict(snapshot.versions)
         self.applied = dict(snapshot.applied)
@@ -209,6 +218,7 @@
             through_offset=self.offset,
             services=tuple(self.services.values()),
             drains=tuple(self.drains.values()),
+            evacuations=tuple(self.evacuations.values()),
             quotas=tuple(self.quotas.values()),
             versions=dict(self.versions),
             applied=dict(self.applied),
@@ -225,6 +235,11 @@
         )
         return any(zone in self.drains for zone in zones)
 
+    def takes_work(self, worker: Worker) -> bool:
+        """Tell whether anything new may start on a worker."""
+        evacuated = worker.data_centre in self.evacuations
+        return not evacuated and not self.is_draining(worker)
+
     def services_on(self, worker_id: str) -> list[SetService]:
         """Return the services that have room reserved on a worker."""
         return [s for s in self.services.values() if worker_id in s.placement]
--- a/packages/hornbeampaddle/hornbeampaddle/intents.py
+++ b/packages/hornbeampaddle/hornbeampaddle/intents.py
@@ -31,6 +31,13 @@
     draining: bool = True
 
 
+class Evacuate(Struct, frozen=True, tag=True, forbid_unknown_fields=True):
+    """Let nothing new start in a data centre, or take it back."""
+
+    data_centre: Name
+    evacuated: bool = True
+
+
 class ChangeQuota(Struct, frozen=True, tag=True, forbid_unknown_fields=True):
     """Limit what the batch tasks of a team hold at once."""
 
@@ -51,4 +58,6 @@
     spec: JobSpec
 
 
-Intent = AddService | DropService | Drain | ChangeQuota | ChangeLimit | AddJob
+Intent = (
+    AddService | DropService | Drain | Evacuate | ChangeQuota | ChangeLimit | AddJob
+)
--- a/packages/hornbeampaddle/hornbeampaddle/plans.py
+++ b/packages/hornbeampaddle/hornbeampaddle/plans.py
@@ -31,6 +31,7 @@
     ChangeQuota,
     Drain,
     DropService,
+    Evacuate,
     Intent,
 )
 from .machines import Standing, Worker
@@ -41,12 +42,16 @@
     Needs,
     RemoveService,
     SetDrain,
+    SetEvacuation,
     SetLimit,
     SetQuota,
     SetService,
 )
 from .resources import NOTHING, Resources
 
+NO_NEW_WORK = "gets no new work"
+TAKEN_BACK = "takes new work again"
+
 
 class Effect(Struct, frozen=True):
     """One thing that the plan does: ``verb`` is move, stop, refuse or reserve."""
@@ -95,6 +100,8 @@
             return _drop_service(intent, world)
         case Drain():
             return _drain(intent, world)
+        case Evacuate():
+            return _evacuate(intent, world)
         case ChangeQuota():
             change = SetQuota(intent.team, intent.needs)
             return Ok(_plan(intent, world, [change], []))
@@ -153,6 +160,15 @@
 
 
 def _usable(world: World) -> list[Worker]:
+    return [
+        worker
+        for worker in world.workers
+        if worker.standing is Standing.LIVE and world.configuration.takes_work(worker)
+    ]
+
+
+def _staying(world: World) -> list[Worker]:
+    """Return the workers that will take work, at the latest when an evacuation ends."""
     return [
         worker
         for worker in world.workers
@@ -321,18 +337,32 @@
         return Err(f"the instance list names no worker in {intent.zone} {intent.name}")
     change = SetDrain(intent.zone, intent.name, intent.draining)
     if not intent.draining:
-        detail = "takes new work again"
-        effects = [Effect("reserve", w.worker_id, detail) for w in inside]
+        effects = [Effect("reserve", w.worker_id, TAKEN_BACK) for w in inside]
         return Ok(_plan(intent, world, [change], effects))
     effects = []
     for worker in inside:
-        effects.append(Effect("move", worker.worker_id, "gets no new work"))
+        effects.append(Effect("move", worker.worker_id, NO_NEW_WORK))
         for order in world.running.get(worker.worker_id, []):
             effects.append(_stop(order, worker))
     risks = _drain_risks(inside, world)
     return Ok(_plan(intent, world, [change], effects, risks=risks))
 
 
+def _evacuate(intent: Evacuate, world: World) -> Result[Plan, str]:
+    name = intent.data_centre
+    inside = [w for w in world.workers if w.data_centre == name]
+    change = SetEvacuation(name, intent.evacuated)
+    if not intent.evacuated:
+        effects = [Effect("reserve", w.worker_id, TAKEN_BACK) for w in inside]
+        return Ok(_plan(intent, world, [change], effects))
+    if not inside:
+        return Err(f"the instance list names no worker in data centre {name}")
+    detail = f"{NO_NEW_WORK}, what runs there runs on"
+    effects = [Effect("move", w.worker_id, detail) for w in inside]
+    risks = _drain_risks(inside, world)
+    return Ok(_plan(intent, world, [change], effects, risks=risks))
+
+
 def _in_zone(worker: Worker, intent: Drain) -> bool:
     match ZoneKind(intent.zone):
         case ZoneKind.WORKER:
@@ -370,7 +400,7 @@
 def _add_job(intent: AddJob, world: World) -> Result[Plan, str]:
     spec = intent.spec
     needs = resources_of(spec.needs)
-    match never_fits(needs, _usable(world)):
+    match never_fits(needs, _staying(world)):
         case NeverFits() as never:
             detail = (
                 f"never fits: {never.lacking} too small even on the largest "
--- a/packages/hornbeampaddle/hornbeampaddle/records.py
+++ b/packages/hornbeampaddle/hornbeampaddle/records.py
@@ -58,6 +58,13 @@
     draining: bool
 
 
+class SetEvacuation(Struct, frozen=True, tag=True, forbid_unknown_fields=True):
+    """Let nothing new start in a data centre, or end that; what runs there runs on."""
+
+    data_centre: Name
+    evacuated: bool
+
+
 class SetQuota(Struct, frozen=True, tag=True, forbid_unknown_fields=True):
     """Limit what the batch tasks of one team hold at once."""
 
@@ -72,7 +79,7 @@
     in_flight_max: Annotated[int, Meta(ge=1)]
 
 
-Change = SetService | RemoveService | SetDrain | SetQuota | SetLimit
+Change = SetService | RemoveService | SetDrain | SetEvacuation | SetQuota | SetLimit
 
 
 class ConfigChange(Struct, frozen=True, tag=True, forbid_unknown_fields=True):
@@ -97,6 +104,7 @@
     through_offset: int
     services: tuple[SetService, ...] = ()
     drains: tuple[SetDrain, ...] = ()
+    evacuations: tuple[SetEvacuation, ...] = ()
     quotas: tuple[SetQuota, ...] = ()
     versions: dict[str, int] = msgspec.field(default_factory=dict)
     applied: dict[str, int] = msgspec.field(default_factory=dict)
