Stop nothing for others by views that will soon be too old to start by

Trace of the holder: the store is silent to it from 32.4 s; its list of workers was last complete at 30.3 s; at 34.640 s an exchange stopped lasting tasks, at 34.678 s the list was 4.41 s old and nothing started any more.

Exchanges, moves and room made for urgent jobs now need views half as old as starts do, so that what is stopped can start again.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -365,3 +365,23 @@
 @then("lasting tasks made room for urgent jobs")
 def made_room(context):
     assert context.away_s
+
+
+VIEWS = {
+    "the list of workers": "list_complete_at_s",
+    "the operator's log": "evacuations_complete_at_s",
+}
+
+
+@when("{view} is {age_s:g} s old as an urgent job of {tasks:d} x {cores:d} cores comes")
+def urgent_by_old_view(context, view, age_s, tasks, cores):
+    context.player = player = prepared(context)
+    setattr(player.cell, VIEWS[view], player.now_s - age_s)
+    player.submit("urgent", URGENT, step(tasks, cores * 1000), 1.0)
+    player.tick()
+
+
+@then("{count} lasting tasks are stopped for it")
+def stopped_for_it(context, count):
+    stopped = [run for _, run in context.player.stops if run.step.lasting]
+    assert bool(stopped) is (count == "some"), stopped
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -132,3 +132,19 @@
     When a lasting filling job of 4 x 5650 thousandths of a core is handed in
     And newer jobs are handed in for 12 s
     Then 4 of its tasks are at work
+
+  Scenario Outline: Nothing is stopped to start elsewhere by <view> that gets too old
+    # Watchers of calendars stood still for ten seconds beside free room: they had been
+    # stopped for others in the last moment in which the view was recent enough to start by,
+    # and by the time they had ended nothing could start any more.
+    Given 4 workers of 16 cores
+    And lasting tasks of 4 cores fill them
+    When <view> is <age> s old as an urgent job of 4 x 2 cores comes
+    Then <count> lasting tasks are stopped for it
+
+    Examples:
+      | view                   | age | count |
+      | the list of workers    | 1.0 | some  |
+      | the list of workers    | 1.5 | no    |
+      | the operator's log     | 2.0 | some  |
+      | the operator's log     | 2.5 | no    |
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -198,7 +198,7 @@
         place_slow(turn)
     elif turn.step.step.lasting:
         _place_on_resting(turn)
-    elif chance_of(turn.state, turn.now_s) == 0:
+    elif turn.cell.may_displace(turn.now_s) and chance_of(turn.state, turn.now_s) == 0:
         make_room(turn.cell, turn.state, turn.step, turn.now_s)
 
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -36,6 +36,9 @@
 OUTLOOK_S = 0.4
 # A quarter of the largest cell's workers may stop answering in one moment.
 SILENCES_KEPT = 128
+# A stop takes up to 0.9 s and a start about as long: half of the shortest time in which
+# views may be started by.
+DISPLACE_AGE_RATIO = 0.5
 # Stands for the address of a worker that only an old record names.
 NO_ADDRESS = Address("", 0)
 
@@ -160,25 +163,33 @@
             self._leave(worker)
         return worker
 
-    def list_recent(self, now_s: float) -> bool:
+    def may_start(self, now_s: float) -> bool:
         """
-        Tell whether the list of workers is recent enough to start anything by it.
+        Tell whether what is known of workers and evacuations is recent enough to start.
 
-        Guards against workers that are overrun: they say there that they hold less, and
-        that cannot be read while everything else can.
+        Guards against workers that are overrun, and tasks that start in a data centre
+        that is being emptied: that is said where it cannot be read, while everything
+        else can.
         """
-        return now_s - self.list_complete_at_s <= self.settings.list_recent_s
+        return self._views_age_ratio(now_s) <= 1.0
 
-    def may_start(self, now_s: float) -> bool:
+    def may_displace(self, now_s: float) -> bool:
         """
-        Tell whether what is known of workers and evacuations is recent enough to start.
+        Tell whether to stop what runs well, to let it or others start elsewhere.
 
-        Guards against tasks that start in a data centre that is being emptied, while
-        the operator's log cannot be read and everything else can.
+        Guards against lasting tasks that are stopped in the last moment in which
+        anything may start, and then wait for as long as the views stay old.
         """
-        age_s = now_s - self.evacuations_complete_at_s
-        recent = age_s <= self.settings.evacuations_recent_s
-        return recent and self.list_recent(now_s)
+        return self._views_age_ratio(now_s) <= DISPLACE_AGE_RATIO
+
+    def _views_age_ratio(self, now_s: float) -> float:
+        """Return the age of the older view, as a share of that at which starts end."""
+        list_age_s = now_s - self.list_complete_at_s
+        evacuations_age_s = now_s - self.evacuations_complete_at_s
+        return max(
+            list_age_s / self.settings.list_recent_s,
+            evacuations_age_s / self.settings.evacuations_recent_s,
+        )
 
     def evacuate(self, data_centres: frozenset[str]) -> None:
         """Take in the data centres in which nothing more may start."""
@@ -458,9 +469,10 @@
         self.expire(now_s)
         self.model.solve(now_s)
         decision = Decision()
-        if self.may_start(now_s):
+        if self.may_displace(now_s):
             moving.move_slow_fillers(self, now_s)
             self.separator.separate(now_s)
+        if self.may_start(now_s):
             dispatch.place(self, decision, now_s, wall_s)
         decision.stops = self._take_stops(now_s)
         decision.paces = self.pacer.take()
