Keep up with long logs over narrow links and through peers

The same trace: the holder, turned away by the store, asked peers for a megabyte of the list of workers (890 of them write about 280 kB/s). That passes a link of 10 Mbit/s twice in no less than 1.7 s, and a peer has 0.5 s. Each try in vain made all peers rest for a second, cost a direct try of a second, and left more to read: the view never came back in 11 s.

- A read through a peer asks for 128 KiB, what 5 Mbit/s carry in its time.
- A read without an answer is followed by one for a quarter, down to 64 KiB.
- No pause between reads while behind: 213 kB/s passed before, less than came.
- Whether the store serves again is found out by a read of its own, once a second, and no call waits for that any more; a holder's append lost up to a second of its 1.5 s to it.

--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -79,3 +79,11 @@
     Given a store whose answers take 0.24 s on their way back
     When a reload is asked for while a read is under way
     Then the newest records are read again
+
+  Scenario: An instance on a narrow link catches up with what it missed
+    # Callers of one instance were refused for good: it had missed a few seconds of a busy
+    # log, asked for all of that in one read, and no answer passed its link in time.
+    Given a cell of 3 instances and 4 workers
+    And one instance has a link of 5 Mbit/s
+    When the store is silent for it for 4 s while 400 kB/s of jobs are stored
+    Then its view of the jobs is whole within 8 s
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -70,3 +70,15 @@
     And its peers are refused by the store
     When a numbered append goes through it
     Then its outcome is that no answer came
+
+  Scenario: The holder of a long list of workers goes on while the store is silent to it
+    # Lasting tasks stood still for ten seconds: several hundred workers wrote into the list,
+    # and the holder was away for long enough that what it had missed did not pass a peer's
+    # narrow link in time. It asked for as much again and again, and had missed more each
+    # time; nothing started by a list that old, and peers were left alone for other calls.
+    Given a cell of 4 instances and 6 workers that reach the store through one another
+    And links of 10 Mbit/s, and workers that write 280 kB/s into their list together
+    When the store is silent for the holder while jobs are handed in for 14 s
+    Then no span without a start was longer than 3.5 s
+    And the same instance holds the cell
+    And no promise of the cell was broken
--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -349,3 +349,32 @@
 @then("the newest records are read again")
 def read_again(context):
     assert len(context.reloads) == 1, context.reloads
+
+
+@when(
+    "the store is silent for it for {away_s:d} s while {kb_per_s:d} kB/s of jobs are "
+    "stored"
+)
+def missed_jobs(context, away_s, kb_per_s):
+    world = context.world
+    record = Keyed("unreadable", b"x" * 20_000)
+
+    async def store():
+        world.store.faults[context.narrow] = STORE_FAULTS["is silent"]
+        # A peer's answer passes the same narrow link: what is missed stays missed.
+        for _ in range(away_s * kb_per_s // 20):
+            await asyncio.sleep(20 / kb_per_s)
+            world.store.write(Topic.JOBS, record)
+        world.store.faults.clear()
+
+    play(context, store())
+
+
+@then("its view of the jobs is whole within {within_s:d} s")
+def whole_again(context, within_s):
+    instance = context.world.instances[context.narrow]
+
+    def whole():
+        return instance.jobs.age_s() < 1.0
+
+    assert play(context, context.world.until(whole, within_s)), instance.jobs.age_s()
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 from behave import given, then, when
 from support.cell_scene import STORE_FAULTS, job_id, new_loop, play
@@ -13,6 +14,7 @@
 from hornbeampaddle_cell.peers import PeerBook, peer_record
 from hornbeampaddle_cell.ports import Appended, Keyed, Producer, Topic, Unavailable
 from hornbeampaddle_cell.relay import Relay, encode_outcome
+from hornbeampaddle_standins.cell.store import Link
 from hornbeampaddle_standins.cell.world import BATCH, SkewedClock, World
 from hornbeampaddle_wire.peer_requests import PeerChannel
 
@@ -270,3 +272,30 @@
 @then("its outcome is that no answer came")
 def no_answer(context):
     assert isinstance(context.outcome, NoAnswer), context.outcome
+
+
+@given(
+    "links of {mbit_per_s:g} Mbit/s, and workers that write {kb_per_s:g} kB/s into "
+    "their list together"
+)
+def long_list(context, mbit_per_s, kb_per_s):
+    world = context.world
+    for name in world.instances:
+        world.store.links[name] = Link(mbit_per_s * 1e6 / 8)
+    # Entries as long as those of many workers, written by few.
+    pad = frozenset({"x" * 1000})
+    for worker in world.workers.values():
+        labels = worker.listing.labels | pad
+        worker.listing = replace(worker.listing, labels=labels)
+
+    async def write():
+        while True:
+            for worker in world.workers.values():
+                await asyncio.sleep(1.0 / kb_per_s)
+                world.list_worker(worker)
+
+    async def begin():
+        world.tasks["list"] = asyncio.create_task(write())
+        await asyncio.sleep(2.0)
+
+    play(context, begin())
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
@@ -40,6 +40,9 @@
 
 # One read of a log returns about so many bytes: below a second on a link of 10 Mbit/s.
 READ_BYTES = 1024 * 1024
+# After a read without an answer the next asks for a quarter, down to this.
+READ_MIN_BYTES = 64 * 1024
+READ_SHRINK = 4
 # A read of a log whose records replace one another: about one record. The rest of what
 # it is behind by is never read.
 REPLACING_READ_BYTES = 64 * 1024
@@ -76,6 +79,11 @@
         # ends with a record is as new as its start, and another wait comes on top. The
         # next read does not wait: the age stays below one wait and two answers.
         self._look_again = False
+        # Guards against a view that never catches up: what was missed does not pass a
+        # busy link in time, and more is missed with each try.
+        self._read_bytes = READ_BYTES
+        # The last read did not reach the log's end: the next follows at once.
+        self._behind = False
         self._failures = 0
         self._lost_at_s: float | None = None
         self.random = Random()
@@ -95,7 +103,7 @@
             done = await self._load() if self.offset is None else await self._step()
             if not done:
                 await asyncio.sleep(self._backoff_s())
-            elif self.pause_s:
+            elif self.pause_s and not self._behind:
                 await self._pause()
 
     async def _pause(self) -> None:
@@ -145,7 +153,7 @@
         wait_s = 0.0 if at_once else self.wait_s
         self._poked.clear()
         sent_at_s = self.clock.now_s()
-        size_max_bytes = REPLACING_READ_BYTES if self.replacing else READ_BYTES
+        size_max_bytes = REPLACING_READ_BYTES if self.replacing else self._read_bytes
         span = Span(self.offset, wait_s, size_max_bytes)
         outcome = await self.store.read(self.topic, span)
         if self.offset != span.offset:
@@ -159,17 +167,22 @@
             case Expired():
                 self.offset = None
                 return True
-            case Unavailable(detail) | NoAnswer(detail):
+            case Unavailable(detail):
+                self._bad(detail)
+            case NoAnswer(detail):
+                self._read_bytes = max(READ_MIN_BYTES, self._read_bytes // READ_SHRINK)
                 self._bad(detail)
         return False
 
     def _take(self, batch: Batch, sent_at_s: float) -> None:
         now_s = self.clock.now_s()
         self.offset = batch.next_offset
+        self._read_bytes = min(READ_BYTES, 2 * self._read_bytes)
         self._look_again = bool(batch.records) and now_s - sent_at_s > LOOK_AGAIN_S
         if batch.records:
             self.handler(self._newest_of(batch.records))
-        if batch.next_offset >= batch.end_offset:
+        self._behind = batch.next_offset < batch.end_offset
+        if not self._behind:
             self._good(min(sent_at_s + batch.waited_s, now_s))
         elif self.replacing:
             # Guards against reading what was replaced long ago, record by record,
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -156,6 +156,7 @@
             group.create_task(self._watch())
             group.create_task(self.metrics.watch_loop())
             if self.relay is not None:
+                group.create_task(self.relay.run())
                 group.create_task(self._follow_peers().run())
                 group.create_task(self._renew_peer_record())
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -10,6 +10,7 @@
 the log takes once. A claim has none: it is passed on only if it was refused.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from typing import Protocol
@@ -46,6 +47,8 @@
 # The store itself is tried again this often while peers are used: it is back within
 # this time after it serves us again, and each try in vain is one call.
 DIRECT_EVERY_S = 1.0
+# What it is tried with: a read that any answer settles.
+TRY = Span(0, 0.0, 1024)
 # If no peer was served either, the store is down for all, and peers are left alone for
 # so long: three instances of four would ask in vain, and each call that waits for a
 # silent peer would find the store's return that much later.
@@ -59,6 +62,9 @@
 # A read through a peer waits no longer for a record than this: a peer that has just
 # lost the store would hold it for the whole of a long read.
 PEER_READ_WAIT_S = 0.2
+# A read through a peer asks for no more than passes the narrowest links, of 5 Mbit/s,
+# within its time.
+PEER_READ_BYTES = 128 * 1024
 
 # The newest configuration, with 1,700 routes, is 0.45 MB as it travels: 0.7 s on the
 # narrowest link, of 5 Mbit/s (both worked out). With less, an instance there never
@@ -144,7 +150,6 @@
         self.book = book
         self.peers = peers
         self.clock = clock
-        self._direct_at_s = float("-inf")
         self._peers_at_s = float("-inf")
         self._away_since_s: float | None = None
 
@@ -182,9 +187,10 @@
             # A long read that stays unanswered costs its whole wait before a peer is
             # asked; while the store is out of reach, that makes every view 2 s old.
             direct_span = replace(span, wait_s=0.0)
+        size_max_bytes = min(span.size_max_bytes, PEER_READ_BYTES)
         outcome = await self._call(
             lambda: self.direct.read(topic, direct_span),
-            ReadAsk(topic.value, span.offset, wait_s, span.size_max_bytes),
+            ReadAsk(topic.value, span.offset, wait_s, size_max_bytes),
             PEER_READ_WAIT_S + PEER_MARGIN_S,
         )
         assert isinstance(outcome, ReadOutcome)
@@ -208,8 +214,7 @@
         repeatable: bool = True,
     ) -> Outcome:
         outcome: Outcome = Unavailable("turned away a moment ago")
-        now_s = self.clock.now_s()
-        if now_s >= self._direct_at_s or now_s < self._peers_at_s:
+        if not self.away or self.clock.now_s() < self._peers_at_s:
             # While peers are left alone as well, only the store itself can help.
             outcome = await direct()
             if not isinstance(outcome, Unavailable | NoAnswer):
@@ -228,18 +233,30 @@
             return outcome
         return relayed
 
+    async def run(self) -> None:
+        """
+        Look for ever whether the store serves this instance again.
+
+        Guards against views that get old, and a holder that lapses, while the store is
+        silent to it: a call that tried the store itself would wait a second in vain.
+        """
+        while True:
+            await asyncio.sleep(DIRECT_EVERY_S)
+            if not self.away:
+                continue
+            outcome = await self.direct.read(Topic.PEERS, TRY)
+            if not isinstance(outcome, Unavailable | NoAnswer):
+                self._served()
+
     def _served(self) -> None:
-        self._direct_at_s = float("-inf")
         if self._away_since_s is not None:
             gone_s = round(self.clock.now_s() - self._away_since_s, 3)
             log.info("relay: store serves us again", gone_s=gone_s)
             self._away_since_s = None
 
     def _turned_away(self) -> None:
-        now_s = self.clock.now_s()
-        self._direct_at_s = now_s + DIRECT_EVERY_S
         if self._away_since_s is None:
-            self._away_since_s = now_s
+            self._away_since_s = self.clock.now_s()
             log.warning("relay: store turns us away", peers=len(self.book.shuffled()))
 
     async def _relayed(self, ask: Ask, timeout_s: float) -> Outcome | None:
@@ -280,7 +297,7 @@
         except msgspec.MsgspecError as error:
             log.error("relay: request not understood", error=str(error))
             return encode_outcome(Unavailable("request not understood"))
-        if self.clock.now_s() < self._direct_at_s:
+        if self.away:
             return encode_outcome(Unavailable("this peer is turned away too"))
         outcome = await self._for_peer(ask)
         if isinstance(outcome, Unavailable | NoAnswer):
