Read the operator's log on from its place after a lost answer

It reads on from its place now, unless the log was growing when it was last read; with what is new it still takes the newest and leaves the rest.

--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -87,3 +87,12 @@
     And one instance has a link of 5 Mbit/s
     When the store is silent for it for 4 s while 400 kB/s of jobs are stored
     Then its view of the jobs is whole within 8 s
+
+  Scenario: An instance that loses the store for a moment does not read all routes again
+    # A data centre stood still: each read that was lost made the holder read the whole
+    # configuration again, through peers on narrow links, though nothing had changed, and
+    # by a view that old nothing starts.
+    Given a cell of 3 instances and 4 workers
+    And the configuration has 500 queues
+    When the store is silent for the holder for 3 s
+    Then it has not read the whole operator's log again
--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -378,3 +378,35 @@
         return instance.jobs.age_s() < 1.0
 
     assert play(context, context.world.until(whole, within_s)), instance.jobs.age_s()
+
+
+@given("the configuration has {count:d} queues")
+def many_queues(context, count):
+    world = context.world
+    world.configure(URGENT, BATCH, *OTHER_QUEUES[:count])
+    play(context, asyncio.sleep(2.0))
+
+
+@when("the store is silent for the holder for {away_s:d} s")
+def silent_for_holder(context, away_s):
+    world = context.world
+    context.holder = world.holder()
+    context.loads = 0
+    follower = world.instances[context.holder].operator
+    load = follower._load
+
+    async def counted():
+        context.loads += 1
+        return await load()
+
+    follower._load = counted
+    world.store.faults[context.holder] = STORE_FAULTS["is silent"]
+    play(context, asyncio.sleep(away_s))
+    world.store.faults.clear()
+    play(context, asyncio.sleep(2.0))
+
+
+@then("it has not read the whole operator's log again")
+def not_loaded(context):
+    assert context.world.instances[context.holder].operator.age_s() < 2.0
+    assert context.loads == 0, context.loads
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
@@ -84,6 +84,8 @@
         self._read_bytes = READ_BYTES
         # The last read did not reach the log's end: the next follows at once.
         self._behind = False
+        # The last read found something new, so more will have come meanwhile.
+        self._growing = False
         self._failures = 0
         self._lost_at_s: float | None = None
         self.random = Random()
@@ -178,6 +180,7 @@
         now_s = self.clock.now_s()
         self.offset = batch.next_offset
         self._read_bytes = min(READ_BYTES, 2 * self._read_bytes)
+        self._growing = bool(batch.records)
         self._look_again = bool(batch.records) and now_s - sent_at_s > LOOK_AGAIN_S
         if batch.records:
             self.handler(self._newest_of(batch.records))
@@ -210,8 +213,9 @@
         if self._lost_at_s is None:
             self._lost_at_s = self.clock.now_s()
             log.warning("store: lost", topic=self.topic.value, detail=detail)
-        if self.replacing:
-            # What came meanwhile has replaced what this place in the log leads to.
+        if self.replacing and self._growing:
+            # What came meanwhile has replaced what this place in the log leads to. If
+            # nothing was new, a read from there is short, and one of everything is not.
             self.offset = None
 
     def _backoff_s(self) -> float:
