Write logs in pieces that a pipe takes whole, and say what was dropped

The writer sent up to 16 KiB at once and believed the answer that all was taken; the reader on the users' platform keeps 8 KiB of such a write.

Each write is now at most PIPE_BUF (4 KiB here) of whole lines, which a pipe takes whole or not at all. `log: dropped` counts by event; the step that reads `dropped` follows the new type, as strict as before. The scenario with a reader that keeps 8 KiB failed before; the one with a reader that takes 700 bytes at a time did not, and guards the rest.

--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -1,10 +1,12 @@
 """Steps that tell stories from logs."""
 
 import contextlib
+import fcntl
 import functools
 import json
 import os
 import time
+from unittest.mock import patch
 
 from behave import given, then, when
 
@@ -85,7 +87,7 @@
 
 @then("the reader finds how many lines were dropped")
 def dropped(context):
-    assert context.log.dropped > 0
+    assert context.log.dropped.total() > 0
     os.set_blocking(context.read_end, False)
     data = b""
     for _ in range(200):
@@ -94,6 +96,50 @@
         context.log.flush()
     noted = [json.loads(x) for x in data.splitlines() if x.startswith(b"{")]
     assert noted and noted[0]["lines"] > 0, noted
+    assert sum(noted[0]["by_event"].values()) == noted[0]["lines"], noted
+
+
+@given("a log writer with a reader that {how}")
+def faulty_reader(context, how):
+    slow_reader(context)
+    context.taken = b""
+    match how:
+        case "takes a few bytes at a time":
+            fcntl.fcntl(context.read_end, fcntl.F_SETPIPE_SZ, 4096)
+            context.take = lambda: os.read(context.read_end, 700)
+        case "takes 8 KiB of any write, and says that it took all":
+            context.take = bytes
+
+            def write(descriptor, data):
+                context.taken += data[:8192]
+                return len(data)
+
+            patched = patch.object(logs.os, "write", write)
+            patched.start()
+            context.add_cleanup(patched.stop)
+
+
+@when("{count:d} lines of {size_bytes:d} bytes are logged to it")
+def log_lines(context, count, size_bytes):
+    pad = "x" * (size_bytes - 20)
+    for number in range(count):
+        line = json.dumps({"number": number, "pad": pad}).encode() + b"\n"
+        context.log.add(f"event {number % 50}", line)
+        if number % 50 == 0:
+            context.log.flush()
+    while context.log._lines:
+        context.log.flush()
+        context.taken += context.take()
+    with contextlib.suppress(BlockingIOError):
+        os.set_blocking(context.read_end, False)
+        while data := os.read(context.read_end, 1 << 16):
+            context.taken += data
+
+
+@then("the reader finds all {count:d} of them, none torn")
+def all_lines(context, count):
+    numbers = [json.loads(line)["number"] for line in context.taken.splitlines()]
+    assert numbers == list(range(count)), len(numbers)
 
 
 @then(
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -78,3 +78,15 @@
     # them, 0.1 s to be shown: the reader has to find each where it was.
     When the budget is read from the lines of such a job, the last first
     Then its stages are 0.01, 0.2, 1, 0.5, 0.1 and 3.81 s
+
+  Scenario Outline: No log line is torn or lost by a reader that <how>
+    # Half of the lines about a job were missing, and the last one before each gap was torn:
+    # a write of 16 KiB was said to have been taken whole, and was not.
+    Given a log writer with a reader that <how>
+    When 500 lines of 300 bytes are logged to it
+    Then the reader finds all 500 of them, none torn
+
+    Examples:
+      | how                                                 |
+      | takes a few bytes at a time                         |
+      | takes 8 KiB of any write, and says that it took all |
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/logs.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/logs.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import os
-from collections import deque
+import select
+from collections import Counter, deque
 from collections.abc import Callable, MutableMapping
 from typing import Any
 
@@ -19,8 +20,9 @@
 # One buffer of a pipe, several times over: a reader that is away for a second
 # loses nothing at 2,000 lines a second.
 BUFFER_BYTES = 1024 * 1024
-# Each write carries whole lines up to about this size.
-WRITE_BYTES = 16 * 1024
+# Each write carries whole lines up to this size: a pipe takes so much whole or not at
+# all, and of more it may take a part.
+WRITE_BYTES = select.PIPE_BUF
 # Repeats of one event beyond this many a second are counted instead of kept;
 # refusals and failures have few events of their own and stay below it.
 EVENT_LINES_PER_S = 600
@@ -34,7 +36,8 @@
     def __init__(self, descriptor: int) -> None:
         """Make writes to the descriptor return at once."""
         self.descriptor = descriptor
-        self.dropped = 0
+        # Lines that were dropped since that was last logged, by their event.
+        self.dropped: Counter[str] = Counter()
         self.dropped_total = 0
         self.on_drop: Callable[[], None] | None = None
         self._lines: deque[bytes] = deque()
@@ -48,7 +51,7 @@
         self._counts[event] = count
         limit = EVENT_LINES_PER_S * FLUSH_S
         if count > limit or self._size_bytes + len(line) > BUFFER_BYTES:
-            self.dropped += 1
+            self.dropped[event] += 1
             if self.on_drop is not None:
                 self.on_drop()
             return
@@ -63,10 +66,15 @@
             pass
 
     def _chunk(self) -> bytes:
-        """Take whole lines, so that a reader rarely meets half of one."""
-        taken: list[bytes] = []
-        size_bytes = 0
-        while self._lines and size_bytes < WRITE_BYTES:
+        """
+        Take as many whole lines as one write carries, or one that is longer.
+
+        Guards against lines that are torn, and others that are lost between: a reader
+        was found that says it has taken a longer write whole, and has taken 8 KiB.
+        """
+        taken = [self._lines.popleft()]
+        size_bytes = len(taken[0])
+        while self._lines and size_bytes + len(self._lines[0]) <= WRITE_BYTES:
             size_bytes += len(self._lines[0])
             taken.append(self._lines.popleft())
         return b"".join(taken)
@@ -88,12 +96,13 @@
     def _note_dropped(self) -> None:
         if not self.dropped or self._size_bytes > BUFFER_BYTES // 2:
             return
-        self.dropped_total += self.dropped
-        fields = {"event": "log: dropped", "lines": self.dropped}
-        line = _encode({**fields, "total": self.dropped_total}) + b"\n"
+        lines = self.dropped.total()
+        self.dropped_total += lines
+        fields = {"event": "log: dropped", "lines": lines, "total": self.dropped_total}
+        line = _encode({**fields, "by_event": dict(self.dropped)}) + b"\n"
         self._lines.append(line)
         self._size_bytes += len(line)
-        self.dropped = 0
+        self.dropped.clear()
 
     async def run(self) -> None:
         """Flush until cancelled."""
