--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -51,8 +51,7 @@
 # A turn without any event: leases and due times are looked at this often.
 IDLE_TURN_S = 0.1
 # Between two decisions passes this many times what the last one took: deciding gets a
-# quarter of the processor at most, and orders and reports the rest. In a cell of 246
-# workers, decisions without a pause took 62 % of it, and starts were 0.85 s late.
+# quarter of the processor at most, and orders and reports the rest.
 TURN_GAP_RATIO = 4.0
 TURN_GAP_MAX_S = 0.1
 # Finished jobs are looked for this often, and dropped so many at a time.
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -67,8 +67,7 @@
 PEER_READ_BYTES = 128 * 1024
 
 # The newest configuration, with 1,700 routes, is 0.45 MB as it travels: 0.7 s on the
-# narrowest link, of 5 Mbit/s (both worked out). With less, an instance there never
-# gets it from a peer.
+# narrowest link, of 5 Mbit/s. With less, an instance there never gets it from a peer.
 PEER_NEWEST_S = 1.0
 
 
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
@@ -37,8 +37,7 @@
 # A new pace holds from here on.
 PACE_DELAY_S = 0.1
 # A serving task loses so much slack for each worker's worth of processors that is
-# asked for beyond those there are: on 20,000 readings 0.15 at 1.05, 0.35 at 1.15, 0.8
-# at 1.3.
+# asked for beyond those there are.
 CROWDED_SLOPE = 2.7
 # Tails beyond this many times the target are reported as such.
 TAIL_RATIO_MAX = 20.0
--- a/packages/hornbeampaddle/hornbeampaddle/cell/candidates.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/candidates.py
@@ -1,10 +1,8 @@
 """
 Find the workers that may take a step without looking at each of them.
 
-In a full cell a decision places few tasks and finds no place for dozens of steps. Where
-each of these looked at every worker, a decision on 246 workers and 340 open jobs took
-45 ms of processor time in the mean and 119 ms at its 95th percentile; with what is
-worked out here once for each kind of step, and fewer exchanges compared, 30 and 71 ms.
+In a full cell a decision places few tasks and finds no place for dozens of steps. What
+they ask of the workers is worked out once for each kind of step.
 
 A decision only takes room, so what was worked out at its beginning is never too little;
 the caller checks exactly.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/interference.py
@@ -4,10 +4,8 @@
 The slack of a serving task is its target over its tail: 1 at the target, more when
 it does better. As in a queue with one server it falls in proportion to the load of
 the task's users and to the processor use of the fillers that disturb it, taken as a
-share of the worker. On 47,000 readings of the users' workers that form leaves a
-residual of 0.35 at every load and every pressure, and slopes that fall into two
-groups: near 0 for the pairs of images that do not disturb, 2 to 8 for the others.
-A fit of the logarithm of the tail left half as much again at high load.
+share of the worker. The slopes fall into two groups: near 0 for the pairs of images
+that do not disturb, several times the slack at the target for the others.
 
 The tasks of one job share the load of its users, wherever they run. What the
 fillers do not explain, in most of a job's tasks alike, is that load: the job's own
@@ -27,8 +25,8 @@
 # Slope of a pair that has not been seen: a filler of a tenth of a worker takes 0.15 of
 # slack, so a few of them may try a pair out where there is room.
 PRIOR_SLOPE = 1.5
-# Weight of that prior, in units of squared shares: about 15 readings of a filler
-# that uses a tenth of a worker.
+# Weight of that prior, in units of squared shares: a few seconds of a filler that uses
+# a tenth of a worker.
 PRIOR_WEIGHT = 0.05
 # Weight of a slope that an earlier holder had learned: about a second of its
 # readings, since the amounts change.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
@@ -16,8 +16,8 @@
 
 REASON = "makes_room"
 # At most this share of the running lasting tasks is on its way out for others at once.
-# Those that have ended and wait for a place do not count: with them, urgent jobs of a
-# pressing load earned 0.65 of what they were owed, for 0.86.
+# Those that have ended and wait for a place do not count: under a pressing load there
+# are so many of them that urgent jobs would find no room.
 AWAY_RATIO = 0.08
 # A task that has just come back is left alone for so long: it has to start up
 # before it serves anybody.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
@@ -46,8 +46,8 @@
 # with so many others, drawn anew each time.
 LEAVING_MAX = 16
 PARTNERS_MAX = 12
-# Workers that are looked at in one look, drawn anew each time: a look at 246 of them
-# took 20 ms of processor time, for which all wait who wait for the same decision.
+# Workers that are looked at in one look, drawn anew each time: all who wait for a start
+# wait for the look.
 PLACES_MAX = 80
 
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/slow_starts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/slow_starts.py
@@ -17,9 +17,8 @@
     from .scheduler import Scheduler
 
 # A filler that lasts waits so long for a worker where it disturbs nobody before it
-# starts at a lower pace. One that ends waits on: when jobs that ended started so too,
-# batch callers got 0.018 less of what they were owed where most images disturb each
-# other, over eight emulated days.
+# starts at a lower pace. One that ends waits on: started so, it would keep its place
+# for several times as long, and those that come next would find it taken.
 SLOW_AFTER_S = 6.0
 # Slower than this share of its speed, a filler would only hold memory.
 SLOW_SHARE_MIN = 0.25
--- a/packages/hornbeampaddle/hornbeampaddle/cell/swings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/swings.py
@@ -6,10 +6,6 @@
 moment of its own. The period is looked for among a few dozen, as the one whose waves
 leave the least of the jobs' readings unexplained. Until it is found, and for jobs whose
 readings it does not explain, the recent trend is extended instead.
-
-On the readings of two days the own slack of the next second was missed by 0.34 (root
-mean square, of which about 0.2 is noise of the readings), by the middle of the last
-second's readings 0.63; two seconds ahead by 0.38 and 0.92.
 """
 
 import math
--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
@@ -6,9 +6,7 @@
 whose callers get most for the work that is left. Jobs that last, or are repeated, go by
 the time by which they should be done.
 
-When more work comes than fits, the order by due time begins many jobs and ends few: on
-played loads of fillers that disturb most serving tasks batch callers got 0.68 of what
-they were owed by it, and 0.71 by worth for the work left.
+When more work comes than fits, the order by due time would begin many jobs and end few.
 """
 
 from dataclasses import dataclass, field
@@ -19,7 +17,7 @@
 # A job is worth little after its objective and nothing after three times that.
 WORTHLESS_AFTER_RATIO = 3.0
 # Callers count on a task that lasts being back after 6 s, and on 3 s more if there is a
-# place for it. From 3 s on, urgent jobs of a pressing load earned 0.03 less.
+# place for it. Much sooner, it would be placed before the urgent jobs it made room for.
 AWAY_MAX_S = 5.0
 
 # A job is worth this much to its caller whatever its size, the rest goes by its work
