--- a/features/relay.feature
+++ b/features/relay.feature
@@ -15,6 +15,12 @@
       | refuses   |
       | is silent |
 
+  Scenario: An instance says why callers are better served elsewhere, and when no more
+    # On call sees an instance without callers for a minute and cannot tell why.
+    Given a cell of 3 instances and 4 workers
+    When the store is silent for 5 s while an instance is asked each second if it is ready
+    Then it has logged "ready: no" once for "view_too_old", and "ready: yes" after it
+
   Scenario Outline: The holder goes on while the store turns it away: <how>
     # Nothing started for 2.4 s whenever the store turned the holder away, until another
     # instance had noticed and taken over.
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from behave import given, then, when
+from structlog.testing import capture_logs
 from support.cell_scene import STORE_FAULTS, job_id, new_loop, play
 from support.cell_walk import build, plain
 
@@ -14,7 +15,7 @@
 from hornbeampaddle_cell.peers import PeerBook, peer_record
 from hornbeampaddle_cell.ports import Appended, Keyed, Producer, Topic, Unavailable
 from hornbeampaddle_cell.relay import Relay, encode_outcome
-from hornbeampaddle_standins.cell.store import Link
+from hornbeampaddle_standins.cell.store import Link, StoreFault
 from hornbeampaddle_standins.cell.world import BATCH, SkewedClock, World
 from hornbeampaddle_wire.peer_requests import PeerChannel
 
@@ -299,3 +300,33 @@
         await asyncio.sleep(2.0)
 
     play(context, begin())
+
+
+@when(
+    "the store is silent for {away_s:d} s while an instance is asked each second "
+    "if it is ready"
+)
+def ask_ready(context, away_s):
+    world = context.world
+    instance = world.instances["i1"]
+
+    async def ask():
+        for second in range(away_s + 8):
+            silent = 1 <= second <= away_s
+            world.store.faults[""] = StoreFault.SILENT if silent else StoreFault.NONE
+            instance.ready()
+            await asyncio.sleep(1.0)
+        world.store.faults.clear()
+
+    with capture_logs() as lines:
+        play(context, ask())
+    context.lines = [line for line in lines if line["event"].startswith("ready: ")]
+
+
+@then('it has logged "ready: no" once for "{why}", and "ready: yes" after it')
+def logged_ready(context, why):
+    told = [(line["event"], line["why"]) for line in context.lines]
+    assert told in (
+        [("ready: yes", ""), ("ready: no", why), ("ready: yes", "")],
+        [("ready: no", why), ("ready: yes", "")],
+    ), told
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Sequence
 from random import Random
 
@@ -79,6 +80,8 @@
         self.leadership = Leadership(settings, Random())
         self.holder: Holder | None = None
         self.stopping = False
+        # Why callers were last said to be better served elsewhere.
+        self._unready_logged = "starting"
         self.jobs = self._follow(Topic.JOBS, self._take_jobs)
         self.jobs.on_reload = self._jobs_reloaded
         self.progress = self._follow(Topic.PROGRESS, self._take_progress)
@@ -137,14 +140,30 @@
         return self.routing.configuration
 
     def ready(self) -> bool:
-        """Tell whether new callers are well served here."""
-        if self.stopping or self.configuration is None:
-            return False
+        """Tell whether new callers are well served here; log when that changes."""
+        why = self._unready()
+        if why != self._unready_logged:
+            ages_s = {
+                follower.topic.value: round(follower.age_s(), 3)
+                for follower in (self.operator, self.jobs, self.progress)
+                if math.isfinite(follower.age_s())
+            }
+            log.info("ready: no" if why else "ready: yes", why=why, ages_s=ages_s)
+            self._unready_logged = why
+        return not why
+
+    def _unready(self) -> str:
+        """Return why new callers are better served elsewhere; empty if they are not."""
+        if self.stopping:
+            return "stopping"
+        if self.configuration is None:
+            return "no_configuration"
         # Guards against an instance that has the logs of jobs through its peers but not
         # the operator's, and serves callers by a configuration of long ago.
-        if self.operator.age_s() >= self.settings.stale_s:
-            return False
-        return self.callers.fresh() and not self.appender.stuck()
+        configured = self.operator.age_s() < self.settings.stale_s
+        if not configured or not self.callers.fresh():
+            return "view_too_old"
+        return "append_unanswered" if self.appender.stuck() else ""
 
     async def run(self) -> None:
         """Run until cancelled."""
