--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
@@ -17,6 +17,7 @@
 from .ledger import Ledger, cancel_record, job_record
 from .metrics import Metrics
 from .ports import Clock
+from .retries import retry_after_s
 from .settings import InstanceSettings
 
 log = structlog.get_logger()
@@ -24,8 +25,6 @@
 # How long a query for an unknown job waits for a fresh read of the log: ten
 # times a usual read.
 FRESH_READ_S = 0.4
-# A caller that is refused for want of the store: it reaches another instance.
-RETRY_STORE_S = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +103,7 @@
             # service which it left, while this instance could not read of it.
             age_s = round(self.operator.age_s(), 3)
             log.warning("submit: configuration too old", job=job.job_id, age_s=age_s)
-            outcome: Submitted = NotAccepted("configuration_too_old", RETRY_STORE_S)
+            outcome: Submitted = self._refused("configuration_too_old")
             self._answered("submit", outcome, begun_s)
             return outcome
         job = replace(job, accepted_at_s=self.clock.wall_s())
@@ -117,7 +116,7 @@
             stored=stored.value,
             took_s=took_s,
         )
-        outcome = _submitted(stored)
+        outcome = self._submitted(stored)
         self._answered("submit", outcome, begun_s)
         return outcome
 
@@ -140,7 +139,7 @@
         known = await self._known(job_id)
         if known is None:
             log.warning("query: view too old", job=job_id, age_s=self.jobs.age_s())
-            return NotAccepted("view_too_old", RETRY_STORE_S)
+            return self._refused("view_too_old")
         status = self.ledger.status(job_id)
         return status if status is not None else Gone()
 
@@ -154,7 +153,7 @@
     async def _cancel(self, job_id: str, deadline_s: float) -> Cancelled:
         known = await self._known(job_id)
         if known is None:
-            return NotAccepted("view_too_old", RETRY_STORE_S)
+            return self._refused("view_too_old")
         if not known:
             return Gone()
         status = self.ledger.status(job_id)
@@ -162,19 +161,23 @@
             return Accepted()
         stored = await self.appender.put(cancel_record(job_id), deadline_s)
         log.info("cancel: answered", job=job_id, stored=stored.value)
-        return _submitted(stored)
+        return self._submitted(stored)
 
     def pending(self, queue_name: str) -> int | None:
         """Count the jobs that wait; nothing if the view is too old."""
         return self.ledger.pending(queue_name) if self.fresh() else None
 
-
-def _submitted(stored: Stored) -> Submitted:
-    """Return what a caller may be told of a record."""
-    match stored:
-        case Stored.YES:
-            return Accepted()
-        case Stored.NO:
-            return NotAccepted("store_unavailable", RETRY_STORE_S)
-        case Stored.UNKNOWN:
-            return Unknown("store_gave_no_answer")
+    def _submitted(self, stored: Stored) -> Submitted:
+        """Return what a caller may be told of a record."""
+        match stored:
+            case Stored.YES:
+                return Accepted()
+            case Stored.NO:
+                return self._refused("store_unavailable")
+            case Stored.UNKNOWN:
+                return Unknown("store_gave_no_answer")
+
+    def _refused(self, reason: str) -> NotAccepted:
+        followers = (self.jobs, self.progress, self.operator)
+        outage_s = min(follower.age_s() for follower in followers)
+        return NotAccepted(reason, retry_after_s(outage_s))
