Say in a job's last line for how long it waited, and why

Each decision now adds the time since the one before to the job's sum for the reason that it found, and `job_finished` tells the sums: no line more. `losses` shares such waits out by them. The scenario's stage "waits, below 3 s" became "waits, no reason kept", with the same seconds: it is what an older log still shows.

--- a/features/losses.feature
+++ b/features/losses.feature
@@ -8,13 +8,28 @@
     Then its time is shared out as
       | stage                            | seconds |
       | accepted, not known to the holder | 0.5    |
-      | waits, below 3 s                 | 1.5     |
+      | waits, no reason kept            | 1.5     |
       | at work                          | 3.0     |
       | run lost: moves_away             | 2.0     |
       | waits again after: moves_away    | 1.0     |
       | paced down                       | 2.0     |
     And it counts as one late job
 
+  Scenario: A wait that is too short for a line has its reasons all the same
+    # The largest stage of all was that of waits below 3 s, of which nobody kept the reason.
+    Given the log of a job that waited for 2 s, as its last line says for no_room and no_spare
+    Then its time is shared out as
+      | stage            | seconds |
+      | waits: no_room   | 1.5     |
+      | waits: no_spare  | 0.5     |
+      | at work          | 1.0     |
+
+  Scenario: The last line of a job says for how long it waited, and why
+    Given 4 workers of 16 cores
+    And lasting tasks of 4 cores fill them
+    When a batch job of 1 x 4 cores comes and the lasting tasks are cancelled 2 s later
+    Then the last line of the batch job says that it waited 2 s for no_room
+
   Scenario: Time without a holder is told apart from time in a queue
     Given the log of a job that waited for 6 s, 3 s of them while nobody held the cell
     Then its time is shared out as
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -2,8 +2,9 @@
 
 import json
 
-from behave import given, then
+from behave import given, then, when
 from steps.trace_steps import LINES
+from support.cell_player import BATCH, prepared, step
 
 from hornbeampaddle_cli.losses import OWN_STAGES, losses
 from hornbeampaddle_cli.story import parse
@@ -49,6 +50,40 @@
     ]
 
 
+@given(
+    "the log of a job that waited for 2 s, as its last line says for no_room "
+    "and no_spare"
+)
+def short_waits(context):
+    context.lines = [
+        accepted(0.0),
+        start(2.0, 0, waited_s=2.0),
+        done(3.0, 0),
+        finished(3.0, 3.0, 2.0) | {"waited_s": {"no_room": 1.5, "no_spare": 0.5}},
+    ]
+
+
+@when(
+    "a batch job of {tasks:d} x {cores:d} cores comes and the lasting tasks are "
+    "cancelled {after_s:d} s later"
+)
+def wait_for_lasting(context, tasks, cores, after_s):
+    context.player = player = prepared(context)
+    player.submit("batch", BATCH, step(tasks, cores * 1000), 1.0)
+    player.play(after_s)
+    player.cell.cancel("lasting", player.now_s)
+    player.play(5.0)
+
+
+@then("the last line of the batch job says that it waited {seconds_s:d} s for {reason}")
+def last_line(context, seconds_s, reason):
+    notes = [note for _, note in context.player.notes if note.event == "job_finished"]
+    waited_s = next(n.detail["waited_s"] for n in notes if n.job_id == "batch")
+    # A stop takes 0.3 s, and a decision comes each tenth of a second.
+    assert list(waited_s) == [reason], waited_s
+    assert seconds_s - 0.1 <= waited_s[reason] <= seconds_s + 0.6, waited_s
+
+
 @given("the log of a job that waited for 6 s, 3 s of them while nobody held the cell")
 def without_holder(context):
     state = {"event": "cell: state"}
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/losses.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/losses.py
@@ -76,6 +76,8 @@
     )
     # Why it waited, as the holder said it: when, and the reason.
     reasons: list[tuple[float, str]] = field(default_factory=list)
+    # The seconds that its steps waited for each reason, as its last line sums them up.
+    waited_s: dict[str, float] = field(default_factory=dict)
 
     @property
     def late(self) -> bool:
@@ -177,6 +179,7 @@
             job.status = line["status"]
             job.age_s = line["age_s"]
             job.objective_s = line.get("objective_s")
+            job.waited_s = line.get("waited_s", {})
 
 
 def _name(line: Line) -> TaskName:
@@ -226,7 +229,7 @@
             break
     if job.accepted_s is not None and at_s is not None:
         spans += _around_gaps(
-            job.accepted_s, at_s, gaps, lambda *times_s: Span(ACCEPTED, *times_s)
+            job.accepted_s, at_s, gaps, lambda *times_s: [Span(ACCEPTED, *times_s)]
         )
     return [span for span in spans if span.length_s > 0]
 
@@ -284,29 +287,44 @@
     before: str,
     gaps: list[tuple[float, float]],
 ) -> list[Span]:
-    def span(from_s: float, to_s: float) -> Span:
-        reasons = [name for at_s, name in job.reasons if from_s <= at_s <= to_s + 0.1]
-        stage = f"waits: {reasons[-1]}" if reasons else "waits, below 3 s"
+    def spans(from_s: float, to_s: float) -> list[Span]:
         if before:
-            stage = f"waits again after: {before}"
-        return Span(stage, from_s, to_s)
+            return [Span(f"waits again after: {before}", from_s, to_s)]
+        reasons = [name for at_s, name in job.reasons if from_s <= at_s <= to_s + 0.1]
+        if reasons:
+            return [Span(f"waits: {reasons[-1]}", from_s, to_s)]
+        return _by_reason(job, from_s, to_s)
+
+    return _around_gaps(begin_s, end_s, gaps, spans)
 
-    return _around_gaps(begin_s, end_s, gaps, span)
+
+def _by_reason(job: JobLog, begin_s: float, end_s: float) -> list[Span]:
+    """Split a wait among the reasons for which the whole job has waited."""
+    total_s = sum(job.waited_s.values())
+    if not total_s:
+        return [Span("waits, no reason kept", begin_s, end_s)]
+    spans = []
+    at_s = begin_s
+    for reason, waited_s in job.waited_s.items():
+        until_s = at_s + (end_s - begin_s) * waited_s / total_s
+        spans.append(Span(f"waits: {reason}", at_s, until_s))
+        at_s = until_s
+    return spans
 
 
 def _around_gaps(
     begin_s: float,
     end_s: float,
     gaps: list[tuple[float, float]],
-    span: Callable[[float, float], Span],
+    spans: Callable[[float, float], list[Span]],
 ) -> list[Span]:
-    """Return a span, split where nobody held the cell for a part of it."""
+    """Return the spans of a time, split where nobody held the cell for a part of it."""
     for lost_s, began_s in gaps:
         if lost_s < end_s and began_s > begin_s and began_s - lost_s > GAP_MIN_S:
             from_s, to_s = max(begin_s, lost_s), min(end_s, began_s)
             without = Span(NO_HOLDER, from_s, to_s)
-            return [span(begin_s, from_s), without, span(to_s, end_s)]
-    return [span(begin_s, end_s)]
+            return [*spans(begin_s, from_s), without, *spans(to_s, end_s)]
+    return spans(begin_s, end_s)
 
 
 def _working(attempt: Attempt, end_s: float) -> list[Span]:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -168,6 +168,8 @@
     occurrences: dict[int, list[StepState]] = field(default_factory=dict)
     finished_at_s: float | None = None
     accepted_at_s: float = 0.0
+    # How long a step of it has waited for each reason, under this holder.
+    waited_s: dict[str, float] = field(default_factory=dict)
 
     def open_occurrence(self, number: int) -> list[StepState]:
         """Create the tasks of one occurrence, unless they are there."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -435,6 +435,7 @@
             "status": status.name.lower(),
             "why": why,
             "age_s": round(now_s - state.accepted_at_s, 3),
+            "waited_s": {k: round(v, 3) for k, v in state.waited_s.items() if v},
         }
         if not state.job.lasting and not state.job.repeat_count:
             detail["objective_s"] = round(state.job.objective_s(), 3)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
@@ -5,6 +5,7 @@
 these notes nobody can tell afterwards what it waited for.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -21,6 +22,8 @@
 NOTE_AFTER_S = 3.0
 # The reason rarely changes faster, and a long queue would fill the log.
 NOTE_EVERY_S = 5.0
+# Decisions come at least this often: a longer span was nobody's wait for a reason.
+DECISION_MAX_S = 0.5
 # Notes in one decision: a decision comes ten times a second, and each note looks at
 # all workers.
 NOTES_AT_ONCE = 3
@@ -70,6 +73,7 @@
     """The jobs that wait; a job that the last decision did not see is forgotten."""
 
     waits: dict[str, Wait] = field(default_factory=dict)
+    _closed_at_s: float = math.inf
     _seen: dict[str, Sight] = field(default_factory=dict)
 
     def see(
@@ -80,8 +84,10 @@
         reason: WaitReason,
         now_s: float,
     ) -> None:
-        """Take in that a step was not placed."""
+        """Take in that a step was not placed, since the decision before this one."""
         job_id = state.job.job_id
+        passed_s = min(DECISION_MAX_S, max(0.0, now_s - self._closed_at_s))
+        state.waited_s[reason.value] = state.waited_s.get(reason.value, 0.0) + passed_s
         if job_id in self._seen or not step.waiting():
             return
         if state.runs() and not step.step.lasting:
@@ -91,6 +97,7 @@
 
     def close(self, cell: "Scheduler", now_s: float) -> None:
         """End a decision: say why some jobs wait, first those not said for longest."""
+        self._closed_at_s = now_s
         due = [
             sight
             for sight in self._seen.values()
