--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -11,7 +11,6 @@
 
 from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.jobs import Advice, Queue
-from hornbeampaddle_cell.ports import Topic
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
 
 ADVISED = Queue("advised", "compute", 0, 4, 1.5, 0.25, Advice(0.02, 0.001))
@@ -67,17 +66,6 @@
     context.outcome = play(context, job)
 
 
-@when("the operator's log cannot be read by anyone")
-def unread_operator(context):
-    world = context.world
-    world.store.unread |= {(name, Topic.OPERATOR) for name in world.instances}
-
-
-@when("the operator's log can be read again")
-def read_operator(context):
-    context.world.store.unread.clear()
-
-
 @when("the store forgets its history")
 def forget_history(context):
     context.world.store.forget_history()
--- a/features/steps/shrink_steps.py
+++ b/features/steps/shrink_steps.py
@@ -31,14 +31,20 @@
     hand_in_wide(context, name, tasks, cores)
 
 
-@when("the list of workers cannot be read by anyone")
-def unread_list(context):
+LOGS = {
+    "the list of workers": Topic.WORKERS,
+    "the operator's log": Topic.OPERATOR,
+}
+
+
+@when("{what} cannot be read by anyone")
+def unread_log(context, what):
     world = context.world
-    world.store.unread |= {(name, Topic.WORKERS) for name in world.instances}
+    world.store.unread |= {(name, LOGS[what]) for name in world.instances}
 
 
-@when("the list of workers can be read again")
-def read_list(context):
+@when("{what} can be read again")
+def read_log(context, what):
     context.world.store.unread.clear()
 
 
