--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/retries.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/retries.py
@@ -7,10 +7,10 @@
 before the store is back.
 """
 
-# What the balancer needs to look away, and most outages of one instance last.
+# What the balancer needs to look away from one instance.
 RETRY_SOON_S = 1
 RETRY_LATER_S = 2
-# An outage that has lasted so long goes on for some seconds, mostly.
+# From here on an outage counts as one that callers may not outlast.
 LONG_OUTAGE_S = 2.0
 
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -53,7 +53,6 @@
     well_above_slack: float = 1.12
     # ... and after so long all fillers beside it stand still: the operator tolerates
     # 4 s, of which readings, reports and orders take up to 2.6 s, one of them lost.
-    # Sooner, most would have been over their target for a moment only.
     silence_after_s: float = 1.4
     # Reports of a worker where a task is over its target come this often.
     report_wait_over_s: float = 0.4
