Poll idle workers of a large cell less often

Cause: CPU saturation of the holder. It requested each worker's next report as soon as the previous one arrived, every 0.8 s, whether or not anything ran there: 3,750 reports a second. A report costs the holder 0.43 ms (a client of 1,500 workers on loopback, trial), so reading them needs 1.6 cores, and the machine has 1.07. The list of workers was then 2.5 s old or older on arrival ("starts: views too old"), and nothing may start by such a list.

From -1.3 s to 23.5 s the views are too old, while 3,000 workers are usable and none is silent. At the end 112 jobs are open and no task that ends is running. The holder used 1.02 cores.

Change: a worker on which nothing runs is polled after a pause that grows with the cell (800 reports a second over all workers; no pause below 640 workers), and at once when a start is sent to it. The first reports of a new holder, which come from all workers at the same time, are requested at most 128 at a time. `cell: state` gains the lag of the event loop, which tells a busy holder from a slow network.

Both scenarios of features/large_cell.feature about the holder failed before the change: no job done within 10 s; no instance holds the cell within 4 s. The second also fails with the pause alone, without the limit on first reports. The third guards the pause: it failed with a pause that outlasted the lease.

--- /dev/null
+++ b/features/large_cell.feature
@@ -0,0 +1,28 @@
+Feature: A holder keeps up with a large cell
+  A holder with limited CPU time and file descriptors polls thousands of workers.
+  Simulated with fewer workers and a higher cost per report.
+
+  Scenario: Reports of idle workers do not delay task starts
+    # Guards against idle reports delaying the list of workers until it is too old.
+    Given a large cell of 100 workers with an idle report rate of 25 per second
+    And reading a report takes the holder 10 ms
+    When 10 s pass in the cell
+    And 5 jobs of 2 steps of 6 tasks are handed in
+    Then all jobs are shown as completed within 10 s
+    And no promise of the cell was broken
+
+  Scenario: A holder keeps the cell while all workers report for the first time
+    # Guards against a new holder losing the cell while it connects to all workers.
+    Given a large cell of 100 workers with a limit of 4 concurrent first reports
+    And reading a report takes the holder 30 ms
+    When the holder dies
+    Then another instance holds the cell within 4 s
+    And the same instance still holds the cell 8 s later
+
+  Scenario: A long pause between idle reports does not delay the end of a task
+    # Guards against a step that notices the end of a task only after an idle pause.
+    Given a large cell of 20 workers with an idle report rate of 1 per second
+    When 10 s pass in the cell
+    And a job "ac01" of 3 steps of 4 tasks is handed in
+    Then the job "ac01" is shown as completed within 7 s
+    And no promise of the cell was broken
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -92,6 +92,7 @@
         self.log = ProgressLog(
             settings, clock, store, ledger, epoch, claimed_at_s, self.lose
         )
+        self.first_report_slots = asyncio.Semaphore(settings.cell.first_reports_max)
         self._sessions: dict[str, Session] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._woken = asyncio.Event()
@@ -386,7 +387,8 @@
         self._summary_at_s = now_s + SUMMARY_EVERY_S
         state = summary(self.cell, now_s)
         self.metrics.summed_up(state)
-        log.info("cell: state", epoch=self.epoch, **asdict(state))
+        lag_s = round(self.metrics.loop_lag_s, 3)
+        log.info("cell: state", epoch=self.epoch, loop_lag_s=lag_s, **asdict(state))
 
     def _forget(self, now_s: float) -> None:
         if now_s < self._forget_at_s:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
@@ -50,6 +50,8 @@
     def __init__(self) -> None:
         """Start at zero, in a registry of its own."""
         self.registry = CollectorRegistry()
+        # Latest sample of the event loop lag.
+        self.loop_lag_s = 0.0
         self.requests = self._counter(
             "hornbeampaddle_requests_total",
             "Answers to callers",
@@ -167,8 +169,8 @@
         while True:
             begun_s = time.monotonic()
             await asyncio.sleep(LAG_EVERY_S)
-            lag_s = max(0.0, time.monotonic() - begun_s - LAG_EVERY_S)
-            self.loop_lag_seconds.observe(lag_s)
+            self.loop_lag_s = max(0.0, time.monotonic() - begun_s - LAG_EVERY_S)
+            self.loop_lag_seconds.observe(self.loop_lag_s)
 
 
 # The fields of a note that say why, the first that is there.
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -14,6 +14,7 @@
 from hornbeampaddle.cell.jobs import TaskKey
 from hornbeampaddle.cell.progress import Run, RunPhase
 from hornbeampaddle.cell.reports import (
+    HoldOutcome,
     NoAnswer,
     OtherIncarnation,
     Reason,
@@ -50,6 +51,8 @@
         self.worker_id = worker_id
         self.port = port
         self.acked = asyncio.Event()
+        # Set before a start is sent, to end the pause between reports.
+        self._report_due = asyncio.Event()
         self._silent_since_s: float | None = None
         self._stopping: set[tuple[TaskKey, int]] = set()
 
@@ -65,11 +68,47 @@
             now_s = self.holder.clock.now_s()
             deadline_s = cell.lease_deadline(self.worker_id, now_s)
             first = deadline_s is None
-            outcome = await self.port.report(worker.acked_end, deadline_s, wait_s)
+            if first:
+                outcome = await self._first_report(worker.acked_end)
+            else:
+                outcome = await self.port.report(worker.acked_end, deadline_s, wait_s)
             if not await self._take(outcome):
-                await asyncio.sleep(SILENT_PAUSE_S)
+                await self._pause_before_report(SILENT_PAUSE_S)
                 continue
             wait_s = FIRST_WAIT_S if first else self._wait_s()
+            await self._pause_before_report(0.0)
+
+    async def _first_report(self, last_seen: int) -> HoldOutcome:
+        """
+        Request a report that carries the worker's clock, once a slot is free.
+
+        Guards against a new holder losing the cell: connecting to thousands of workers
+        at once would block its writes to the store for seconds.
+        """
+        async with self.holder.first_report_slots:
+            return await self.port.report(last_seen, None, FIRST_WAIT_S)
+
+    async def _pause_before_report(self, min_pause_s: float) -> None:
+        """
+        Wait before the next report, longer while the worker is idle.
+
+        Guards against saturating the holder's CPU: reading the reports of thousands of
+        idle workers would take a whole core, and the list of workers would be too old
+        to start tasks by.
+        """
+        cell = self.holder.cell
+        worker = cell.workers.get(self.worker_id)
+        pause_s = min_pause_s
+        if worker is not None and worker.idle():
+            pause_s = max(min_pause_s, cell.idle_pause_s())
+        if not pause_s:
+            return
+        self._report_due.clear()
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._report_due.wait()
+        except TimeoutError:
+            pass
 
     def _wait_s(self) -> float:
         settings = self.holder.cell.settings
@@ -127,6 +166,7 @@
         """Send a start until its fate is known."""
         cell = self.holder.cell
         run.phase = RunPhase.SENDING
+        self._report_due.set()
         while run.phase is RunPhase.SENDING:
             if not cell.booked(run):
                 # Given up while this waited to send it again: its task may run
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -428,6 +428,8 @@
     cut: set[tuple[str, str]] = field(default_factory=set)
     # By the kind of order: start, stop, pace.
     fates: dict[str, OrderFate] = field(default_factory=dict)
+    # Called for each report that an instance reads.
+    on_report_read: Callable[[], None] = lambda: None
 
 
 class WorkerAccess:
@@ -525,6 +527,7 @@
         await self.worker.wait_for_end(wait_s)
         if not self.worker.alive:
             return await self._dead()
+        self.faults.on_report_read()
         return Report(
             sent_at_s,
             self.worker.now_s(),
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -123,6 +123,7 @@
     work_s: float = 1.0
     fail_ratio: float = 0.0
     slope_of: Callable[[str, str], float] = lambda serving, filling: 0.0
+    cell_settings: CellSettings = field(default_factory=CellSettings)
     store: CellStore = field(default_factory=CellStore)
     judge: Judge = field(default_factory=Judge)
     workers: dict[str, CellWorker] = field(default_factory=dict)
@@ -239,7 +240,7 @@
         self.lives += 1
         address = Address(name, 1) if self.relays else None
         settings = InstanceSettings(
-            f"{name}-{self.lives}", name, "dc-1", 1.0, address, CellSettings()
+            f"{name}-{self.lives}", name, "dc-1", 1.0, address, self.cell_settings
         )
 
         def make_worker(listing: WorkerListing, token: int) -> WorkerAccess:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -39,6 +39,8 @@
 # A stop takes up to 0.9 s and a start about as long: half of the shortest time in which
 # views may be started by.
 DISPLACE_AGE_RATIO = 0.5
+# Longest pause between two reports, as a fraction of the lease: one may be lost.
+IDLE_PAUSE_RATIO = 0.4
 # Stands for the address of a worker that only an old record names.
 NO_ADDRESS = Address("", 0)
 
@@ -325,6 +327,14 @@
         worker.granted_s = worker.clock.deadline_there(now_s + self.settings.lease_s)
         return worker.granted_s
 
+    def idle_pause_s(self) -> float:
+        """Return the pause between two reports of an idle worker."""
+        interval_s = len(self.workers) / self.settings.idle_reports_per_s
+        # Guards against a lease that expires during the pause: nothing would start on
+        # the worker before its next report.
+        max_pause_s = IDLE_PAUSE_RATIO * self.settings.lease_s
+        return min(max_pause_s, max(0.0, interval_s - self.settings.report_wait_s))
+
     def worker_silent(self, worker_id: str, now_s: float) -> None:
         """Take in that a worker has not answered; its lease is not renewed."""
         worker = self.workers.get(worker_id)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -56,6 +56,11 @@
     silence_after_s: float = 1.4
     # Reports of a worker where a task is over its target come this often.
     report_wait_over_s: float = 0.4
+    # Target rate of reports over all idle workers: the larger the cell, the less often
+    # each of them is polled, which leaves the holder time for busy workers.
+    idle_reports_per_s: float = 800.0
+    # Limit on concurrent first reports, so that a new holder can keep the cell.
+    first_reports_max: int = 128
     # Nothing starts by a list of workers that was complete longer ago: operators allow
     # 3 s to take note of a worker that shrank, of which an order may need 0.6 s.
     list_recent_s: float = 2.4
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -123,7 +123,9 @@
         return self._free
 
     def relist(self, listing: WorkerListing) -> None:
-        """Take in what the list says now."""
+        """Replace the listing; an unchanged one is ignored."""
+        if listing == self.listing:
+            return
         self.listing = listing
         self.changed()
 
@@ -249,6 +251,10 @@
             _count(self.serving, step.image, sign)
             _count(self.serving_jobs, run.key.job_id, sign)
 
+    def idle(self) -> bool:
+        """Return whether nothing runs here and every end is acknowledged."""
+        return not self.runs and not self.strays and self.acked_end >= self.seen_end
+
     def lost_at_s(self, now_s: float) -> float:
         """Return when a worker that is given up now stopped answering."""
         return now_s if self.silent_since_s is None else self.silent_since_s
