Limit the total number of connections to all workers

The holder keeps one connection for the reports of each worker and up to six for orders, and closes none before its next use. Each worker that gets its first order adds one to six connections.

Beyond that limit, according to the code (not reproduced), no connection to the store can be opened and no connection from a caller is accepted.

At the limit, each new connection closes the one that has been idle longest. Connections in use are never closed.

The scenario makes three concurrent calls to each of six HTTP servers, with a limit of 8 connections in total. Before the change there was no limit; with a budget that is never reached, 18 connections stay open.

--- a/features/large_cell.feature
+++ b/features/large_cell.feature
@@ -26,3 +26,10 @@
     And a job "ac01" of 3 steps of 4 tasks is handed in
     Then the job "ac01" is shown as completed within 7 s
     And no promise of the cell was broken
+
+  Scenario: Connections to many workers stay within a shared limit
+    # Guards against idle worker connections exhausting the process's file descriptors.
+    Given 6 HTTP servers
+    When each server receives 3 concurrent calls under a shared limit of 8 connections
+    Then every call gets a response
+    And at most 8 connections remain open
--- a/features/steps/large_cell_steps.py
+++ b/features/steps/large_cell_steps.py
@@ -2,14 +2,20 @@
 
 import asyncio
 
-from behave import given, step, then
+from behave import given, step, then, when
 from support.cell_scene import new_loop, play
 from support.cell_walk import build
 
 from hornbeampaddle.cell.settings import CellSettings
+from hornbeampaddle.machines import Address
 from hornbeampaddle_standins.cell.world import World
+from hornbeampaddle_wire.http_client import ConnectionBudget, HttpClient
+from hornbeampaddle_wire.http_messages import Request, Response
 
 INSTANCES = 2
+CONNECTIONS_MAX = 6
+TIMEOUT_S = 5.0
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
 def _start_cell(context, workers, cell_settings):
@@ -55,3 +61,62 @@
     play(context, asyncio.sleep(delay_s))
     assert world.holder() == name, (name, world.holder())
     assert world.instances[name].holder.epoch == epoch
+
+
+@given("{count:d} HTTP servers")
+def http_servers(context, count):
+    context.server_count = count
+
+
+async def _respond(reader, writer):
+    try:
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(RESPONSE)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        writer.close()
+
+
+async def _call_all(server_count, concurrency, budget):
+    servers = [
+        await asyncio.start_server(_respond, "127.0.0.1", 0)
+        for _ in range(server_count)
+    ]
+    exchanges = []
+    clients = []
+    for server in servers:
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient(Address("127.0.0.1", port), CONNECTIONS_MAX, budget=budget)
+        clients.append(client)
+        calls = [
+            client.call(Request("GET", "/"), TIMEOUT_S) for _ in range(concurrency)
+        ]
+        exchanges += await asyncio.gather(*calls)
+    open_count = budget.open_count
+    for client, server in zip(clients, servers, strict=True):
+        client.close()
+        server.close()
+        await server.wait_closed()
+    await asyncio.sleep(0.05)
+    return exchanges, open_count
+
+
+@when(
+    "each server receives {concurrency:d} concurrent calls "
+    "under a shared limit of {limit:d} connections"
+)
+def call_all(context, concurrency, limit):
+    budget = ConnectionBudget(limit)
+    outcome = asyncio.run(_call_all(context.server_count, concurrency, budget))
+    context.exchanges, context.open_count = outcome
+    assert budget.open_count == 0
+
+
+@then("every call gets a response")
+def all_calls_get_response(context):
+    assert all(isinstance(e, Response) for e in context.exchanges), context.exchanges
+
+
+@then("at most {limit:d} connections remain open")
+def connections_remain_open(context, limit):
+    assert 0 < context.open_count <= limit, context.open_count
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_client.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_client.py
@@ -7,7 +7,8 @@
 """
 
 import asyncio
-from collections import deque
+import sys
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -22,9 +23,10 @@
 # A pooled connection older than this is not trusted: something between the two
 # ends may have lost track of it, and a request on it would get no answer.
 IDLE_MAX_S = 15.0
+UNBOUNDED = sys.maxsize
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Pooled:
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
@@ -45,6 +47,42 @@
     received_bytes: int = 0
 
 
+class ConnectionBudget:
+    """
+    A limit on the total number of open connections of several clients.
+
+    At the limit, each new connection closes the one that has been idle longest.
+    Connections in use are never closed, so the total may exceed the limit.
+    """
+
+    def __init__(self, connections_max: int) -> None:
+        """Start with no open connections."""
+        self.connections_max = connections_max
+        self.open_count = 0
+        self._idle: OrderedDict[_Pooled, HttpClient] = OrderedDict()
+
+    def reserve(self) -> None:
+        """Count a new connection; close idle ones while over the limit."""
+        self.open_count += 1
+        while self.open_count > self.connections_max and self._idle:
+            pooled, client = next(iter(self._idle.items()))
+            client.discard_idle(pooled)
+
+    def release(self, pooled: _Pooled | None) -> None:
+        """Stop counting a closed connection; ``None`` if it failed to open."""
+        self.open_count -= 1
+        if pooled is not None:
+            self._idle.pop(pooled, None)
+
+    def mark_idle(self, pooled: _Pooled, client: "HttpClient") -> None:
+        """Make a connection eligible for closing at the limit."""
+        self._idle[pooled] = client
+
+    def mark_in_use(self, pooled: _Pooled) -> None:
+        """Protect a connection from closing at the limit."""
+        self._idle.pop(pooled, None)
+
+
 @dataclass(slots=True)
 class HttpClient:
     """The connections of this process to one server."""
@@ -54,6 +92,9 @@
     response_bytes: int = 8 * 1024 * 1024
     clock: Callable[[], float] | None = None
     traffic: HttpTraffic = field(default_factory=HttpTraffic)
+    budget: ConnectionBudget = field(
+        default_factory=lambda: ConnectionBudget(UNBOUNDED)
+    )
     _idle: deque[_Pooled] = field(default_factory=deque)
     _open: int = 0
     _waiters: deque[asyncio.Future[None]] = field(default_factory=deque)
@@ -96,16 +137,19 @@
         now_s = self._now_s()
         while self._idle:
             pooled = self._idle.pop()
+            self.budget.mark_in_use(pooled)
             if await self._still_usable(pooled, now_s):
                 return pooled
             self._discard(pooled)
         self._open += 1
+        self.budget.reserve()
         try:
             reader, writer = await asyncio.open_connection(
                 self.address.host, self.address.port, limit=READ_BYTES
             )
         except BaseException:
             self._open -= 1
+            self.budget.release(None)
             self._wake()
             raise
         return _Pooled(reader, writer, now_s)
@@ -123,6 +167,7 @@
 
     def _discard(self, pooled: _Pooled) -> None:
         self._open -= 1
+        self.budget.release(pooled)
         pooled.writer.transport.abort()
 
     def _put(self, pooled: _Pooled | None, whole: bool) -> None:
@@ -131,6 +176,7 @@
         if whole and not pooled.writer.is_closing():
             pooled.idle_since_s = self._now_s()
             self._idle.append(pooled)
+            self.budget.mark_idle(pooled, self)
         else:
             # Guards against an answer that reaches the wrong caller: whatever
             # is still on its way on this connection must never be read.
@@ -144,6 +190,11 @@
                 waiter.set_result(None)
                 return
 
+    def discard_idle(self, pooled: _Pooled) -> None:
+        """Close an idle connection and remove it from the pool."""
+        self._idle.remove(pooled)
+        self._discard(pooled)
+
     def close(self) -> None:
         """Drop all idle connections."""
         while self._idle:
