Run accepted jobs after advice is enabled for their queue

Callers see a job that never runs: it was accepted while its queue took no advice, a later configuration enables advice for the queue, and from then on workers refuse every start without a ticket. The start is abandoned and decided again in the next turn, indefinitely.

Cause: whether a queue takes advice was read from the stored job, which holds the queue as it was on acceptance; only the service came from the newest configuration.

Change: the cell keeps the configured queues and reads both service and advice from them; a queue that no configuration has named falls back to the stored job. All three places that read the stored job use this.

The stand-in workers can now refuse starts without a ticket.

--- a/features/advice.feature
+++ b/features/advice.feature
@@ -41,3 +41,14 @@
     And the job "ac07" is cancelled at once
     Then the job "ac06" is shown as completed within 15 s
     And no advice is kept 3 s later
+
+  Scenario: A job runs when advice is enabled for its queue after it was accepted
+    # Guards against reading advice from the stored job: every start would be refused.
+    Given a cell of 3 instances and 6 workers
+    And tasks take 2 s
+    And advice allows only the workers "w0" and "w1"
+    When a job "ac08" of 2 steps of 4 tasks is handed in
+    And 1 s pass in the cell
+    And advice is enabled for the urgent queue
+    Then the job "ac08" is shown as completed within 20 s
+    And no promise of the cell was broken
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -1,10 +1,10 @@
 """Steps on cells that ask a service of advice."""
 
 import asyncio
-from dataclasses import fields
+from dataclasses import fields, replace
 
 from behave import given, then, when
-from support.cell_scene import job_id, play, submit_job
+from support.cell_scene import act, job_id, play, submit_job
 from support.cell_walk import plain
 
 from hornbeampaddle.cell.advice import Allowance
@@ -49,6 +49,15 @@
     context.outcome = play(context, context.world.submit(job_id(name), ADVISED, step_))
 
 
+@when("advice is enabled for the urgent queue")
+def enable_urgent_advice(context):
+    world = context.world
+    for worker in world.workers.values():
+        worker.needs_ticket = True
+    advised = replace(URGENT, advice=ADVISED.advice)
+    act(context, world.configure, advised, BATCH, ADVISED)
+
+
 @then('it ran only on "{one}" and "{other}"')
 def ran_on(context, one, other):
     used = {name for name, w in context.world.workers.items() if w.highest}
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -155,9 +155,9 @@
         self.wake()
 
     def configure(self, configuration: Configuration) -> None:
-        """Take in which service runs each queue."""
+        """Update the configured queues, including their service and advice."""
         for route in configuration.routes:
-            self.cell.services[route.queue.name] = route.queue.service
+            self.cell.queues[route.queue.name] = route.queue
         self.wake()
 
     def evacuate(self, data_centres: frozenset[str]) -> None:
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -179,6 +179,8 @@
     stalled: bool = False
     # Refuses every order and has then done nothing; it still reports.
     unwell: bool = False
+    # Refuses starts without a ticket.
+    needs_ticket: bool = False
     # What it held before it shrank, and until when a start may count on that.
     held_before: Resources = NOTHING
     held_until_s: float = 0.0
@@ -312,6 +314,8 @@
             return Refused(Reason.OUTDATED, self.clock_s())
         if live is not None:
             return Refused(Reason.OUTDATED, self.clock_s())
+        if self.needs_ticket and not run.ticket:
+            return Refused(Reason.TICKET, self.clock_s())
         self._begin(run)
         return Done(self.clock_s())
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -18,7 +18,7 @@
 from .effects import Decision, Note, PaceOrder, StopOrder
 from .intake import Intake
 from .interference import Interference
-from .jobs import Job, StepKey
+from .jobs import Job, Queue, StepKey
 from .lapses import Lapses
 from .orders import Orders
 from .outlook import Outlook, waiting_shares
@@ -66,7 +66,7 @@
         self.open_jobs: dict[str, JobState] = {}
         self.dirty: set[str] = set()
         self.advice = AdviceBook()
-        self.services: dict[str, str] = {}
+        self.queues: dict[str, Queue] = {}
         self.note = note or _ignore
         self.stops: list[StopOrder] = []
         self.model = Interference()
@@ -378,7 +378,19 @@
 
     def service_of(self, job: Job) -> str:
         """Return the service to which the newest configuration sends a job."""
-        return self.services.get(job.queue.name, job.queue.service)
+        return self._queue_of(job).service
+
+    def advised(self, job: Job) -> bool:
+        """
+        Tell whether a job's queue takes advice in the newest configuration.
+
+        The stored job may predate advice on its queue, and workers would refuse
+        every start without a ticket.
+        """
+        return self._queue_of(job).advice is not None
+
+    def _queue_of(self, job: Job) -> Queue:
+        return self.queues.get(job.queue.name, job.queue)
 
     def release(self, run: Run, now_s: float, why: str) -> None:
         """Free an attempt's room; its task waits again if it is still its run."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
@@ -242,7 +242,7 @@
         if step.unavailable_max or step.gang or step.worker_label or step.data_rack:
             return False
         state = self.cell.jobs.get(run.key.job_id)
-        if state is None or state.job.queue.advice is not None:
+        if state is None or self.cell.advised(state.job):
             return False
         return now_s - run.confirmed_at_s > UNDISTURBED_S
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/turns.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/turns.py
@@ -42,7 +42,7 @@
     @property
     def advised(self) -> bool:
         """Tell whether the queue takes advice on where a step may run."""
-        return self.state.job.queue.advice is not None
+        return self.cell.advised(self.state.job)
 
     def ranking(self) -> Ranking:
         """Return an empty ranking of workers for the step."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
@@ -139,7 +139,7 @@
     if sight.reason is not WaitReason.NO_ROOM or not step.filler:
         return sight.reason
     with_room = [w for w in sight.workers if step.charge.fits_in(w.free())]
-    if not with_room or sight.state.job.queue.advice is not None:
+    if not with_room or cell.advised(sight.state.job):
         return WaitReason.NO_ROOM
     if any(has_spare(step, worker) for worker in with_room):
         return WaitReason.DISTURBS
