Place overdue lasting tasks ahead of jobs of higher priority

If the queue of a lasting task has a lower priority than the queues of urgent jobs, its users see the task stand still for as long as urgent jobs arrive: it is stopped to make room for one, and each later one is placed before it. There was a guard against this only where both queues have the same priority.

Cause: steps were ordered for placement by priority first, and only then by whether a lasting task had been away for more than 5 s.

Change: a step whose lasting task has been away for more than 5 s sorts first, whatever its priority.

The new scenario repeats the existing one with priority 2 for the lasting queue, with the same check and bound.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -320,8 +320,20 @@
 
 @given("lasting tasks of {cores:d} cores fill them but for a quarter")
 def fill_most(context, cores):
+    fill_most_from_queue(context, cores, LASTING)
+
+
+@given(
+    "lasting tasks of {cores:d} cores and priority {priority:d} "
+    "fill them but for a quarter"
+)
+def fill_most_with_priority(context, cores, priority):
+    fill_most_from_queue(context, cores, replace(LASTING, priority=priority))
+
+
+def fill_most_from_queue(context, cores, queue):
     def lasting(player):
-        player.submit("lasting", LASTING, step(24, cores * 1000, lasting=True), 1e9)
+        player.submit("lasting", queue, step(24, cores * 1000, lasting=True), 1e9)
         player.play(3.0)
 
     context.setup.append(lasting)
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -123,6 +123,14 @@
     Then no lasting task was away for longer than 6 s
     And lasting tasks made room for urgent jobs
 
+  Scenario: Lasting tasks of a lower priority that made room are back within 6 s
+    # Guards against starvation of lasting tasks while jobs of higher priority arrive.
+    Given 8 workers of 32 cores
+    And lasting tasks of 8 cores and priority 2 fill them but for a quarter
+    When urgent jobs of 4 x 8 cores come 3 times a second for 30 s
+    Then no lasting task was away for longer than 6 s
+    And lasting tasks made room for urgent jobs
+
   Scenario: Every task of a lasting job that fills is at work in a free cell
     # Three of four tasks of a standing job stay away for good in a cell without a reserved
     # processor: one task at work was taken to be enough for their job, and each new job of
--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
@@ -1,7 +1,7 @@
 """
 Put jobs into the order in which their tasks are placed.
 
-Order: priority of the queue, then tasks that last and have been away for long, then
+Order: lasting tasks away for more than AWAY_MAX_S, then priority of the queue, then
 jobs that end before jobs that last, then jobs that can still be on time, then those
 whose callers get most for the work that is left. Jobs that last, or are repeated, go by
 the time by which they should be done.
@@ -25,7 +25,7 @@
 FIXED_WORTH = 0.3
 WORTH_MAX = 4.0
 
-Urgency = tuple[int, bool, bool, int, float]
+Urgency = tuple[bool, int, bool, int, float]
 
 
 @dataclass(slots=True)
@@ -66,9 +66,10 @@
         chance = chance_of(state, now_s)
         order = remaining_millis_s(state) / usual.worth(job)
     # Guards against a task that lasts and stays away for as long as urgent jobs come:
-    # it was stopped to make room for one, and each later one was placed before it.
+    # it was stopped to make room for one, and each later one was placed before it,
+    # including those from queues of higher priority.
     overdue = step.step.lasting and step.away_s(now_s) > AWAY_MAX_S
-    return (job.queue.priority, not overdue, job.lasting, chance, order)
+    return (not overdue, job.queue.priority, job.lasting, chance, order)
 
 
 def chance_of(state: JobState, now_s: float) -> int:
