Poll the store less often when instances are many

Cause: each instance that does not hold the cell reads the jobs log and the progress log every 0.25 s each. That is 8 reads per second per instance and 2,400 in total. A refused read was retried sooner than a successful one was repeated. The retry was then sent to up to three peers, each of which called the store.

Change: the pause between two such reads grows with the number of instances, so that together they use half of the store's read rate. The pause is never more than 1 s (reached at 500 instances with 2,000 reads per second), and remains 0.25 s for up to 125 instances at that rate. No deployment so far has more instances than that, so none reads less often than before.

The scenario runs 12 instances against a store that serves 60 reads per second. The store stand-in can now refuse reads above a configured rate.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -88,3 +88,10 @@
     Then no span without a start was longer than 3.5 s
     And the same instance holds the cell
     And no promise of the cell was broken
+
+  Scenario: Reads of many instances stay within the rate that the store serves
+    # Guards against reads refused because many instances poll the store too often.
+    Given a cell of 12 instances and 4 workers on a store that serves 60 reads a second
+    When jobs are handed in for 10 s
+    Then the store has refused less than a tenth of the reads
+    And all jobs are shown as completed within 10 s
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -36,6 +36,44 @@
     play(context, begin())
 
 
+@given(
+    "a cell of {instances:d} instances and {workers:d} workers on a store that serves "
+    "{reads_per_s:d} reads a second"
+)
+def start_cell_with_read_limit(context, instances, workers, reads_per_s):
+    new_loop(context)
+
+    async def begin():
+        context.world = World(7, relays=True, store_reads_per_s=reads_per_s)
+        await build(context.world, instances, workers)
+        # Wait until every instance has read the addresses of its peers.
+        await asyncio.sleep(6.0)
+        context.world.store.reads_per_s = reads_per_s
+
+    play(context, begin())
+
+
+@when("jobs are handed in for {seconds_s:d} s")
+def hand_in_jobs(context, seconds_s):
+    world = context.world
+    store = world.store
+    reads_before, refused_before = store.reads, store.reads_refused
+
+    async def submit_jobs():
+        for number in range(seconds_s * 5):
+            await world.submit(job_id(f"af{number:02}"), BATCH, plain(1))
+            await asyncio.sleep(0.2)
+
+    play(context, submit_jobs())
+    refused = store.reads_refused - refused_before
+    context.refused_ratio = refused / (store.reads - reads_before)
+
+
+@then("the store has refused less than a tenth of the reads")
+def few_reads_refused(context):
+    assert context.refused_ratio < 0.1, context.refused_ratio
+
+
 @when("the store {how} for an instance that does not hold the cell")
 def turn_away(context, how):
     world = context.world
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -47,6 +47,13 @@
 # How often an instance looks whether the cell is vacant: a tenth of the time
 # after which a silent holder is replaced.
 WATCH_S = 0.1
+# Logs that an instance polls while it does not hold the cell: jobs and progress.
+STANDBY_LOG_COUNT = 2
+# Share of the store's read rate available to standby reads; the rest is left for the
+# holder, the operator's log, new instances and retries.
+STANDBY_READS_RATIO = 0.5
+# Longest pause between standby reads: below the age at which a view is stale.
+STANDBY_PAUSE_MAX_S = 1.0
 
 
 class Instance:
@@ -108,9 +115,20 @@
         if topic is Topic.OPERATOR:
             follower.replacing = True
         else:
-            follower.pause_s = self.settings.standby_read_s
+            follower.pause_s = self._standby_pause_s()
         return follower
 
+    def _standby_pause_s(self) -> float:
+        """
+        Return the pause between two reads of a log by an instance on standby.
+
+        Guards against hundreds of instances exceeding the read rate of the store.
+        """
+        reads_per_s = STANDBY_READS_RATIO * self.settings.store_reads_per_s
+        shared_pause_s = STANDBY_LOG_COUNT * (len(self.book) + 1) / reads_per_s
+        pause_s = min(STANDBY_PAUSE_MAX_S, shared_pause_s)
+        return max(self.settings.standby_read_s, pause_s)
+
     def _follow_peers(self) -> Follower:
         follower = self._follow(Topic.PEERS, self._take_peers)
         follower.wait_s = 0.0
@@ -120,6 +138,12 @@
     def _take_peers(self, records: Sequence[Keyed]) -> None:
         for record in records:
             self.book.take(record)
+        if self.holder is None:
+            self._set_standby_pauses()
+
+    def _set_standby_pauses(self) -> None:
+        self.jobs.pause_s = self._standby_pause_s()
+        self.progress.pause_s = self._standby_pause_s()
 
     async def _renew_peer_record(self) -> None:
         """Say where this instance listens; drop what nobody renews any more."""
@@ -387,9 +411,8 @@
         finally:
             following.cancel()
             self.holder = None
-            self.jobs.pause_s = self.settings.standby_read_s
             self.jobs.wait_s = self.settings.read_wait_s
-            self.progress.pause_s = self.settings.standby_read_s
+            self._set_standby_pauses()
             # What others stored since then was not taken in: read it again.
             self.progress.offset = None
             self.leadership.lost()
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
@@ -69,6 +69,10 @@
         self._unreadable.readable(name)
         self._records[name] = record
 
+    def __len__(self) -> int:
+        """Return the number of known peers."""
+        return len(self._records)
+
     def shuffled(self) -> list[Address]:
         """Return all peers in a random order, so that no one peer gets all calls."""
         addresses = [Address(r.host, r.port) for r in self._records.values()]
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
@@ -25,6 +25,9 @@
     # Between two reads of jobs and progress by an instance that does not hold
     # the cell: a caller's view is at most this old, and each read has a price.
     standby_read_s: float = 0.25
+    # Read rate of the store, shared by all instances: those that do not hold the cell
+    # read less often as the number of instances grows.
+    store_reads_per_s: float = 2000.0
     # The holder's own view of the list of workers: drains must be seen in 2 s.
     workers_read_s: float = 0.4
     # A read waits this long for a record. Twice this is still below the 2 s in
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
@@ -1,6 +1,7 @@
 """Stand in for the log service: conditional appends, epochs, compacted logs."""
 
 import asyncio
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -140,14 +141,32 @@
     unwritten: set[Topic] = field(default_factory=set)
     answer_s: float = ANSWER_S
     late_s: float = 3.0
+    # Read rate limit shared by all instances; reads above it are refused.
+    reads_per_s: float = math.inf
     appends: int = 0
     reads: int = 0
+    reads_refused: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    _current_second: int = 0
+    _reads_in_second: int = 0
 
     def fault(self, name: str) -> StoreFault:
         """Return the fault that one instance meets."""
         return self.faults.get(name) or self.faults.get("", StoreFault.NONE)
 
+    def admit_read(self) -> bool:
+        """Count a read; return whether it is within the limit for this second."""
+        self.reads += 1
+        second = int(asyncio.get_running_loop().time())
+        if second != self._current_second:
+            self._current_second = second
+            self._reads_in_second = 0
+        self._reads_in_second += 1
+        if self._reads_in_second <= self.reads_per_s:
+            return True
+        self.reads_refused += 1
+        return False
+
     def port(self, name: str) -> "StoreAccess":
         """Return the store as one instance reaches it."""
         return StoreAccess(self, name)
@@ -233,8 +252,9 @@
     async def read(self, topic: Topic, span: Span) -> ReadOutcome:
         """Read from an offset; wait for a record if there is none."""
         offset, wait_s = span.offset, span.wait_s
-        self.store.reads += 1
         await asyncio.sleep(self.store.answer_s / 2)
+        if not self.store.admit_read():
+            return Unavailable("too many reads")
         log = self.store.logs[topic]
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
@@ -264,8 +284,9 @@
 
     async def newest(self, topic: Topic) -> NewestOutcome:
         """Read the newest record of each key."""
-        self.store.reads += 1
         await asyncio.sleep(self.store.answer_s)
+        if not self.store.admit_read():
+            return Unavailable("too many reads")
         if (self.name, topic) in self.store.unread:
             return await self._silence()
         refused = await self._refused()
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -124,6 +124,7 @@
     fail_ratio: float = 0.0
     slope_of: Callable[[str, str], float] = lambda serving, filling: 0.0
     cell_settings: CellSettings = field(default_factory=CellSettings)
+    store_reads_per_s: float = 2000.0
     store: CellStore = field(default_factory=CellStore)
     judge: Judge = field(default_factory=Judge)
     workers: dict[str, CellWorker] = field(default_factory=dict)
@@ -240,7 +241,13 @@
         self.lives += 1
         address = Address(name, 1) if self.relays else None
         settings = InstanceSettings(
-            f"{name}-{self.lives}", name, "dc-1", 1.0, address, self.cell_settings
+            f"{name}-{self.lives}",
+            name,
+            "dc-1",
+            1.0,
+            address,
+            self.cell_settings,
+            store_reads_per_s=self.store_reads_per_s,
         )
 
         def make_worker(listing: WorkerListing, token: int) -> WorkerAccess:
