--- a/features/processes.feature
+++ b/features/processes.feature
@@ -55,3 +55,9 @@
     When the daemon is run with "show-settings" on good settings
     Then it exits with 0 and prints "authority_s"
     And it does not print the operators' token
+
+  Scenario: SIGHUP during startup does not terminate an instance
+    # Guards against termination by SIGHUP before the signal handler is set.
+    Given an instance process that is importing its modules
+    When it gets SIGHUP
+    Then it completes its startup
