Answer 503 to unknown queues after an unreadable configuration

Requests for a new queue were permanently refused with 404 if the operator's newest configuration could not be decoded: the previous configuration stays in force, and its age was that of the last read, so it counted as recent.

Cause: the decoder returned the same result for an unrelated record and for a configuration that it cannot decode, so the existence of a newer one went unnoticed.

Change: the decoder distinguishes the two cases. After an unreadable configuration, requests that only the newest one can answer (an unknown queue, a count, a path that belongs to no job) are refused with 503, as they are when the configuration is too old, until one can be decoded. Jobs for known queues are accepted as before.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -94,3 +94,13 @@
       | the log of peers              |
       | who watches the holder        |
       | pages of newest records       |
+
+  Scenario: An unreadable configuration causes no permanent refusals
+    # Guards against answering 404 for a queue that the unreadable configuration may add.
+    Given a cell of 3 instances and 4 workers
+    When the operator stores an unreadable configuration
+    And a job "ef03" of 1 steps of 6 tasks is handed in
+    Then the job "ef03" is shown as completed within 10 s
+    And every instance answers 503 to a request for an unknown queue
+    When the operator stores a readable configuration
+    Then every instance answers 404 to a request for an unknown queue
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -10,13 +10,15 @@
 import msgspec
 import structlog
 from behave import given, then, when
+from freshness_steps import count_answer
 from hypothesis import given as any_of
 from hypothesis import settings
 from hypothesis import strategies as st
-from support.cell_scene import play
+from support.cell_scene import act, play
 
 sys.path.insert(0, str(Path(__file__).parent.parent.parent / "platform"))
 
+from hornbeampaddle.cell.jobs import Queue  # noqa: E402
 from hornbeampaddle.cell.progress import JobStatus  # noqa: E402
 from hornbeampaddle_cell.leadership import HOLDER_KEY, Leadership  # noqa: E402
 from hornbeampaddle_cell.ledger import Ledger  # noqa: E402
@@ -25,6 +27,7 @@
 from hornbeampaddle_cell.settings import InstanceSettings  # noqa: E402
 from hornbeampaddle_platform.records import Records  # noqa: E402
 from hornbeampaddle_platform.store import decode_page, decode_records  # noqa: E402
+from hornbeampaddle_standins.cell.world import BATCH, URGENT  # noqa: E402
 
 UNREADABLE = b"\xff\x00\xc1{"
 GOOD = {
@@ -247,6 +250,26 @@
     run()
 
 
+@when("the operator stores an unreadable configuration")
+def store_unreadable_configuration(context):
+    world = context.world
+    act(context, world.store.write, Topic.OPERATOR, Keyed("config", UNREADABLE))
+    play(context, asyncio.sleep(1.0))
+
+
+@when("the operator stores a readable configuration")
+def store_readable_configuration(context):
+    act(context, context.world.configure, URGENT, BATCH)
+    play(context, asyncio.sleep(1.0))
+
+
+@then("every instance answers {status:d} to a request for an unknown queue")
+def check_unknown_queue_status(context, status):
+    for name in context.world.instances:
+        request = count_answer(context.world, name, Queue("unknown", "compute"))
+        assert play(context, request) == status
+
+
 EVACUATION_VALUES = {
     "an empty object": b"{}",
     "bytes that cannot be read": UNREADABLE,
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -34,6 +34,7 @@
     Producer,
     StorePort,
     Topic,
+    UnreadableConfiguration,
     WorkerFactory,
 )
 from .progress_log import PRODUCER_NAME
@@ -268,9 +269,11 @@
 
     def _take_operator(self, records: Sequence[Keyed]) -> None:
         for record in records:
-            configuration = self.codec.configuration(record)
-            if configuration is not None:
-                self._configure(configuration)
+            match self.codec.configuration(record):
+                case Configuration() as configuration:
+                    self._configure(configuration)
+                case UnreadableConfiguration():
+                    self.routing.configuration_unreadable = True
             self.evacuations.take(record)
 
     def _operator_reloaded(self, names: set[str]) -> None:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
@@ -216,6 +216,11 @@
     services: frozenset[str] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableConfiguration:
+    """An operator configuration that cannot be decoded."""
+
+
 @dataclass(frozen=True, slots=True)
 class Evacuation:
     """
@@ -231,8 +236,10 @@
 class Codec(Protocol):
     """Read what the operator and the workers wrote to the store."""
 
-    def configuration(self, record: Keyed) -> Configuration | None:
-        """Return the configuration, or nothing if the record is another."""
+    def configuration(
+        self, record: Keyed
+    ) -> Configuration | UnreadableConfiguration | None:
+        """Return the configuration, readable or not; nothing for another record."""
 
     def evacuation(self, record: Keyed) -> Evacuation | None:
         """Return an evacuation that begins or ends, or nothing if it is another."""
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/routing.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/routing.py
@@ -61,9 +61,13 @@
         self.settings = settings
         self.operator = operator
         self.configuration: Configuration | None = None
+        # True while the newest configuration cannot be decoded. The previous one stays
+        # in force, but does not show which queues have since been added or removed.
+        self.configuration_unreadable = False
 
     def take(self, configuration: Configuration) -> bool:
         """Take in a configuration; tell whether it is newer than the one in force."""
+        self.configuration_unreadable = False
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             return False
@@ -81,7 +85,7 @@
         if not self.recent() and not self.operator.lost:
             # The process was suspended, and its first read since is under way.
             await self.operator.catch_up(FRESH_READ_S)
-        recent = self.recent()
+        recent = self.recent() and not self.configuration_unreadable
         route = route_of(self.configuration, host, path)
         if route is not None:
             return Routed(route, path[len(route.path_prefix) :], recent)
@@ -104,8 +108,12 @@
             path=path,
             version=configuration.version if configuration is not None else 0,
             age_s=round(self.operator.age_s(), 3),
+            unreadable=self.configuration_unreadable,
         )
-        return NotAccepted("configuration_too_old", RETRY_CONFIGURATION_S)
+        reason = "configuration_too_old"
+        if self.configuration_unreadable:
+            reason = "configuration_unreadable"
+        return NotAccepted(reason, RETRY_CONFIGURATION_S)
 
     def _unknown(
         self, configuration: Configuration, host: str, path: str
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -29,6 +29,7 @@
     Keyed,
     QueueRoute,
     Topic,
+    UnreadableConfiguration,
 )
 from hornbeampaddle_cell.settings import InstanceSettings
 
@@ -51,11 +52,16 @@
 class WorldCodec:
     """Records as the stand-ins write them: the product's own types."""
 
-    def configuration(self, record: Keyed) -> Configuration | None:
-        """Return the configuration, or nothing if the record is another."""
+    def configuration(
+        self, record: Keyed
+    ) -> Configuration | UnreadableConfiguration | None:
+        """Return the configuration, readable or not; nothing for another record."""
         if record.key != "config" or record.value is None:
             return None
-        return msgspec.msgpack.decode(record.value, type=Configuration)
+        try:
+            return msgspec.msgpack.decode(record.value, type=Configuration)
+        except msgspec.DecodeError:
+            return UnreadableConfiguration()
 
     def evacuation(self, record: Keyed) -> Evacuation | None:
         """Return an evacuation that begins or ends, or nothing if it is another."""
