Rank a sample of the workers first when placing steps in large cells

With 3,000 workers, the holder spends its CPU time on placement: every ready step ranked every worker. A profile attributes nine tenths of it to ranking. Decisions may use half of a CPU, because the pause between two decisions is at most 0.1 s.

In a cell of more than 500 usable workers, the tasks of a step are now first placed on a sample of 500 workers; each decision uses the next 500. Tasks that do not fit there are placed among all workers in the same decision, as before. Waiting, making room and slow starts are decided only in that second pass. Steps with a worker label, a rack for their data, advice or a gang skip the sample. Cells of up to 500 workers, which includes every deployment so far, make the same decisions as before.

No alternative approach was tried.

The scenario that limits the number of ranked workers failed before this change (3,000 workers ranked). The other two scenarios guard the change itself: few workers with free capacity among many, and fillers that arrive spread over time.

--- a/features/large_cell.feature
+++ b/features/large_cell.feature
@@ -40,3 +40,23 @@
     And a non-evictable client of another server under a shared limit of 8 connections
     When the client makes a call before and after 3 concurrent calls to each HTTP server
     Then both calls of the client use the same connection
+
+  Scenario: A step is placed without ranking every worker
+    # Guards against decision time that grows in proportion to the number of workers.
+    Given 3000 workers of 16 cores
+    When 20 urgent jobs of 4 tasks of 2 cores are submitted
+    Then all urgent jobs finish within 3 s
+    And no ranking included more than 600 workers
+
+  Scenario: A step finds the few workers with free capacity in a large cell
+    # Guards against a step that waits while workers outside the sample have capacity.
+    Given 1200 workers of 16 cores
+    And lasting tasks of 16 cores occupy all but 2 workers
+    When 1 urgent job of 16 tasks of 2 cores is submitted
+    Then all urgent jobs finish within 3 s
+
+  Scenario: Tasks in a large cell are distributed over its workers
+    # Guards against fillers that concentrate on some workers while others are idle.
+    Given 1200 workers of 16 cores
+    When 150 filler jobs of 8 tasks of 8 cores are submitted over 15 s
+    Then no started task waited longer than 0.3 s
--- a/features/steps/large_cell_steps.py
+++ b/features/steps/large_cell_steps.py
@@ -1,11 +1,17 @@
 """Steps on cells with many workers."""
 
 import asyncio
+from unittest.mock import patch
 
 from behave import given, step, then, when
+from support.cell_player import BATCH as BATCH_QUEUE
+from support.cell_player import LASTING, prepared
+from support.cell_player import URGENT as URGENT_QUEUE
+from support.cell_player import step as make_step
 from support.cell_scene import new_loop, play
 from support.cell_walk import build
 
+from hornbeampaddle.cell.placing import Ranking
 from hornbeampaddle.cell.settings import CellSettings
 from hornbeampaddle.machines import Address
 from hornbeampaddle_standins.cell.world import World
@@ -167,3 +173,70 @@
 def same_connection(context):
     all_calls_get_response(context)
     assert context.accepted_count == 1, context.accepted_count
+
+
+@given("lasting tasks of {cores:d} cores occupy all but {count:d} workers")
+def occupy_all_but(context, cores, count):
+    def occupy(player):
+        tasks = len(player.cell.workers) - count
+        player.submit(
+            "lasting", LASTING, make_step(tasks, cores * 1000, lasting=True), 1e9
+        )
+        player.play(1.0)
+        assert len(player.cell.jobs["lasting"].runs()) == tasks
+
+    context.setup.append(occupy)
+
+
+@when("{count:d} urgent jobs of {tasks:d} tasks of {cores:d} cores are submitted")
+@when("{count:d} urgent job of {tasks:d} tasks of {cores:d} cores is submitted")
+def submit_urgent_jobs(context, count, tasks, cores):
+    context.player = player = prepared(context)
+    context.ranked_counts = []
+    original_fill = Ranking.fill
+
+    def recording_fill(ranking, workers):
+        workers = list(workers)
+        context.ranked_counts.append(len(workers))
+        original_fill(ranking, workers)
+
+    with patch.object(Ranking, "fill", recording_fill):
+        for number in range(count):
+            player.submit(
+                f"u{number}", URGENT_QUEUE, make_step(tasks, cores * 1000), 1.0
+            )
+            player.tick()
+    context.job_names = [f"u{number}" for number in range(count)]
+
+
+@then("all urgent jobs finish within {limit_s:g} s")
+def urgent_jobs_finish(context, limit_s):
+    context.player.play(limit_s)
+    finished = context.player.finished_s
+    assert all(name in finished for name in context.job_names), finished
+
+
+@then("no ranking included more than {limit:d} workers")
+def ranked_workers_within_limit(context, limit):
+    ranked_counts = context.ranked_counts
+    assert ranked_counts and max(ranked_counts) <= limit, max(ranked_counts)
+
+
+@when(
+    "{count:d} filler jobs of {tasks:d} tasks of {cores:d} cores are submitted over "
+    "{duration_s:d} s"
+)
+def submit_filler_jobs(context, count, tasks, cores, duration_s):
+    context.player = player = prepared(context)
+    for number in range(count):
+        filler_step = make_step(tasks, cores * 1000, filler=True, image="heavy")
+        player.submit(f"f{number}", BATCH_QUEUE, filler_step, 5.0)
+        player.play(duration_s / count)
+
+
+@then("no started task waited longer than {limit_s:g} s")
+def task_waits_within_limit(context, limit_s):
+    starts = [note for _, note in context.player.notes if note.event == "start"]
+    assert starts
+    longest_s = max(float(note.detail["waited_s"]) for note in starts)
+    assert longest_s <= limit_s, longest_s
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -12,6 +12,7 @@
 from .placing import Ranking, allowed_share, has_spare, may_take, suits
 from .preempting import make_room
 from .progress import JobState, StepState, Task
+from .sampling import place_in_sample
 from .separating import step_count
 from .slow_starts import begin_slowly, its_time, left_idle, place_slow
 from .turns import Turn
@@ -28,9 +29,20 @@
     ready = sorted(_ready_steps(cell, now_s, wall_s), key=lambda item: item[0])
     usable = [w for w in cell.workers.values() if w.usable(now_s)]
     candidates = Candidates(usable, cell.model)
+    sample = cell.sampler.next_sample(usable)
+    sampled_candidates = Candidates(sample, cell.model) if sample is not None else None
     misfits = Misfits()
     for _, state, step in ready:
-        suited = candidates.suited(cell.service_of(state.job), step.step)
+        service = cell.service_of(state.job)
+        if sampled_candidates is not None:
+            suited = sampled_candidates.suited(service, step.step)
+            turn = Turn(
+                cell, decision, sampled_candidates, misfits, state, step, suited, now_s
+            )
+            place_in_sample(turn, _worth_a_look(turn))
+            if not step.waiting():
+                continue
+        suited = candidates.suited(service, step.step)
         turn = Turn(cell, decision, candidates, misfits, state, step, suited, now_s)
         reason = _place_step(turn)
         if reason is not None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -23,6 +23,7 @@
 from .orders import Orders
 from .outlook import Outlook, waiting_shares
 from .progress import JobState, JobStatus, Run, RunPhase, encode, restore
+from .sampling import Sampler
 from .separating import Separator
 from .settings import CellSettings
 from .urgency import UsualWork
@@ -73,6 +74,7 @@
         self.moves_looked_at_s = float("-inf")
         self.pacer = pacing.Pacer(settings, self.model)
         self.separator = Separator(self)
+        self.sampler = Sampler()
         self.waits = WaitBook()
         self.usual_work = UsualWork()
         self.lapses = Lapses()
