Ask again about workers that the service of advice may not know yet

A job could wait forever next to a free worker. If the only worker allowed to run its step had just been listed when the question was sent, the service of advice did not know it yet, and an answer without that worker was taken as "not allowed" for the worker's whole life.

If a worker that the list named to this holder less than 5 s ago is missing from an answer, that answer now counts for 5 s, after which the worker is asked about again. An older worker that is missing counts as refused for good, as before. A question without an answer is repeated as soon as before.

--- a/features/advice.feature
+++ b/features/advice.feature
@@ -52,3 +52,13 @@
     And advice is enabled for the urgent queue
     Then the job "ac08" is shown as completed within 20 s
     And no promise of the cell was broken
+
+  Scenario: A worker that the service of advice did not know yet is asked about again
+    # Guards against a step that never starts although an allowed worker is free.
+    Given a cell of 3 instances and 6 workers
+    And advice allows only the workers "w0" and "w9"
+    And "w0" drains
+    When a worker "w9" is listed that the service of advice does not know for 3 s
+    And a job "ac09" of 1 steps of 4 tasks is handed in for advice
+    Then the job "ac09" is shown as completed within 15 s
+    And it ran only on "w0" and "w9"
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -58,6 +58,33 @@
     act(context, world.configure, advised, BATCH, ADVISED)
 
 
+@given('"{name}" drains')
+def drain_worker(context, name):
+    worker = context.world.workers[name]
+    worker.listing = replace(worker.listing, draining=True)
+    act(context, context.world.list_worker, worker)
+    play(context, asyncio.sleep(1.0))
+
+
+@when(
+    'a worker "{name}" is listed that the service of advice does not know '
+    "for {seconds_s:d} s"
+)
+def list_worker_unknown_to_advice(context, name, seconds_s):
+    world = context.world
+    answer_known = world.advised
+    known_at_s = context.loop.time() + seconds_s
+
+    def answer(step_key, worker_ids):
+        if context.loop.time() < known_at_s:
+            worker_ids = [worker_id for worker_id in worker_ids if worker_id != name]
+        return answer_known(step_key, worker_ids)
+
+    world.advised = answer
+    act(context, world.add_worker, name)
+    play(context, asyncio.sleep(1.0))
+
+
 @then('it ran only on "{one}" and "{other}"')
 def ran_on(context, one, other):
     used = {name for name, w in context.world.workers.items() if w.highest}
--- a/packages/hornbeampaddle/hornbeampaddle/cell/advice.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/advice.py
@@ -3,7 +3,8 @@
 
 Which workers may run a step never changes during their lives; only tickets
 expire. So what was answered about a worker is kept until the step is done, and
-a question names only workers that nothing is known of, or whose ticket is over.
+a question names only workers that nothing is known of, or whose ticket is over, and
+again those that were new when they were first named.
 """
 
 from collections.abc import Collection
@@ -22,6 +23,8 @@
 # The service of advice answers one question at a time for each caller: after a
 # question without an answer it may be busy or away.
 ADVICE_PAUSE_S = 0.3
+# The service may learn of a new worker up to this much later than the holder.
+DISCOVERY_DELAY_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,12 +49,15 @@
     What is known of one step.
 
     ``allowed`` holds the last ticket of each worker that may run the step,
-    ``refused`` the workers that may not, ``asked`` those of the open question.
+    ``refused`` the workers that may not, ``asked`` those of the open question,
+    ``ask_again_at_s`` when to ask again about each worker that the service may not
+    have known.
     """
 
     allowed: dict[str, Ticket] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
     asked: tuple[str, ...] = ()
+    ask_again_at_s: dict[str, float] = field(default_factory=dict)
     rests_until_s: float = float("-inf")
 
     def take(self, allowance: Allowance) -> None:
@@ -59,7 +65,9 @@
         until_s = allowance.valid_until_s
         for worker_id, text in allowance.tickets.items():
             self.allowed[worker_id] = Ticket(text, until_s)
-        self.refused.update(set(self.asked) - allowance.tickets.keys())
+            self.ask_again_at_s.pop(worker_id, None)
+        missing = set(self.asked) - allowance.tickets.keys()
+        self.refused.update(missing - self.ask_again_at_s.keys())
 
     def valid(self, now_s: float) -> dict[str, str]:
         """Return the tickets that have not expired, by worker."""
@@ -72,6 +80,8 @@
     def keep(self, worker_ids: Collection[str]) -> None:
         """Forget the workers that are gone; a lasting step outlives many."""
         self.refused.intersection_update(worker_ids)
+        for worker_id in self.ask_again_at_s.keys() - worker_ids:
+            del self.ask_again_at_s[worker_id]
         for worker_id in self.allowed.keys() - worker_ids:
             del self.allowed[worker_id]
 
@@ -91,6 +101,8 @@
         advice = self.about(step)
         if allowance is None:
             advice.rests_until_s = now_s + ADVICE_PAUSE_S
+            for worker_id in advice.asked:
+                advice.ask_again_at_s.pop(worker_id, None)
         else:
             advice.take(allowance)
         advice.asked = ()
@@ -125,7 +137,7 @@
     open_ = [w for w in room if w.worker_id in valid]
     may_ask = not advice.asked and advice.rests_until_s <= now_s
     if may_ask and not _holds_all(cell, step, open_):
-        _ask(cell, decision, step, advice, room, valid)
+        _ask(cell, decision, step, advice, room, valid, now_s)
     return {w.worker_id: valid[w.worker_id] for w in open_}
 
 
@@ -136,25 +148,42 @@
     advice: StepAdvice,
     room: list[WorkerState],
     valid: dict[str, str],
+    now_s: float,
 ) -> None:
     """
     Ask about workers with room whose part in the step is not known.
 
     Guards against a step that waits for ever beside workers that may run it:
     the same first workers named in each question would hide all others. Each
-    worker that may not run the step is named once, so the questions come to
-    everyone, and then end.
+    worker that may not run the step is named once, a new one again later, so the
+    questions come to everyone, and then end.
     """
     advice.keep(cell.workers.keys())
     names = [w.worker_id for w in room]
     again = [name for name in names if name in advice.allowed and name not in valid]
     known = advice.allowed.keys() | advice.refused
     asked = again + [name for name in names if name not in known]
+    asked = [name for name in asked if advice.ask_again_at_s.get(name, 0.0) <= now_s]
     advice.asked = tuple(asked[: cell.settings.advice_workers])
+    _schedule_retries(cell, advice, now_s)
     if advice.asked:
         decision.questions.append(AdviceQuestion(step.key, advice.asked))
 
 
+def _schedule_retries(cell: "Scheduler", advice: StepAdvice, now_s: float) -> None:
+    """
+    Set when to ask again about new workers that the answer may leave out.
+
+    Guards against a step that never starts because a worker that the service did not
+    know yet is taken as refused.
+    """
+    for name in advice.asked:
+        if now_s - cell.workers[name].listed_at_s < DISCOVERY_DELAY_S:
+            advice.ask_again_at_s[name] = now_s + DISCOVERY_DELAY_S
+        else:
+            advice.ask_again_at_s.pop(name, None)
+
+
 def _holds_all(cell: "Scheduler", step: StepState, workers: list[WorkerState]) -> bool:
     """
     Tell whether workers have room for every task of a step that waits.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -154,6 +154,7 @@
         worker = self.workers.get(listing.worker_id)
         if worker is None:
             worker = self._new_worker(listing)
+            worker.listed_at_s = now_s
             self._inherit_lease(worker, now_s)
             self.note(Note("worker_listed", "", {"worker": listing.worker_id}))
         was_draining = worker.listing.draining
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -74,6 +74,8 @@
     taken: Resources = NOTHING
     # Room that is kept for tasks on their way here.
     held: Resources = NOTHING
+    # When this holder first saw the worker in the list.
+    listed_at_s: float = float("-inf")
     # A run of a suspected task: nothing more starts here until a report shows it.
     trial: Run | None = None
     seen_end: int = 0
