Keep a suspected task away from tasks lost on the same worker

According to the log of the walk, the other job's task had started 0.08 s and then 0.051 s before the first two crashes, both times on the worker that ran the crashing task. The crashing task was not yet a suspect, because its own losses came one second after its starts and count as one. The other task was therefore lost twice within a moment of its starts and was given up as the cause, and the losses of the crashing task were attributed to it and cleared. A suspected task was kept apart from other suspected tasks only.

Each run records the workers that were lost with earlier runs of its task.

The added scenario replays this walk. Without the change, it reports "keeps crashing workers" and the job of another task is given up.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -144,3 +144,9 @@
       | 20046 |
       | 30045 |
       | 30129 |
+
+  Scenario: A task lost together with a crashing task is not started next to it again
+    # Guards against giving up a job because of crashes caused by another job's task.
+    Given a random walk with evacuations and seed 77039
+    Then no promise of the cell was broken
+    And no job was given up but those that crash workers
--- a/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
@@ -11,7 +11,7 @@
 the worker has survived it. So the next loss tells the task from those beside it.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -162,24 +162,33 @@
 
 
 def choose_apart(
-    workers: Iterable[WorkerState], avoid: str, now_s: float
+    workers: Iterable[WorkerState], task: Task, now_s: float
 ) -> WorkerState | None:
     """
     Return the worker for a suspected task: the one where least is at stake.
 
-    ``workers`` have room for it. One with another suspected task is not taken: two that
-    were lost together would be again and again, and nothing would tell them apart.
+    ``workers`` have room for it. A worker that recently started another suspected task,
+    or a task that was lost with one of the same workers, is skipped: if both tasks were
+    lost together again, the crash could not be attributed to either of them.
     Workers with a run that no report has shown yet come last, then the one where the
     task was lost.
     """
-    apart = (worker for worker in workers if not _on_trial(worker, now_s))
-    return min(apart, key=lambda w: _stake(w, avoid), default=None)
+    lost_worker_ids = task.crashed_runs.values()
+    apart = (w for w in workers if not _on_trial(w, lost_worker_ids, now_s))
+    return min(apart, key=lambda w: _stake(w, task.last_worker_id), default=None)
 
 
-def _on_trial(worker: WorkerState, now_s: float) -> bool:
-    """Tell whether a suspected task has not been at work here for long."""
+def _on_trial(
+    worker: WorkerState, lost_worker_ids: Collection[str], now_s: float
+) -> bool:
+    """
+    Tell whether the worker has a recent run of a task that may crash it.
+
+    Such a task is suspected itself or was lost with a worker in ``lost_worker_ids``.
+    """
     return any(
-        run.suspected and now_s - run.reported_at_s < PROVEN_S
+        (run.suspected or not run.lost_worker_ids.isdisjoint(lost_worker_ids))
+        and now_s - run.reported_at_s < PROVEN_S
         for run in worker.runs.values()
     )
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -155,7 +155,7 @@
         if may_take(step, worker, task.key, ranking.used)
         and (not step.filler or has_spare(step, worker))
     ]
-    worker = choose_apart(fitting, task.last_worker_id, turn.now_s)
+    worker = choose_apart(fitting, task, turn.now_s)
     if worker is None:
         return False
     turn.start(task, worker)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -78,6 +78,8 @@
     first_pace_percent: int = 100
     # Its task may have crashed workers before.
     suspected: bool = False
+    # Workers that were lost while running earlier attempts of the task.
+    lost_worker_ids: frozenset[str] = frozenset()
     # It was placed where others use all processors: more speed would slow them.
     shares_processors: bool = False
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
@@ -29,6 +29,7 @@
     run.placed_at_s = now_s
     task.run = run
     worker.add(run)
+    run.lost_worker_ids = frozenset(task.crashed_runs.values())
     if suspected(task):
         run.suspected = True
         worker.trial = run
