--- a/features/relay.feature
+++ b/features/relay.feature
@@ -100,3 +100,44 @@
     When jobs are submitted for 10 s
     Then the store has refused less than a tenth of the reads
     And all jobs are shown as completed within 10 s
+
+  Scenario: A read that a peer does not answer does not delay an append
+    # Guards against a holder that stores nothing for over a second: after one read that
+    # did not pass a peer's slow link in time, its appends go to no peer at all.
+    Given a relay whose store does not answer
+    And 3 peers that do not answer reads
+    When a read and then an append with a sequence number go through it
+    Then the append is stored
+
+  Scenario: An append that a peer does not answer is repeated through another
+    # Guards against a holder that loses the cell because a peer with a busy link does
+    # not answer in time, although other peers reach the store.
+    Given a relay whose store does not answer
+    And 3 peers of which the first that is asked does not answer
+    When an append with a sequence number goes through it
+    Then the append is stored
+
+  Scenario: Three peers that are turned away too do not hold back an append
+    # Guards against a holder that loses the cell while most peers reach the store: with
+    # a third of them turned away, one call in 27 meets three of those, and no peer was
+    # called for a second after it.
+    Given a relay whose store does not answer
+    And 9 peers of which the first 3 that are asked are turned away too
+    When an append with a sequence number goes through it
+    Then the append is stored
+
+  Scenario: Appends go to the peer that served the last one
+    # Guards against appends that wait for a timeout again and again, because each goes
+    # to another peer of which some have a busy link.
+    Given a relay whose store does not answer
+    And 9 peers
+    When 4 appends with a sequence number go through it
+    Then all of them went to the same peer
+
+  Scenario: A claim that a peer does not answer is not repeated through another
+    # Guards against two holders under the same fencing token: the peer may have stored
+    # the claim, and the log accepts a repeat as a second claim.
+    Given a relay whose store refuses
+    And 3 peers of which the first that is asked does not answer
+    When a claim goes through it
+    Then only one peer was asked
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -13,8 +13,16 @@
 from hornbeampaddle.machines import Address
 from hornbeampaddle_cell.callers import Accepted
 from hornbeampaddle_cell.peers import PeerDirectory, peer_record
-from hornbeampaddle_cell.ports import Appended, Keyed, Producer, Topic, Unavailable
-from hornbeampaddle_cell.relay import Relay, encode_outcome
+from hornbeampaddle_cell.ports import (
+    Appended,
+    Keyed,
+    Producer,
+    Span,
+    Topic,
+    Unavailable,
+)
+from hornbeampaddle_cell.relay import Relay
+from hornbeampaddle_cell.relay_messages import encode_outcome
 from hornbeampaddle_standins.cell.store import Link, StoreFault
 from hornbeampaddle_standins.cell.world import BATCH, SkewedClock, World
 from hornbeampaddle_wire.peer_requests import PeerChannel
@@ -164,11 +172,17 @@
     assert context.calls < count, context.calls
 
 
-class SilentStore:
-    """A store whose every append goes unanswered."""
+class FailingStore:
+    """A store that answers every call with one failure."""
+
+    def __init__(self, failure):
+        self.failure = failure
 
     async def append(self, topic, records, producer, at_offset):
-        return NoAnswer("timed out")
+        return self.failure
+
+    async def read(self, topic, span):
+        return self.failure
 
 
 class RecordingPeers:
@@ -184,13 +198,28 @@
 
 @given("a relay whose store does not answer")
 def silent_relay(context):
+    relay_to(context, FailingStore(NoAnswer("timed out")))
+
+
+@given("a relay whose store refuses")
+def refused_relay(context):
+    relay_to(context, FailingStore(Unavailable("refused")))
+
+
+def relay_to(context, store):
     context.loop = asyncio.new_event_loop()
     context.add_cleanup(context.loop.close)
-    peer_directory = PeerDirectory("i0")
-    peer_directory.apply(peer_record("i1", Address("127.0.0.1", 1), 0.0))
+    context.peer_directory = PeerDirectory("i0")
+    add_peers(context, 1)
     context.peers = RecordingPeers()
     clock = SkewedClock(context.loop, 0.0)
-    context.relay = Relay(SilentStore(), peer_directory, context.peers, clock)
+    context.relay = Relay(store, context.peer_directory, context.peers, clock)
+
+
+def add_peers(context, count):
+    for number in range(1, count + 1):
+        record = peer_record(f"i{number}", Address("127.0.0.1", number), 0.0)
+        context.peer_directory.apply(record)
 
 
 @when("a claim and an append with a sequence number go through it")
@@ -198,8 +227,6 @@
     records = [Keyed("key", b"value")]
     claim = context.relay.append(Topic.PROGRESS, records, None, 4)
     context.claimed = context.loop.run_until_complete(claim)
-    # Lets the relay try the store itself again, as it does a second later.
-    context.relay._direct_at_s = float("-inf")
     producer = Producer("holder", 5, 0)
     append = context.relay.append(Topic.PROGRESS, records, producer, None)
     context.appended = context.loop.run_until_complete(append)
@@ -372,3 +399,90 @@
         [("ready: yes", ""), ("ready: no", why), ("ready: yes", "")],
         [("ready: no", why), ("ready: yes", "")],
     ), logged
+
+
+@given("{count:d} peers")
+def peers(context, count):
+    add_peers(context, count)
+    context.asked_addresses = []
+    record = context.peers.call
+
+    async def call(address, data, timeout_s):
+        context.asked_addresses.append(address)
+        return await record(address, data, timeout_s)
+
+    context.peers.call = call
+
+
+@given("{count:d} peers of which the first {away:d} that are asked are turned away too")
+def first_peers_away(context, count, away):
+    add_peers(context, count)
+    record = context.peers.call
+
+    async def call(address, data, timeout_s):
+        answer = await record(address, data, timeout_s)
+        if len(context.peers.asked) <= away:
+            return encode_outcome(Unavailable("this peer is turned away too"))
+        return answer
+
+    context.peers.call = call
+
+
+@when("{count:d} appends with a sequence number go through it")
+def numbered_appends(context, count):
+    for _ in range(count):
+        numbered_append(context)
+        append_stored(context)
+
+
+@then("all of them went to the same peer")
+def same_peer(context):
+    assert len(set(context.asked_addresses)) == 1, context.asked_addresses
+
+
+@given("{count:d} peers that do not answer reads")
+def peers_without_reads(context, count):
+    add_peers(context, count)
+    record = context.peers.call
+
+    async def call(address, data, timeout_s):
+        answer = await record(address, data, timeout_s)
+        return b"" if b"read" in data else answer
+
+    context.peers.call = call
+
+
+@given("{count:d} peers of which the first that is asked does not answer")
+def first_peer_silent(context, count):
+    add_peers(context, count)
+    record = context.peers.call
+
+    async def call(address, data, timeout_s):
+        answer = await record(address, data, timeout_s)
+        return b"" if len(context.peers.asked) == 1 else answer
+
+    context.peers.call = call
+
+
+@when("a read and then an append with a sequence number go through it")
+def read_and_append(context):
+    read = context.relay.read(Topic.OPERATOR, Span(0, 0.0, 1024))
+    assert isinstance(context.loop.run_until_complete(read), NoAnswer)
+    numbered_append(context)
+
+
+@then("the append is stored")
+def append_stored(context):
+    assert context.outcome == Appended(1), context.outcome
+
+
+@when("a claim goes through it")
+def claim(context):
+    append = context.relay.append(Topic.PROGRESS, [Keyed("key", b"value")], None, 4)
+    context.outcome = context.loop.run_until_complete(append)
+
+
+@then("only one peer was asked")
+def one_peer_asked(context):
+    assert len(context.peers.asked) == 1, len(context.peers.asked)
+    assert isinstance(context.outcome, NoAnswer), context.outcome
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -24,24 +24,31 @@
 
 from .peers import PeerDirectory
 from .ports import (
-    Appended,
     AppendOutcome,
     Batch,
     Clock,
-    Conflict,
     Expired,
     Keyed,
     Newest,
     NewestOutcome,
-    OutOfSequence,
     Producer,
     ReadOutcome,
     Span,
     StorePort,
-    Superseded,
     Topic,
     Unavailable,
 )
+from .relay_messages import (
+    AppendAsk,
+    Ask,
+    NewestAsk,
+    Outcome,
+    ReadAsk,
+    decode_ask,
+    decode_outcome,
+    encode_ask,
+    encode_outcome,
+)
 
 log = structlog.get_logger()
 
@@ -50,13 +57,14 @@
 STORE_PROBE_INTERVAL_S = 1.0
 # The probe: a short read of the log of peers; any answer but a refusal counts.
 STORE_PROBE = Span(0, 0.0, 1024)
-# How long no peer is called after none of them could reach the store, which is then
-# down for all: three of four instances would call in vain, and each call that waits for
-# a silent peer delays the detection of the store's return.
+# How long no peer is called after all that were asked answered that they cannot reach
+# the store, which is then down for all: three of four instances would call in vain.
 PEERS_BACKOFF_S = 1.0
-# Number of peers tried for one call: if a third of them cannot reach the store, one
-# call in 27 meets three of those.
-PEERS_PER_CALL_MAX = 3
+# Number of peers tried for one call. They refuse within milliseconds; if a third of
+# them cannot reach the store, one call in 6,561 meets only those.
+PEERS_PER_CALL_MAX = 8
+# Number of peers tried that do not answer, for one append.
+TIMEOUTS_PER_APPEND_MAX = 3
 # A peer answers after one call to the store, which takes 4 to 20 ms. A peer that takes
 # longer than this most likely cannot reach the store either.
 PEER_TIMEOUT_S = 0.3
@@ -73,53 +81,6 @@
 PEER_NEWEST_TIMEOUT_S = 1.0
 
 
-class AppendAsk(msgspec.Struct, tag="append", frozen=True):
-    """A request to a peer to append records."""
-
-    topic: str
-    records: list[tuple[str, bytes | None]]
-    producer: tuple[str, int, int] | None
-    at_offset: int | None
-
-
-class ReadAsk(msgspec.Struct, tag="read", frozen=True):
-    """A request to a peer to read from an offset."""
-
-    topic: str
-    offset: int
-    wait_s: float
-    size_max_bytes: int
-
-
-class NewestAsk(msgspec.Struct, tag="newest", frozen=True):
-    """A request to a peer to read the newest record of each key."""
-
-    topic: str
-
-
-Ask = AppendAsk | ReadAsk | NewestAsk
-Outcome = AppendOutcome | ReadOutcome | NewestOutcome
-
-# Outcome types by the name under which a peer's answer carries them.
-OUTCOMES: dict[str, type] = {
-    kind.__name__: kind
-    for kind in (
-        Appended,
-        Conflict,
-        Superseded,
-        OutOfSequence,
-        Unavailable,
-        NoAnswer,
-        Batch,
-        Expired,
-        Newest,
-    )
-}
-_ask_decoder = msgspec.msgpack.Decoder(Ask)
-_answer_decoder = msgspec.msgpack.Decoder(tuple[str, dict])
-_encode = msgspec.msgpack.Encoder().encode
-
-
 class PeerCaller(Protocol):
     """The client for requests to other instances."""
 
@@ -127,17 +88,17 @@
         """Send a request; return the answer, empty if none came within the timeout."""
 
 
-def encode_outcome(outcome: Outcome) -> bytes:
-    """Encode an outcome as the answer to a peer."""
-    fields = msgspec.to_builtins(outcome, builtin_types=(bytes,))
-    return _encode((type(outcome).__name__, fields))
+def _timeouts_max(ask: Ask, idempotent: bool) -> int:
+    """
+    Return how many peers may leave a call unanswered.
 
-
-def decode_outcome(data: bytes) -> Outcome:
-    """Decode a peer's answer; raises ``msgspec.MsgspecError`` or ``KeyError``."""
-    name, fields = _answer_decoder.decode(data)
-    outcome: Outcome = msgspec.convert(fields, OUTCOMES[name], builtin_types=(bytes,))
-    return outcome
+    An append is repeated, because the holder has 1.5 s to store a record. A claim is
+    not, because it may have been stored; nor a read, whose second answer would only
+    delay the first on a busy link.
+    """
+    if isinstance(ask, AppendAsk) and idempotent:
+        return TIMEOUTS_PER_APPEND_MAX
+    return 1
 
 
 class Relay:
@@ -155,6 +116,8 @@
         self.peer_directory = peer_directory
         self.peers = peers
         self.clock = clock
+        # The peer that served the last append.
+        self._append_peer: Address | None = None
         self._next_peer_call_s = float("-inf")
         self._away_since_s: float | None = None
 
@@ -228,7 +191,7 @@
             self._mark_store_unreachable()
         if isinstance(outcome, NoAnswer) and not idempotent:
             return outcome
-        relayed = await self._call_peers(ask, timeout_s)
+        relayed = await self._call_peers(ask, timeout_s, idempotent)
         if relayed is None:
             return outcome
         if isinstance(outcome, NoAnswer) and isinstance(relayed, Unavailable):
@@ -266,24 +229,47 @@
                 "relay: store turns us away", peers=len(self.peer_directory.shuffled())
             )
 
-    async def _call_peers(self, ask: Ask, timeout_s: float) -> Outcome | None:
-        """Forward a call to a few peers; return the last outcome, if any was called."""
+    async def _call_peers(
+        self, ask: Ask, timeout_s: float, idempotent: bool
+    ) -> Outcome | None:
+        """Forward a call to a few peers; return its outcome, if any was called."""
         if self.clock.now_s() < self._next_peer_call_s:
             return None
-        data = _encode(ask)
+        data = encode_ask(ask)
+        timeouts_left = _timeouts_max(ask, idempotent)
         outcome: Outcome | None = None
-        for address in self.peer_directory.shuffled()[:PEERS_PER_CALL_MAX]:
+        unanswered: NoAnswer | None = None
+        for address in self._peers_for(ask):
             outcome = await self._call_peer(address, data, timeout_s)
-            if not isinstance(outcome, Unavailable | NoAnswer):
-                return outcome
-            if isinstance(outcome, NoAnswer):
-                # An append may still be stored: the caller repeats it under its
-                # sequence number. For a read, another silent peer would only cost
-                # another timeout.
-                break
+            match outcome:
+                case NoAnswer():
+                    unanswered = outcome
+                    timeouts_left -= 1
+                    if not timeouts_left:
+                        break
+                case Unavailable():
+                    pass
+                case _:
+                    if isinstance(ask, AppendAsk):
+                        self._append_peer = address
+                    return outcome
+        if unanswered is not None:
+            # The peers that did not answer may only have slow links, so the next call
+            # tries others.
+            return unanswered
         self._next_peer_call_s = self.clock.now_s() + PEERS_BACKOFF_S
         return outcome
 
+    def _peers_for(self, ask: Ask) -> list[Address]:
+        """Return the peers to try for a call, in order."""
+        addresses = self.peer_directory.shuffled()
+        if isinstance(ask, AppendAsk) and self._append_peer in addresses:
+            # The peer that served the last append reaches the store, and its link has
+            # room.
+            addresses.remove(self._append_peer)
+            addresses.insert(0, self._append_peer)
+        return addresses[:PEERS_PER_CALL_MAX]
+
     async def _call_peer(
         self, address: Address, data: bytes, timeout_s: float
     ) -> Outcome:
@@ -305,7 +291,7 @@
     async def serve(self, data: bytes) -> bytes:
         """Execute a peer's encoded request and return the encoded outcome."""
         try:
-            ask = _ask_decoder.decode(data)
+            ask = decode_ask(data)
         except msgspec.MsgspecError as error:
             log.error("relay: cannot decode request of peer", error=str(error))
             return encode_outcome(Unavailable("request not understood"))
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
@@ -32,6 +32,8 @@
 CALL_TIMEOUT_S = 1.0
 # Number of append outcomes that the store remembers for each producer.
 REMEMBERED_APPENDS_MAX = 5
+# Size of the answer to an append.
+APPEND_ANSWER_BYTES = 200
 # Reads of the newest records return them as base64 text.
 BASE64_SIZE_RATIO = 4 / 3
 
@@ -117,11 +119,15 @@
 
     bytes_per_s: float
     free_at_s: float = 0.0
+    # For how long it has transferred in total.
+    used_s: float = 0.0
 
     async def transfer(self, size_bytes: float) -> None:
         """Wait until an answer of this size is transferred."""
         now_s = asyncio.get_running_loop().time()
-        self.free_at_s = max(self.free_at_s, now_s) + size_bytes / self.bytes_per_s
+        transfer_s = size_bytes / self.bytes_per_s
+        self.used_s += transfer_s
+        self.free_at_s = max(self.free_at_s, now_s) + transfer_s
         await asyncio.sleep(self.free_at_s - now_s)
 
 
@@ -222,6 +228,8 @@
                 return await self._time_out()
         outcome = self._append(topic, records, producer, at_offset)
         await asyncio.sleep(self.store.round_trip_s / 2)
+        if not await self._delivered(APPEND_ANSWER_BYTES):
+            return NoAnswer("timed out")
         return outcome
 
     def _append(
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -100,15 +100,20 @@
                 if instance is None or instance.relay is None:
                     await asyncio.sleep(timeout_s)
                     return b""
+                await self._transfer(address.host, data)
                 answer = await instance.relay.serve(data)
                 await asyncio.sleep(PEER_LATENCY_S)
-                link = self.world.store.links.get(self.name)
-                if link is not None:
-                    await link.transfer(len(answer))
+                await self._transfer(self.name, answer)
                 return answer
         except TimeoutError:
             return b""
 
+    async def _transfer(self, name: str, data: bytes) -> None:
+        """Wait until a message has passed the link of the instance that receives it."""
+        link = self.world.store.links.get(name)
+        if link is not None:
+            await link.transfer(len(data))
+
 
 class SkewedClock:
     """The clocks of one instance; after a pause they show the current time."""
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/peer_requests.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/peer_requests.py
@@ -29,8 +29,9 @@
 RECONNECT_MAX_MS = 1000
 # Messages queued per connection; those to an unreachable peer are lost.
 SEND_BUFFER_MESSAGES = 32
-# Maximum number of open connections to peers: a relay asks three peers for one call.
-PEER_CONNECTIONS_MAX = 8
+# Maximum number of open connections to peers: a relay asks up to eight for one call,
+# and makes a few calls at once.
+PEER_CONNECTIONS_MAX = 24
 
 Handler = Callable[[bytes], Awaitable[bytes]]
 
