--- a/features/relay.feature
+++ b/features/relay.feature
@@ -142,6 +142,23 @@
     When a claim goes through it
     Then only one peer was asked
 
+  Scenario Outline: The holder goes on while large configurations come and the store is silent to it
+    # Guards against four seconds in which nothing starts. Each change of the
+    # configuration fills the links of all instances, so that what the holder asks of
+    # peers does not pass before the timeout; its view of the operator's log becomes too
+    # old to start tasks by, and its appends wait with its reads.
+    Given a cell of 4 instances and 6 workers that reach the store through one another
+    And links of <link> Mbit/s, and a configuration of 300 kB
+    When the store is silent for the holder for 9 s while the configuration changes 3 times a second
+    Then no interval without a start was longer than <longest> s
+    And the same instance holds the cell
+    And no promise of the cell was broken
+
+    Examples:
+      | link | longest |
+      | 10   | 2.5     |
+      | 5    | 4.4     |
+
   Scenario: A large log that keeps changing takes half of a slow link
     # Guards against slow answers to all other calls of an instance: each change of a
     # large configuration is read twice, once by itself and once with all others.
@@ -150,3 +167,17 @@
     When the configuration changes 3 times a second for 12 s
     Then reading it has taken less than two thirds of the time on each link
     And no instance's view of it was older than 1.8 s
+
+  Scenario: A peer's view does not take an instance back
+    # Guards against an evacuation that ends although the operator has not ended it: an
+    # instance reads the newest records from the view of a peer that is behind.
+    Given a relay that the store serves, and that shares a view up to offset 7
+    When a peer that has applied the log up to offset 9 asks for its newest records
+    Then it is answered from the store
+
+  Scenario: A view that a peer shares counts as old as it is
+    # Guards against a job that is taken for a queue closed long ago: an instance reads
+    # the operator's log from the view of a peer that has not read it for a second.
+    Given a relay that the store serves, and that shares a view up to offset 7
+    When that view is 1.2 s old and a peer follows it
+    Then the peer considers its own view at least 1.2 s old
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -13,6 +13,7 @@
 from hornbeampaddle.cell.reports import NoAnswer
 from hornbeampaddle.machines import Address
 from hornbeampaddle_cell.callers import Accepted
+from hornbeampaddle_cell.follower import Follower
 from hornbeampaddle_cell.peers import PeerDirectory, peer_record
 from hornbeampaddle_cell.ports import (
     Appended,
@@ -23,7 +24,12 @@
     Unavailable,
 )
 from hornbeampaddle_cell.relay import Relay
-from hornbeampaddle_cell.relay_messages import encode_outcome
+from hornbeampaddle_cell.relay_messages import (
+    NewestAsk,
+    decode_outcome,
+    encode_ask,
+    encode_outcome,
+)
 from hornbeampaddle_standins.cell.store import Link, StoreFault
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, SkewedClock, World
 from hornbeampaddle_wire.peer_requests import PeerChannel
@@ -417,6 +423,39 @@
     return [Queue(f"{number:031}", "compute") for number in range(5 * size_kb)]
 
 
+@when(
+    "the store is silent for the holder for {outage_s:d} s while the configuration "
+    "changes {per_s:d} times a second"
+)
+def silent_while_configured(context, outage_s, per_s):
+    world = context.world
+    context.holder = world.holder()
+    others = [name for name in world.instances if name != context.holder]
+
+    async def operate():
+        while True:
+            world.configure(URGENT, BATCH, *context.filling)
+            await asyncio.sleep(1 / per_s)
+
+    async def submit_jobs():
+        for number in range(outage_s * 5):
+            via = others[number % len(others)]
+            await world.submit(job_id(f"b0{number:02}"), BATCH, plain(1), via=via)
+            await asyncio.sleep(0.2)
+
+    async def fail_store():
+        operating = asyncio.create_task(operate())
+        await asyncio.sleep(2.0)
+        world.store.faults[context.holder] = STORE_FAULTS["is silent"]
+        context.from_s = asyncio.get_running_loop().time()
+        await submit_jobs()
+        context.until_s = asyncio.get_running_loop().time()
+        operating.cancel()
+        world.store.faults.clear()
+
+    play(context, fail_store())
+
+
 @given("{count:d} peers")
 def peers(context, count):
     add_peers(context, count)
@@ -531,3 +570,61 @@
 @then("no instance's view of it was older than {age_s:g} s")
 def views_recent(context, age_s):
     assert context.oldest_s <= age_s, context.oldest_s
+
+
+@given("a relay that the store serves, and that shares a view up to offset {offset:d}")
+def relay_with_view(context, offset):
+    new_loop(context)
+    context.world = World(7)
+    for number in range(10):
+        context.world.store.write(Topic.OPERATOR, Keyed(f"key {number}", b"value"))
+    context.clock = SkewedClock(context.loop, 0.0)
+    peer_directory = PeerDirectory("i0")
+    context.relay = Relay(
+        context.world.store.port("i0"), peer_directory, None, context.clock
+    )
+    view = Follower(context.relay, Topic.OPERATOR, context.clock, lambda records: None)
+    view.applied_offset = offset
+    view.complete_at_s = context.loop.time()
+    context.view = view
+    context.relay.shared_views[Topic.OPERATOR] = view
+
+
+@when(
+    "a peer that has applied the log up to offset {offset:d} asks for its newest "
+    "records"
+)
+def ask_newest(context, offset):
+    ask = encode_ask(NewestAsk(Topic.OPERATOR.value, offset))
+    context.outcome = decode_outcome(play(context, context.relay.serve(ask)))
+
+
+@then("it is answered from the store")
+def answered_from_store(context):
+    assert context.outcome.end_offset == 10, context.outcome
+
+
+class PeerStore:
+    """A store port that reads the newest records through one peer."""
+
+    def __init__(self, relay):
+        self.relay = relay
+
+    async def newest(self, topic):
+        ask = encode_ask(NewestAsk(topic.value))
+        return decode_outcome(await self.relay.serve(ask))
+
+
+@when("that view is {age_s:g} s old and a peer follows it")
+def follow_view(context, age_s):
+    context.view.complete_at_s = context.loop.time() - age_s
+    store = PeerStore(context.relay)
+    context.follower = Follower(
+        store, Topic.OPERATOR, context.clock, lambda records: None
+    )
+    play(context, context.follower._read_newest())
+
+
+@then("the peer considers its own view at least {age_s:g} s old")
+def peer_view_age(context, age_s):
+    assert context.follower.age_s() >= age_s, context.follower.age_s()
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
@@ -81,6 +81,10 @@
         # skipped.
         self.latest_only = False
         self.offset: int | None = None
+        # The offset up to which records were applied; stays when ``offset`` is cleared.
+        self.applied_offset = 0
+        # The newest value of each key, kept only if ``latest_only`` is set.
+        self._values: dict[str, bytes] = {}
         self.complete_at_s = float("-inf")
         self.on_reload: Callable[[set[str]], None] | None = None
         self._read_requested = asyncio.Event()
@@ -118,12 +122,25 @@
         """Whether the last read failed."""
         return self._lost_at_s is not None
 
-    def _note_size(self, records: Sequence[Keyed], sent_at_s: float) -> None:
+    def newest(self) -> Newest:
+        """Return the newest records as read so far, for a peer; see ``latest_only``."""
+        records = [Keyed(key, value) for key, value in self._values.items()]
+        return Newest(records, self.applied_offset, -self.age_s())
+
+    def _note_applied(
+        self, records: Sequence[Keyed], end_offset: int, sent_at_s: float
+    ) -> None:
+        self.applied_offset = end_offset
         if not self.latest_only:
             return
         size_bytes = sum(len(record.value or b"") for record in records)
         large = size_bytes > LARGE_CHANGE_BYTES
         self._large_change_took_s = self.clock.now_s() - sent_at_s if large else 0.0
+        for record in records:
+            if record.value is None:
+                self._values.pop(record.key, None)
+            else:
+                self._values[record.key] = record.value
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -174,13 +191,14 @@
         sent_at_s = self.clock.now_s()
         outcome = await self.store.newest(self.topic)
         match outcome:
-            case Newest(records, end_offset):
+            case Newest(records, end_offset, waited_s):
                 self.handler(records)
-                self._note_size(records, sent_at_s)
+                self._values.clear()
+                self._note_applied(records, end_offset, sent_at_s)
                 if self.on_reload is not None:
                     self.on_reload({record.key for record in records})
                 self.offset = end_offset
-                self._mark_complete(sent_at_s)
+                self._mark_complete(sent_at_s + waited_s)
                 self._check_changing(end_offset)
                 return True
             case Unavailable(detail) | NoAnswer(detail):
@@ -234,7 +252,7 @@
         self._skip_wait = bool(batch.records) and now_s - sent_at_s > SKIP_WAIT_AFTER_S
         if batch.records:
             self.handler(self._newest_of(batch.records))
-        self._note_size(batch.records, sent_at_s)
+        self._note_applied(batch.records, batch.next_offset, sent_at_s)
         self._behind = batch.next_offset < batch.end_offset
         if self._behind:
             self._adapt_read_size(now_s - sent_at_s)
@@ -266,7 +284,8 @@
             log.info("store: regained", topic=self.topic.value, gone_s=gone_s)
             self._lost_at_s = None
         self._failures = 0
-        self.complete_at_s = complete_at_s
+        # A peer's view may be older than what this instance has read before.
+        self.complete_at_s = max(self.complete_at_s, complete_at_s)
         self._complete.set()
 
     def _mark_failed(self, detail: str) -> None:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -100,6 +100,8 @@
         self.progress = self._follow(Topic.PROGRESS, self._apply_progress_records)
         self.operator = self._follow(Topic.OPERATOR, self._apply_operator_records)
         self.operator.on_reload = self._operator_reloaded
+        if self.relay is not None:
+            self.relay.shared_views[Topic.OPERATOR] = self.operator
         self.evacuations = Evacuations(codec, self._evacuations_changed)
         self.routing = Routing(settings, self.operator)
         self.metrics.watch_configuration(self.routing)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
@@ -99,8 +99,9 @@
     """
     Records from an offset on, and the offset at which the log ends.
 
-    ``waited_s`` is a lower bound of how long the store waited for a record before it
-    answered that there is none.
+    The answer is complete as of ``waited_s`` after the call was sent: how long the
+    store at least waited for a record before it answered that there is none. It is
+    negative if a peer answered from a view older than the call.
     """
 
     records: Sequence[Keyed]
@@ -116,10 +117,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Newest:
-    """The newest record of each key, and an offset from which to read on."""
+    """
+    The newest record of each key, and an offset from which to read on.
+
+    ``waited_s`` is as in ``Batch``.
+    """
 
     records: Sequence[Keyed]
     end_offset: int
+    waited_s: float = 0.0
 
 
 ReadOutcome = Batch | Expired | Unavailable | NoAnswer
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -22,6 +22,7 @@
 from hornbeampaddle.cell.reports import NoAnswer
 from hornbeampaddle.machines import Address
 
+from .follower import Follower
 from .peers import PeerDirectory
 from .ports import (
     AppendOutcome,
@@ -79,6 +80,9 @@
 # routes is 0.45 MB on the wire, which takes 0.7 s on the slowest links, of 5 Mbit/s;
 # with a shorter timeout an instance there would never get it from a peer.
 PEER_NEWEST_TIMEOUT_S = 1.0
+# Oldest view of a log that is shared with a peer: the peer refuses new jobs by a
+# configuration that is older than 1.8 s.
+SHARED_VIEW_AGE_MAX_S = 1.5
 
 
 class PeerCaller(Protocol):
@@ -116,6 +120,8 @@
         self.peer_directory = peer_directory
         self.peers = peers
         self.clock = clock
+        # This instance's followers whose views it shares with peers.
+        self.shared_views: dict[Topic, Follower] = {}
         # The peer that served the last append.
         self._append_peer: Address | None = None
         self._next_peer_call_s = float("-inf")
@@ -166,9 +172,11 @@
 
     async def newest(self, topic: Topic) -> NewestOutcome:
         """Read the newest record of each key."""
+        view = self.shared_views.get(topic)
+        applied_offset = view.applied_offset if view is not None else 0
         outcome = await self._call(
             lambda: self.direct.newest(topic),
-            NewestAsk(topic.value),
+            NewestAsk(topic.value, applied_offset),
             PEER_NEWEST_TIMEOUT_S,
         )
         assert isinstance(outcome, NewestOutcome)
@@ -297,11 +305,37 @@
             return encode_outcome(Unavailable("request not understood"))
         if self.away:
             return encode_outcome(Unavailable("this peer is turned away too"))
-        outcome = await self._execute_for_peer(ask)
+        outcome = await self._answer_from_view(ask)
+        if outcome is None:
+            outcome = await self._execute_for_peer(ask)
         if isinstance(outcome, Unavailable | NoAnswer):
             self._mark_store_unreachable()
         return encode_outcome(outcome)
 
+    async def _answer_from_view(self, ask: Ask) -> Outcome | None:
+        """
+        Answer a read from what this instance has read itself; ``None`` if it cannot.
+
+        While the operator's log changes quickly, a copy of each change for each peer
+        that asks would not pass the slow links on its way before the timeout.
+        """
+        view = self.shared_views.get(Topic(ask.topic))
+        if view is None or view.age_s() > SHARED_VIEW_AGE_MAX_S:
+            return None
+        match ask:
+            case NewestAsk(applied_offset=applied_offset):
+                if view.applied_offset >= applied_offset:
+                    return view.newest()
+            case ReadAsk(offset=offset, wait_s=wait_s):
+                if view.changing and view.applied_offset == offset:
+                    await asyncio.sleep(wait_s)
+                    if view.applied_offset == offset:
+                        return Batch([], offset, offset, wait_s - view.age_s())
+                if view.applied_offset > offset:
+                    # The asker then reads the newest records, from a view as well.
+                    return Expired()
+        return None
+
     async def _execute_for_peer(self, ask: Ask) -> Outcome:
         topic = Topic(ask.topic)
         match ask:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
@@ -38,9 +38,14 @@
 
 
 class NewestAsk(msgspec.Struct, tag="newest", frozen=True):
-    """A request to a peer to read the newest record of each key."""
+    """
+    A request to a peer to read the newest record of each key.
+
+    The asker has applied the log up to ``applied_offset`` and must not go back.
+    """
 
     topic: str
+    applied_offset: int = 0
 
 
 Ask = AppendAsk | ReadAsk | NewestAsk
