--- a/features/cell.feature
+++ b/features/cell.feature
@@ -17,6 +17,21 @@
     When 5 s pass in the cell
     Then exactly 1 instance believes that it holds the cell
 
+  Scenario Outline: A holder's term that has ended does not begin again: <jobs> jobs stored
+    # Guards against an instance that takes the cell again every 0.3 s and starts nothing:
+    # the log refuses the appends of a second term under one epoch, or answers the first
+    # few like those of the first term without storing them.
+    Given a cell of 3 instances and 4 workers
+    When the holder's term ends after <jobs> jobs
+    Then the next term begins within 4 s, under a higher epoch
+    And no other term has begun
+    And the log has every record that the holder has stored
+
+    Examples:
+      | jobs |
+      | 1    |
+      | 30   |
+
   Scenario: Work that runs goes on under the next holder
     # Guards against a task that runs on two workers. A job was accepted long ago, and
     # its task runs when the holder dies. If the next holder counts the lease of the
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from unittest.mock import patch
 
 from behave import given, step, then, when
 from support.cell_scene import (
@@ -28,6 +29,8 @@
 from hornbeampaddle.cell.progress import JobStatus
 from hornbeampaddle.cell.reports import EndKind
 from hornbeampaddle_cell.callers import Accepted, NotAccepted
+from hornbeampaddle_cell.holder import Holder
+from hornbeampaddle_cell.ports import Topic
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
 
 
@@ -397,3 +400,52 @@
 def hand_in_whole(context, name, tasks):
     step_ = plain(tasks, 16_000, lasting=True)
     context.outcome = play(context, context.world.submit(job_id(name), URGENT, step_))
+
+
+@when("the holder's term ends after {jobs:d} jobs")
+def end_term(context, jobs):
+    world = context.world
+    context.terms = terms = []
+    begin = Holder.begin
+
+    def counted(holder):
+        terms.append(holder.epoch)
+        begin(holder)
+
+    patched = patch.object(Holder, "begin", counted)
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+    async def submit_and_end():
+        for number in range(jobs):
+            await world.submit(job_id(f"e{number:03}"), URGENT, plain(1))
+            await asyncio.sleep(0.2)
+        holder = world.instances[world.holder()].holder
+        context.ended_epoch = holder.epoch
+        holder.step_down("a task broke an invariant")
+
+    play(context, submit_and_end())
+
+
+@then("the next term begins within {within_s:g} s, under a higher epoch")
+def next_term(context, within_s):
+    def begun():
+        return context.world.holder() is not None and context.terms
+
+    assert play(context, context.world.until(begun, within_s))
+    play(context, asyncio.sleep(2.0))
+    assert context.terms[0] > context.ended_epoch, context.terms
+
+
+@then("no other term has begun")
+def one_term(context):
+    assert len(context.terms) == 1, context.terms
+
+
+@then("the log has every record that the holder has stored")
+def all_stored(context):
+    world = context.world
+    ledger = world.instances[world.holder()].ledger
+    stored = world.store.logs[Topic.PROGRESS].newest
+    missing = {key for key, value in ledger.progress.items() if stored[key] != value}
+    assert ledger.progress and not missing, missing
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -92,6 +92,8 @@
         self._foreign_listings = UnreadableRecords("workers")
         self.leadership = Leadership(settings, Random())
         self.holder: Holder | None = None
+        # The epoch of the last term in which this instance held the cell.
+        self._ended_epoch = 0
         self.stopping = False
         # The reason for not being ready that was logged last; empty if ready.
         self._logged_unready_reason = "starting"
@@ -321,9 +323,7 @@
             await asyncio.sleep(LEADERSHIP_CHECK_INTERVAL_S)
             if self.stopping:
                 continue
-            if self.leadership.holds(self.settings.instance_id):
-                # A claim that timed out may still have been stored later. No other
-                # instance has claimed since, so this instance holds the cell.
+            if self._claim_was_stored():
                 await self._try_hold(self.leadership.epoch)
             elif self._may_claim():
                 epoch = await self._claim()
@@ -331,6 +331,20 @@
                     await self._try_hold(epoch)
                 self.leadership.begin(self.clock.now_s())
 
+    def _claim_was_stored(self) -> bool:
+        """
+        Return whether the log names this instance for a term that it has not begun.
+
+        A claim that timed out may still have been stored later. A term that has ended
+        does not begin again: the log has the sequence numbers of its epoch already, and
+        would refuse further appends, or answer them like the first ones without
+        storing them.
+        """
+        return (
+            self.leadership.holds(self.settings.instance_id)
+            and self.leadership.epoch > self._ended_epoch
+        )
+
     def _may_claim(self) -> bool:
         now_s = self.clock.now_s()
         if self.configuration is None or self.progress.offset is None:
@@ -432,6 +446,7 @@
         finally:
             following.cancel()
             self.holder = None
+            self._ended_epoch = holder.epoch
             self.jobs.wait_s = self.settings.read_wait_s
             self._set_standby_pauses()
             # Records that others stored meanwhile were not applied: read the log of
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
@@ -74,9 +74,15 @@
     def append(
         self, records: Sequence[Keyed], producer: Producer | None, at: int | None
     ) -> AppendOutcome:
-        """Append all records or none; return the outcome."""
+        """
+        Append all records or none; return the outcome.
+
+        An append without records only raises the epoch; its number is not checked.
+        """
         if producer is not None:
             outcome = self._admit(producer)
+            if not records and not isinstance(outcome, Superseded):
+                return Appended(self.end)
             if outcome is not None:
                 return outcome
         if at is not None and at != self.end:
