--- a/features/relay.feature
+++ b/features/relay.feature
@@ -126,14 +126,33 @@
     When an append with a sequence number goes through it
     Then the append is stored
 
-  Scenario: Appends go to the peer that served the last one
-    # Guards against appends that wait for a timeout again and again, because each goes
-    # to another peer of which some have a busy link.
+  Scenario Outline: Calls go to the peer that served the last one: <calls>
+    # Guards against calls that wait for a timeout again and again, because each goes to
+    # another peer of which some have a busy link.
     Given a relay whose store does not answer
     And 9 peers
-    When 4 appends with a sequence number go through it
+    When 4 <calls> go through it
     Then all of them went to the same peer
 
+    Examples:
+      | calls                          |
+      | appends with a sequence number |
+      | reads of the list of workers   |
+
+  Scenario Outline: A peer that <fails> is not the first to be called again
+    # Guards against a holder whose list of workers gets too old to start tasks by,
+    # because it asks the one peer again and again whose link has become busy.
+    Given a relay whose store does not answer
+    And 9 peers
+    When 2 reads of the list of workers go through it
+    And that peer <fails> the next one
+    Then a read of the list of workers goes to another peer
+
+    Examples:
+      | fails                  |
+      | does not answer        |
+      | takes 0.4 s to answer  |
+
   Scenario: A claim that a peer does not answer is not repeated through another
     # Guards against two holders under the same fencing token: the peer may have stored
     # the claim, and the log accepts a repeat as a second claim.
@@ -157,7 +176,7 @@
     Examples:
       | link | longest |
       | 10   | 2.5     |
-      | 5    | 4.4     |
+      | 5    | 2.5     |
 
   Scenario: A large log that keeps changing takes half of a slow link
     # Guards against slow answers to all other calls of an instance: each change of a
@@ -175,6 +194,13 @@
     When a peer that has applied the log up to offset 9 asks for its newest records
     Then it is answered from the store
 
+  Scenario: A peer of an earlier version is answered from the store
+    # Guards against wrong answers during an update: an instance that does not know of
+    # shared views takes one as if the store had just answered.
+    Given a relay that the store serves, and that shares a view up to offset 7
+    When a peer of an earlier version asks for its newest records
+    Then it is answered from the store
+
   Scenario: A view that a peer shares counts as old as it is
     # Guards against a job that is taken for a queue closed long ago: an instance reads
     # the operator's log from the view of a peer that has not read it for a second.
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -3,11 +3,13 @@
 import asyncio
 import socket
 from dataclasses import replace
+from random import Random
 
 from behave import given, then, when
 from structlog.testing import capture_logs
 from support.cell_scene import STORE_FAULTS, job_id, new_loop, play
 from support.cell_walk import build, plain
+from support.virtual_loop import VirtualLoop
 
 from hornbeampaddle.cell.jobs import Queue
 from hornbeampaddle.cell.reports import NoAnswer
@@ -17,6 +19,7 @@
 from hornbeampaddle_cell.peers import PeerDirectory, peer_record
 from hornbeampaddle_cell.ports import (
     Appended,
+    Batch,
     Keyed,
     Producer,
     Span,
@@ -26,6 +29,8 @@
 from hornbeampaddle_cell.relay import Relay
 from hornbeampaddle_cell.relay_messages import (
     NewestAsk,
+    ReadAsk,
+    decode_ask,
     decode_outcome,
     encode_ask,
     encode_outcome,
@@ -200,6 +205,8 @@
 
     async def call(self, address, data, timeout_s):
         self.asked.append(data)
+        if isinstance(decode_ask(data), ReadAsk):
+            return encode_outcome(Batch([], 0, 0))
         return encode_outcome(Appended(1))
 
 
@@ -214,9 +221,9 @@
 
 
 def relay_to(context, store):
-    context.loop = asyncio.new_event_loop()
+    context.loop = VirtualLoop()
     context.add_cleanup(context.loop.close)
-    context.peer_directory = PeerDirectory("i0")
+    context.peer_directory = PeerDirectory("i0", Random(7))
     add_peers(context, 1)
     context.peers = RecordingPeers()
     clock = SkewedClock(context.loop, 0.0)
@@ -420,7 +427,10 @@
 
 def filling_queues(size_kb):
     """Return queues that no job uses, about 200 bytes each in a configuration."""
-    return [Queue(f"{number:031}", "compute") for number in range(5 * size_kb)]
+    random = Random(7)
+    return [
+        Queue(f"{random.getrandbits(124):031x}", "compute") for _ in range(5 * size_kb)
+    ]
 
 
 @when(
@@ -490,6 +500,54 @@
         append_stored(context)
 
 
+@when("{count:d} reads of the list of workers go through it")
+def worker_list_reads(context, count):
+    for _ in range(count):
+        read_worker_list(context)
+
+
+def read_worker_list(context):
+    read = context.relay.read(Topic.WORKERS, Span(0, 0.0, 1024))
+    context.outcome = context.loop.run_until_complete(read)
+
+
+@when("that peer does not answer the next one")
+def last_peer_silent(context):
+    answered = context.peers.call
+
+    async def call(address, data, timeout_s):
+        await answered(address, data, timeout_s)
+        return b""
+
+    read_once_through(context, call)
+    assert isinstance(context.outcome, NoAnswer)
+
+
+@when("that peer takes {answer_s:g} s to answer the next one")
+def last_peer_slow(context, answer_s):
+    answered = context.peers.call
+
+    async def call(address, data, timeout_s):
+        await asyncio.sleep(answer_s)
+        return await answered(address, data, timeout_s)
+
+    read_once_through(context, call)
+    assert isinstance(context.outcome, Batch)
+
+
+def read_once_through(context, call):
+    answered, context.peers.call = context.peers.call, call
+    read_worker_list(context)
+    context.peers.call = answered
+    assert len(set(context.asked_addresses)) == 1
+
+
+@then("a read of the list of workers goes to another peer")
+def read_goes_elsewhere(context):
+    read_worker_list(context)
+    assert len(set(context.asked_addresses)) == 2, context.asked_addresses
+
+
 @then("all of them went to the same peer")
 def same_peer(context):
     assert len(set(context.asked_addresses)) == 1, context.asked_addresses
@@ -502,7 +560,7 @@
 
     async def call(address, data, timeout_s):
         answer = await record(address, data, timeout_s)
-        return b"" if b"read" in data else answer
+        return b"" if isinstance(decode_ask(data), ReadAsk) else answer
 
     context.peers.call = call
 
@@ -595,7 +653,13 @@
     "records"
 )
 def ask_newest(context, offset):
-    ask = encode_ask(NewestAsk(Topic.OPERATOR.value, offset))
+    ask = encode_ask(NewestAsk(Topic.OPERATOR.value, offset, knows_views=True))
+    context.outcome = decode_outcome(play(context, context.relay.serve(ask)))
+
+
+@when("a peer of an earlier version asks for its newest records")
+def ask_newest_before_views(context):
+    ask = encode_ask(NewestAsk(Topic.OPERATOR.value))
     context.outcome = decode_outcome(play(context, context.relay.serve(ask)))
 
 
@@ -611,7 +675,7 @@
         self.relay = relay
 
     async def newest(self, topic):
-        ask = encode_ask(NewestAsk(topic.value))
+        ask = encode_ask(NewestAsk(topic.value, knows_views=True))
         return decode_outcome(await self.relay.serve(ask))
 
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
@@ -11,7 +11,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
 import structlog
@@ -54,6 +54,7 @@
 # took, at most this long: other calls get half of a slow link, and a change is still in
 # force within 2 s on links of 10 Mbit/s.
 LARGE_CHANGE_BYTES = 64 * 1024
+LARGE_CHANGE_PAUSE_MIN_S = 0.2
 LARGE_CHANGE_PAUSE_MAX_S = 0.4
 
 # After a read that took longer than this and returned records, the next one does not
@@ -106,7 +107,7 @@
         # Whether the log changes faster than this instance reads it. Its newest records
         # are then read directly, with pauses: reading each change first, which the next
         # one has already replaced, would fill a slow link and delay all other calls.
-        self.changing = False
+        self._changing = False
         self._newest_end_offset: int | None = None
         self._large_change_took_s = 0.0
         self._failures = 0
@@ -122,6 +123,11 @@
         """Whether the last read failed."""
         return self._lost_at_s is not None
 
+    @property
+    def large(self) -> bool:
+        """Whether the newest records take long to pass a slow link."""
+        return _size_bytes(self._values.values()) > LARGE_CHANGE_BYTES
+
     def newest(self) -> Newest:
         """Return the newest records as read so far, for a peer; see ``latest_only``."""
         records = [Keyed(key, value) for key, value in self._values.items()]
@@ -133,7 +139,7 @@
         self.applied_offset = end_offset
         if not self.latest_only:
             return
-        size_bytes = sum(len(record.value or b"") for record in records)
+        size_bytes = _size_bytes(record.value or b"" for record in records)
         large = size_bytes > LARGE_CHANGE_BYTES
         self._large_change_took_s = self.clock.now_s() - sent_at_s if large else 0.0
         for record in records:
@@ -156,8 +162,13 @@
                 await self._pause()
 
     async def _pause(self) -> None:
-        large_change_pause_s = min(self._large_change_took_s, LARGE_CHANGE_PAUSE_MAX_S)
-        pause_s = max(self.pause_s, large_change_pause_s)
+        pause_s = self.pause_s
+        if self._large_change_took_s:
+            large_change_pause_s = max(
+                LARGE_CHANGE_PAUSE_MIN_S,
+                min(self._large_change_took_s, LARGE_CHANGE_PAUSE_MAX_S),
+            )
+            pause_s = max(pause_s, large_change_pause_s)
         if not pause_s:
             return
         try:
@@ -208,9 +219,9 @@
     def _check_changing(self, end_offset: int) -> None:
         """Stop skipping changes after a full read that found none."""
         if end_offset == self._newest_end_offset:
-            self.changing = False
+            self._changing = False
         self._newest_end_offset = end_offset
-        if self.changing:
+        if self._changing:
             self.offset = None
             self._behind = False
 
@@ -263,7 +274,7 @@
             # an outdated one in force: on a slow link a configuration would come into
             # force seconds late.
             self.offset = None
-            self.changing = True
+            self._changing = True
 
     def _adapt_read_size(self, took_s: float) -> None:
         """Adapt the read size, so that an answer arrives well within its timeout."""
@@ -301,3 +312,7 @@
     def _backoff_s(self) -> float:
         limit_s = min(RETRY_MAX_S, RETRY_BASE_S * 2**self._failures)
         return limit_s * self.random.uniform(0.5, 1.0)
+
+
+def _size_bytes(values: Iterable[bytes]) -> int:
+    return sum(len(value) for value in values)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import zlib
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from typing import Protocol
@@ -45,6 +46,7 @@
     NewestAsk,
     Outcome,
     ReadAsk,
+    compress,
     decode_ask,
     decode_outcome,
     encode_ask,
@@ -122,8 +124,8 @@
         self.clock = clock
         # This instance's followers whose views it shares with peers.
         self.shared_views: dict[Topic, Follower] = {}
-        # The peer that served the last append.
-        self._append_peer: Address | None = None
+        # The peer that served the last call of a kind, by that and the log.
+        self._last_peers: dict[tuple[type[Ask], str], Address] = {}
         self._next_peer_call_s = float("-inf")
         self._away_since_s: float | None = None
 
@@ -164,7 +166,7 @@
         size_max_bytes = min(span.size_max_bytes, PEER_READ_MAX_BYTES)
         outcome = await self._call(
             lambda: self.direct.read(topic, direct_span),
-            ReadAsk(topic.value, span.offset, wait_s, size_max_bytes),
+            ReadAsk(topic.value, span.offset, wait_s, size_max_bytes, knows_views=True),
             PEER_READ_WAIT_MAX_S + PEER_TIMEOUT_S,
         )
         assert isinstance(outcome, ReadOutcome)
@@ -176,7 +178,7 @@
         applied_offset = view.applied_offset if view is not None else 0
         outcome = await self._call(
             lambda: self.direct.newest(topic),
-            NewestAsk(topic.value, applied_offset),
+            NewestAsk(topic.value, applied_offset, knows_views=True),
             PEER_NEWEST_TIMEOUT_S,
         )
         assert isinstance(outcome, NewestOutcome)
@@ -248,9 +250,11 @@
         outcome: Outcome | None = None
         unanswered: NoAnswer | None = None
         for address in self._peers_for(ask):
+            called_at_s = self.clock.now_s()
             outcome = await self._call_peer(address, data, timeout_s)
             match outcome:
                 case NoAnswer():
+                    self._last_peers.pop((type(ask), ask.topic), None)
                     unanswered = outcome
                     timeouts_left -= 1
                     if not timeouts_left:
@@ -258,8 +262,11 @@
                 case Unavailable():
                     pass
                 case _:
-                    if isinstance(ask, AppendAsk):
-                        self._append_peer = address
+                    took_s = self.clock.now_s() - called_at_s
+                    if took_s < timeout_s / 2:
+                        self._last_peers[type(ask), ask.topic] = address
+                    else:
+                        self._last_peers.pop((type(ask), ask.topic), None)
                     return outcome
         if unanswered is not None:
             # The peers that did not answer may only have slow links, so the next call
@@ -271,11 +278,11 @@
     def _peers_for(self, ask: Ask) -> list[Address]:
         """Return the peers to try for a call, in order."""
         addresses = self.peer_directory.shuffled()
-        if isinstance(ask, AppendAsk) and self._append_peer in addresses:
-            # The peer that served the last append reaches the store, and its link has
-            # room.
-            addresses.remove(self._append_peer)
-            addresses.insert(0, self._append_peer)
+        last_peer = self._last_peers.get((type(ask), ask.topic))
+        if last_peer in addresses:
+            # It reaches the store, and its link has room.
+            addresses.remove(last_peer)
+            addresses.insert(0, last_peer)
         return addresses[:PEERS_PER_CALL_MAX]
 
     async def _call_peer(
@@ -286,7 +293,7 @@
             return NoAnswer(f"peer {address} timed out")
         try:
             return decode_outcome(answer)
-        except (msgspec.MsgspecError, KeyError) as error:
+        except (msgspec.MsgspecError, zlib.error, KeyError) as error:
             log.error(
                 "relay: cannot decode answer of peer",
                 peer=str(address),
@@ -310,24 +317,27 @@
             outcome = await self._execute_for_peer(ask)
         if isinstance(outcome, Unavailable | NoAnswer):
             self._mark_store_unreachable()
-        return encode_outcome(outcome)
+        answer = encode_outcome(outcome)
+        if isinstance(ask, NewestAsk) and ask.knows_views:
+            return compress(answer)
+        return answer
 
     async def _answer_from_view(self, ask: Ask) -> Outcome | None:
         """
         Answer a read from what this instance has read itself; ``None`` if it cannot.
 
-        While the operator's log changes quickly, a copy of each change for each peer
-        that asks would not pass the slow links on its way before the timeout.
+        A large change of the operator's log for each peer that asks would not pass the
+        slow links on its way before the timeout.
         """
         view = self.shared_views.get(Topic(ask.topic))
         if view is None or view.age_s() > SHARED_VIEW_AGE_MAX_S:
             return None
         match ask:
-            case NewestAsk(applied_offset=applied_offset):
+            case NewestAsk(applied_offset=applied_offset, knows_views=True):
                 if view.applied_offset >= applied_offset:
                     return view.newest()
-            case ReadAsk(offset=offset, wait_s=wait_s):
-                if view.changing and view.applied_offset == offset:
+            case ReadAsk(offset=offset, wait_s=wait_s, knows_views=True):
+                if view.large and view.applied_offset == offset:
                     await asyncio.sleep(wait_s)
                     if view.applied_offset == offset:
                         return Batch([], offset, offset, wait_s - view.age_s())
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
@@ -1,5 +1,7 @@
 """Define the requests and answers by which one instance calls the store for another."""
 
+import zlib
+
 import msgspec
 
 from hornbeampaddle.cell.reports import NoAnswer
@@ -18,6 +20,12 @@
     Unavailable,
 )
 
+# Answers above this size are compressed. The first byte of one that is not is that of a
+# MessagePack array.
+COMPRESS_ABOVE_BYTES = 16 * 1024
+COMPRESSION_LEVEL = 1
+ZLIB_FIRST_BYTE = 0x78
+
 
 class AppendAsk(msgspec.Struct, tag="append", frozen=True):
     """A request to a peer to append records."""
@@ -29,12 +37,18 @@
 
 
 class ReadAsk(msgspec.Struct, tag="read", frozen=True):
-    """A request to a peer to read from an offset."""
+    """
+    A request to a peer to read from an offset.
+
+    ``knows_views`` is false for an asker of an earlier version, which would take an
+    answer from the peer's own view as if the store had just given it.
+    """
 
     topic: str
     offset: int
     wait_s: float
     size_max_bytes: int
+    knows_views: bool = False
 
 
 class NewestAsk(msgspec.Struct, tag="newest", frozen=True):
@@ -42,10 +56,12 @@
     A request to a peer to read the newest record of each key.
 
     The asker has applied the log up to ``applied_offset`` and must not go back.
+    ``knows_views`` is as in ``ReadAsk``; such an asker also reads compressed answers.
     """
 
     topic: str
     applied_offset: int = 0
+    knows_views: bool = False
 
 
 Ask = AppendAsk | ReadAsk | NewestAsk
@@ -87,8 +103,21 @@
     return _encode((type(outcome).__name__, fields))
 
 
+def compress(answer: bytes) -> bytes:
+    """Compress an encoded outcome if it is large."""
+    if len(answer) <= COMPRESS_ABOVE_BYTES:
+        return answer
+    return zlib.compress(answer, COMPRESSION_LEVEL)
+
+
 def decode_outcome(data: bytes) -> Outcome:
-    """Decode a peer's answer; raises ``msgspec.MsgspecError`` or ``KeyError``."""
+    """
+    Decode a peer's answer, compressed or not.
+
+    Raises ``msgspec.MsgspecError``, ``zlib.error`` or ``KeyError``.
+    """
+    if data[0] == ZLIB_FIRST_BYTE:
+        data = zlib.decompress(data)
     name, fields = _answer_decoder.decode(data)
     outcome: Outcome = msgspec.convert(fields, OUTCOMES[name], builtin_types=(bytes,))
     return outcome
