--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
@@ -95,6 +95,11 @@
         self.tasks = self._gauge(
             "hornbeampaddle_tasks", "Tasks of the cell", ("kind", "state")
         )
+        self.overdue_stops = self._gauge(
+            "hornbeampaddle_overdue_stops",
+            "Runs ordered to stop seconds ago whose end is unknown",
+            (),
+        )
         self.workers = self._gauge(
             "hornbeampaddle_workers", "Workers of the cell", ("state",)
         )
@@ -151,6 +156,7 @@
         for kind in ("lasting", "filler", "plain"):
             self.tasks.labels(kind, "waiting").set(summary.waiting.get(kind, 0))
             self.tasks.labels(kind, "running").set(summary.running.get(kind, 0))
+        self.overdue_stops.set(summary.overdue_stops)
         self.workers.labels("usable").set(summary.usable_workers)
         self.workers.labels("silent").set(summary.silent_workers)
         self.workers.labels("resting").set(summary.resting_workers)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -79,12 +79,25 @@
                 outcome = await self.port.report(acked_end, deadline_s, wait_s)
             if isinstance(outcome, Report):
                 self._delivered_acked_end = acked_end
+                self._check_ends(outcome, acked_end)
             if not await self._handle_outcome(outcome):
                 await self._pause_before_report(RETRY_PAUSE_S)
                 continue
             wait_s = FIRST_REPORT_WAIT_S if first else self._report_wait_s()
             await self._pause_before_report(0.0)
 
+    def _check_ends(self, report: Report, acked_end: int) -> None:
+        """Log ends that a worker lists although they were acknowledged to it."""
+        positions = [row.position for row in report.ended if row.position <= acked_end]
+        if positions:
+            log.warning(
+                "worker: lists acknowledged ends",
+                worker=self.worker_id,
+                acked_end=acked_end,
+                first=positions[0],
+                last=positions[-1],
+            )
+
     async def _first_report(self, last_seen: int) -> HoldOutcome:
         """
         Request a report that carries the worker's clock, once a slot is free.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -67,6 +67,8 @@
     # When a report first listed it as running; inf if none has.
     reported_at_s: float = float("inf")
     stop_sent_at_s: float = float("-inf")
+    # When its stop was first sent; inf if not yet.
+    stop_first_sent_at_s: float = float("inf")
     stop_reason: str = ""
     progress_percent: float = 0.0
     progressed_at_s: float = 0.0
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -572,6 +572,9 @@
             # starts from then on.
             if worker.listed or worker.reported:
                 order.run.stop_sent_at_s = now_s
+                order.run.stop_first_sent_at_s = min(
+                    order.run.stop_first_sent_at_s, now_s
+                )
                 ready.append(order)
             else:
                 kept.append(order)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/summary.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/summary.py
@@ -10,6 +10,10 @@
     from .scheduler import Scheduler
 
 
+# A stop takes effect within 0.9 s, and one without an answer is repeated within 1.6 s.
+OVERDUE_STOP_S = 3.0
+
+
 @dataclass(frozen=True, slots=True)
 class Summary:
     """
@@ -18,6 +22,8 @@
     ``waiting`` and ``running`` count tasks by kind: ``lasting``, ``filler`` or
     ``plain``. Free and spare CPU are thousandths of a core; they are totals over all
     usable workers, except for ``widest_free_cpu_millis``, the largest of one worker.
+    ``overdue_stops`` counts the runs that were ordered to stop over ``OVERDUE_STOP_S``
+    ago and whose end is still unknown.
     """
 
     open_jobs: int
@@ -32,6 +38,7 @@
     resting_workers: int
     over_target_workers: int
     evacuated_workers: int
+    overdue_stops: int
 
 
 def kind_of(step: Step) -> str:
@@ -67,4 +74,7 @@
         resting_workers=sum(worker.rest_until_s > now_s for worker in workers),
         over_target_workers=sum(w.over_since_s is not None for w in workers),
         evacuated_workers=sum(worker.evacuated for worker in workers),
+        overdue_stops=sum(
+            now_s - run.stop_first_sent_at_s > OVERDUE_STOP_S for run in runs
+        ),
     )
