--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -202,6 +202,9 @@
     # After a crash: connections are refused; another incarnation has the address.
     refuses: bool = False
     replaced: bool = False
+    # Whether a lastSeen above the number of ends so far counts for later ends, which
+    # are then dropped unread; otherwise it is ignored, and they are listed again.
+    drops_ends_ahead: bool = True
     # Set while an order that was delayed on its way is carried out.
     delivering_late: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -394,6 +397,8 @@
         self.token = token
         if deadline_s is not None:
             self._extend_lease(deadline_s)
+        if last_seen > self.position and not self.drops_ends_ahead:
+            return None
         for end in self.ends:
             done_at_s = self.done_at_s.pop(end.position, None)
             if end.position <= last_seen and done_at_s is not None:
@@ -461,13 +466,22 @@
 
 
 class WorkerAccess:
-    """The worker port of one instance, under one token."""
+    """
+    The worker port of one instance, under one token.
+
+    A worker that starts again under its id answers in place of its earlier
+    incarnation, and carries out the late orders to it.
+    """
 
     def __init__(
-        self, worker: CellWorker, caller: str, token: int, faults: OrderFaults
+        self,
+        find: Callable[[], CellWorker],
+        caller: str,
+        token: int,
+        faults: OrderFaults,
     ) -> None:
-        """Reach ``worker`` under the faults of the network."""
-        self.worker = worker
+        """Reach what ``find`` returns at the moment, under the network's faults."""
+        self.find = find
         self.caller = caller
         self.token = token
         self.faults = faults
@@ -475,46 +489,47 @@
     def close(self) -> None:
         """Do nothing: there is no connection to close."""
 
-    async def _order(self, kind: str, act: Callable[[], OrderOutcome]) -> OrderOutcome:
+    async def _order(
+        self, kind: str, act: Callable[[CellWorker], OrderOutcome]
+    ) -> OrderOutcome:
         await asyncio.sleep(ROUND_TRIP_S / 2)
-        if (self.caller, self.worker.listing.worker_id) in self.faults.partitioned:
+        worker = self.find()
+        if (self.caller, worker.listing.worker_id) in self.faults.partitioned:
             return await self._time_out()
-        if not self.worker.alive:
-            return await self._answer_when_dead()
+        if not worker.alive:
+            return await self._answer_when_dead(worker)
         fate = self.faults.fates.get(kind)
         if fate is OrderFate.UNWELL:
             return Refused(Reason.UNWELL)
         if fate is OrderFate.LOST:
             return await self._time_out()
         if fate is OrderFate.IGNORED:
-            return Done(self.worker.clock_s())
+            return Done(worker.clock_s())
         drawn = self.faults.random.random()
         if fate is OrderFate.LATE or drawn < self.faults.late_ratio:
             loop = asyncio.get_running_loop()
             loop.call_later(self.faults.late_s, self._deliver_late, act)
             return await self._time_out()
-        outcome = act()
+        outcome = act(worker)
         if drawn < self.faults.late_ratio + self.faults.lost_ratio:
             return await self._time_out()
         await asyncio.sleep(ROUND_TRIP_S / 2)
         return outcome
 
-    def _refuse_if_unwell(
-        self, act: Callable[[], OrderOutcome]
-    ) -> Callable[[], OrderOutcome]:
-        return lambda: Refused(Reason.UNWELL) if self.worker.unwell else act()
-
-    def _deliver_late(self, act: Callable[[], OrderOutcome]) -> None:
-        if not self.worker.alive:
+    def _deliver_late(self, act: Callable[[CellWorker], OrderOutcome]) -> None:
+        worker = self.find()
+        if not worker.alive:
             return
-        self.worker.delivering_late = True
-        act()
-        self.worker.delivering_late = False
-
-    async def _answer_when_dead(self) -> NoAnswer | OtherIncarnation:
-        if self.worker.replaced:
+        worker.delivering_late = True
+        act(worker)
+        worker.delivering_late = False
+
+    async def _answer_when_dead(
+        self, worker: CellWorker
+    ) -> NoAnswer | OtherIncarnation:
+        if worker.replaced:
             return OtherIncarnation()
-        if self.worker.refuses:
+        if worker.refuses:
             return NoAnswer("connection refused")
         return await self._time_out()
 
@@ -526,44 +541,52 @@
         """Start a run, unless the worker is unwell."""
         return await self._order(
             "start",
-            self._refuse_if_unwell(
-                lambda: self.worker.start(run, self.token, deadline_s)
+            lambda worker: _unless_unwell(
+                worker, lambda: worker.start(run, self.token, deadline_s)
             ),
         )
 
     async def stop(self, run: Run) -> OrderOutcome:
         """Stop a run, unless the worker is unwell."""
-        act = self._refuse_if_unwell(lambda: self.worker.stop(run, self.token))
-        return await self._order("stop", act)
+        return await self._order(
+            "stop",
+            lambda worker: _unless_unwell(worker, lambda: worker.stop(run, self.token)),
+        )
 
     async def pace(self, run: Run, percent: int) -> OrderOutcome:
         """Limit a run to a percentage of its speed."""
         return await self._order(
-            "pace", lambda: self.worker.pace(run, self.token, percent)
+            "pace", lambda worker: worker.pace(run, self.token, percent)
         )
 
     async def report(
         self, last_seen: int, deadline_s: float | None, wait_s: float
     ) -> HoldOutcome:
         """Renew the lease, acknowledge ends and read the worker's report."""
-        sent_at_s = self.worker.now_s()
-        outcome = await self._order(
-            "report",
-            lambda: (
-                self.worker.renew(self.token, last_seen, deadline_s)
-                or Done(self.worker.clock_s())
-            ),
-        )
+        sent_at_s = self.find().now_s()
+        answering: list[CellWorker] = []
+
+        def renew(worker: CellWorker) -> OrderOutcome:
+            answering.append(worker)
+            refused = worker.renew(self.token, last_seen, deadline_s)
+            return refused or Done(worker.clock_s())
+
+        outcome = await self._order("report", renew)
         if not isinstance(outcome, Done):
             return outcome
-        await self.worker.wait_for_end(wait_s)
-        if not self.worker.alive:
-            return await self._answer_when_dead()
+        worker = answering[0] if answering else self.find()
+        await worker.wait_for_end(wait_s)
+        if not worker.alive:
+            return await self._answer_when_dead(worker)
         self.faults.on_report_read()
         return Report(
             sent_at_s,
-            self.worker.now_s(),
-            self.worker.clock_s(),
-            self.worker.rows(),
-            tuple(self.worker.ends),
+            worker.now_s(),
+            worker.clock_s(),
+            worker.rows(),
+            tuple(worker.ends),
         )
+
+
+def _unless_unwell(worker: CellWorker, act: Callable[[], OrderOutcome]) -> OrderOutcome:
+    return Refused(Reason.UNWELL) if worker.unwell else act()
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -230,6 +230,34 @@
         """Remove a worker's entry."""
         self.store.write(Topic.WORKERS, Keyed(name, None))
 
+    async def restart_worker(self, name: str, down_s: float = 0.0) -> None:
+        """
+        Crash a worker and start it again under its id, on the same address.
+
+        The new incarnation has no runs, ends or fencing token, and its clock starts
+        anew. Its entry is removed meanwhile if that takes longer than three heartbeats.
+        """
+        earlier = self.workers[name]
+        earlier.on_crash = lambda worker: None
+        earlier.crash()
+        await asyncio.sleep(min(down_s, UNLIST_DELAY_S))
+        if down_s > UNLIST_DELAY_S:
+            self.unlist_worker(name)
+            await asyncio.sleep(down_s - UNLIST_DELAY_S)
+        if self.workers[name] is not earlier:
+            return
+        now_s = asyncio.get_running_loop().time()
+        worker = CellWorker(
+            earlier.listing, self.checker, self._work, self.slope_of, skew_s=-now_s
+        )
+        worker.crash_after_s = lambda run: self.crashing.get(run.key)
+        worker.on_crash = self._crashed
+        worker.drops_ends_ahead = earlier.drops_ends_ahead
+        self.restarts += 1
+        self.workers[name] = worker
+        self.list_worker(worker)
+        self.tasks[f"{name} {self.restarts}"] = asyncio.create_task(worker.live())
+
     def _crashed(self, worker: CellWorker) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(UNLIST_DELAY_S, self.unlist_worker, worker.listing.worker_id)
@@ -270,8 +298,10 @@
         )
 
         def make_worker(listing: WorkerListing, token: int) -> WorkerAccess:
-            worker = self.workers[listing.worker_id]
-            return WorkerAccess(worker, name, token, self.faults)
+            worker_id = listing.worker_id
+            return WorkerAccess(
+                lambda: self.workers[worker_id], name, token, self.faults
+            )
 
         advice = self if self.advised is not None else None
         instance = Instance(
