Count an end by its run, also where its position was counted before

Callers saw tasks that ran again after their end (TWICE) and stopped tasks that never ran again (LOST) on workers that had started again under their id. Such a worker numbers its ends anew; the holder skipped each end up to the last position of the earlier incarnation. A run whose end was skipped and no longer listed was released and started again; where the worker went on listing the end, the run counted as listed and stayed booked for good.

An end whose run is booked on the worker now counts whatever its position, and a skipped one no longer keeps a run. Both scenarios failed before; the second states no birth, so that it needs this guard alone, also once incarnations are told apart. What is left of TWICE is another fault: an acknowledgement meant for the earlier incarnation drops ends that no report has listed.

--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -3,7 +3,21 @@
 import asyncio
 
 from behave import given, when
-from support.cell_scene import play
+from support.cell_scene import new_loop, play
+from support.cell_walk import build
+
+from hornbeampaddle_standins.cell.world import World
+
+
+@given("a cell of {instances:d} instances and {workers:d} workers that state no birth")
+def start_cell_without_births(context, instances, workers):
+    new_loop(context)
+
+    async def begin():
+        context.world = World(7, states_births=False)
+        await build(context.world, instances, workers)
+
+    play(context, begin())
 
 
 @given("workers that ignore acknowledgements of ends that are still to come")
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -154,6 +154,8 @@
     accepted: dict[str, Job] = field(default_factory=dict)
     # By task that crashes every worker it runs on: the seconds from start to crash.
     crashing: dict[TaskKey, float] = field(default_factory=dict)
+    # Workers state when they started; those of older deployments do not.
+    states_births: bool = True
     # Crashed workers do not answer, instead of refusing connections, and do not
     # restart.
     crashes_silent: bool = False
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -45,8 +45,10 @@
         worker.last_report_at_s = now_s
         listed = set()
         for ended in report.ended:
-            listed.add(ended.key)
-            if ended.position > worker.seen_end:
+            # Guards against a run that counts as stopping for good: its end may have a
+            # position that was counted before, if the worker numbers its ends anew.
+            if ended.position > worker.seen_end or worker.books_end(ended):
+                listed.add(ended.key)
                 self._handle_end(worker, ended, now_s)
         if report.ended:
             worker.seen_end = max(worker.seen_end, report.ended[-1].position)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -16,6 +16,7 @@
 from .interference import PRIOR_BASELINE_SLACK, Interference
 from .jobs import TaskKey
 from .progress import Run
+from .reports import EndedRow
 
 # Number of recent ends kept per worker to judge its health.
 RECENT_ENDS_MAX = 6
@@ -231,6 +232,13 @@
             return True
         return self.strays.get((run.key, run.number)) is run
 
+    def books_end(self, row: EndedRow) -> bool:
+        """Return whether the run that a report lists as ended occupies room here."""
+        booked = self.runs.get(row.key)
+        if booked is not None and booked.number == row.number:
+            return True
+        return (row.key, row.number) in self.strays
+
     def all_runs(self) -> list[Run]:
         """Return every run that occupies room here."""
         return [*self.runs.values(), *self.strays.values()]
