--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -26,6 +26,10 @@
       | an address without a port  |
       | an address of port 70000   |
       | an address without a host  |
+      | a birth that is a text     |
+      | a birth that is null       |
+      | a birth that is a fraction |
+      | a birth of zero            |
       | bytes that cannot be read  |
       | an empty value             |
 
@@ -107,3 +111,24 @@
     And every instance answers 503 to a request for an unknown queue
     When the operator stores a readable configuration
     Then every instance answers 404 to a request for an unknown queue
+
+  Scenario: An entry without a birth does not replace a worker that states one
+    # Guards against runs that are released although their worker goes on.
+    Given a cell of 3 instances and 4 workers
+    And a lasting job "ef05" of 8 tasks is at work
+    When another writer overwrites the entry of "w0" with one that states no birth
+    And 1 s pass in the cell
+    Then the holder may use 3 workers
+    And 8 tasks of "ef05" are at work
+    When "w0" writes its entry again
+    And 1 s pass in the cell
+    Then the holder may use 4 workers
+    And no promise of the cell was broken
+
+  Scenario: A worker is not used under an entry that states no birth while it states one
+    Given a cell of 3 instances and 3 workers
+    When a worker "w3" starts whose entry states no birth
+    And a job "ef06" of 1 steps of 6 tasks is handed in
+    Then the job "ef06" is shown as completed within 10 s
+    And "w3" has run nothing
+    And the holder may use 3 workers
--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -44,3 +44,132 @@
     Then 2 tasks of "eb02" are at work
     And nothing runs on the draining worker
     And no promise of the cell was broken
+
+  Scenario: A start that the new incarnation carries out late is settled first
+    # Guards against a task that runs twice: its start to the earlier incarnation is
+    # carried out by the new one while the task already runs elsewhere.
+    Given a cell of 3 instances and 2 workers
+    And tasks take 3 s
+    When starts are carried out 0.6 s late from now on
+    And a job "ed01" of 1 steps of 4 tasks is handed in
+    And 0.1 s pass in the cell
+    And every worker starts again under its id after 0 s
+    And 0.2 s pass in the cell
+    And orders are carried out at once again
+    Then the job "ed01" is shown as completed within 15 s
+    And no promise of the cell was broken
+
+  Scenario: A task that the new incarnation has started goes on there
+    # Guards against a task that runs twice: the start was answered, by the incarnation
+    # that the holder did not know yet.
+    Given a cell of 3 instances and 1 workers
+    And tasks take 3 s
+    When reports are lost from now on
+    And a job "ed02" of 1 steps of 4 tasks is handed in
+    And every worker starts again under its id as the starts are sent
+    And 1 s pass in the cell
+    And orders are carried out at once again
+    Then the job "ed02" is shown as completed within 15 s
+    And no promise of the cell was broken
+    And no task was started more often than needed
+
+  Scenario: A worker that a task crashes counts although it is back under its id
+    # Guards against a task that crashes its workers without end: the worker is listed
+    # all the while, and no incarnation with another id answers at its address.
+    Given a cell of 3 instances and 6 workers
+    And crashed workers start again under their ids after 0.5 s
+    When a job "ed03" of 6 tasks is handed in, of which task 0 crashes its workers
+    Then the job "ed03" is shown as failed within 20 s
+    And at most 2 workers crashed
+    And no promise of the cell was broken
+
+  Scenario: A write of the earlier incarnation that takes effect late changes nothing
+    # Guards against runs that are released although their worker goes on.
+    Given a cell of 3 instances and 2 workers
+    When every worker starts again under its id after 0.2 s
+    And 2 s pass in the cell
+    Given a lasting job "ed04" of 4 tasks is at work
+    When the entries of the earlier incarnations are written again
+    And 2 s pass in the cell
+    Then 4 tasks of "ed04" are at work
+    And no task was started more often than 1 time
+    And no promise of the cell was broken
+
+  Scenario Outline: A worker may be of another kind when it starts again: <detected>
+    # Guards against starts beyond the capacity of the new incarnation.
+    Given a cell of 3 instances and 1 workers
+    And a lasting job "ed05" of 3 tasks is at work
+    When every worker starts again with 5000 millicores, <detected>
+    And 3 s pass in the cell
+    Then 1 tasks of "ed05" are at work
+    And no promise of the cell was broken
+
+    Examples:
+      | detected                     |
+      | and the list tells it first  |
+      | and a report tells it first  |
+
+  Scenario: Records without births are read, and the work goes on
+    # Guards against work that is lost or doubled while instances are upgraded: older
+    # ones store no births.
+    Given a cell of 3 instances and 4 workers
+    And tasks take 6 s
+    When a job "ed06" of 1 steps of 4 tasks is handed in
+    And 2 s pass in the cell
+    And the births are removed from the records of "ed06"
+    And the holder dies
+    Then the job "ed06" is shown as completed within 20 s
+    And no promise of the cell was broken
+    And no task was started more often than needed
+
+  Scenario: Records name the incarnation of each run and of each crash
+    When a job's progress is stored with a run and a crash on two incarnations of "w1"
+    Then the restored job names the same incarnations
+    And an older instance reads "w1" for both
+
+  Scenario: The record of expiring leases names incarnations
+    Then the leases of "w1" of birth 7 and of "w2" of no known birth are read as written
+    And a record of an older instance applies to every incarnation of "w2"
+
+  Scenario: An acknowledgement is only sent over the connection of the last report
+    # Guards against an end that is dropped unread: a new connection may lead to another
+    # incarnation.
+    Given a server that closes its connection after each second response
+    When 5 reports are requested that acknowledge end 7
+    Then the acknowledgements were sent as 0, 7, 0, 7, 0
+
+  Scenario Outline: A report with <what> is not understood, and the holder goes on
+    # Guards against a holder that ends its term because of one worker's answer.
+    Given a worker that answers a report with <what>
+    When its report is requested
+    Then the worker counts as not answering, which is logged
+
+    Examples:
+      | what                       |
+      | a birth that is a text     |
+      | a birth that is null       |
+      | a birth that is a fraction |
+
+  Scenario Outline: A report under birth <listed> that states <stated> is from <sender>
+    Then a report to birth <listed> that states <stated> is from the "<sender>" incarnation
+
+    Examples:
+      | listed | stated | sender    |
+      | 5      | 5      | addressed |
+      | 5      | 6      | successor |
+      | 5      | 4      | successor |
+      | 0      | 0      | addressed |
+      | 0      | 6      | unknown   |
+      | 5      | 0      | unknown   |
+
+  Scenario Outline: A random walk with workers that start again and seed <seed>
+    Given a random walk with workers that start again and seed <seed>
+    Then no promise of the cell was broken
+    And every accepted job reached a final status
+    And workers started again under their ids, and unsettled starts were stopped
+
+    Examples:
+      | seed |
+      | 510  |
+      | 518  |
+      | 557  |
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -20,7 +20,7 @@
 
     def answer(step_key, worker_ids):
         context.asked += worker_ids
-        allowed = {name: "ticket" for name in worker_ids if name in (one, other)}
+        allowed = {w: "ticket" for w in worker_ids if w.name in (one, other)}
         return Allowance(allowed, 3.0)
 
     context.world.advised = answer
@@ -81,7 +81,9 @@
 
     def answer(step_key, worker_ids):
         if context.loop.time() < known_at_s:
-            worker_ids = [worker_id for worker_id in worker_ids if worker_id != name]
+            worker_ids = [
+                worker_id for worker_id in worker_ids if worker_id.name != name
+            ]
         return answer_known(step_key, worker_ids)
 
     world.advised = answer
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -8,6 +8,7 @@
 
 from hornbeampaddle.cell import advice, dispatch, separating, urgency
 from hornbeampaddle.cell.advice import Allowance
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Advice, StepKey, TaskKey
 from hornbeampaddle.cell.progress import Run, RunPhase
 from hornbeampaddle.resources import Resources
@@ -111,11 +112,11 @@
     context.player = player = prepared(context)
     names = sorted(player.cell.workers)[:2]
     for name in names:
-        full = step(1, 16_000, worker_label=name, lasting=True)
+        full = step(1, 16_000, worker_label=name.name, lasting=True)
         listing = player.cell.workers[name].listing
-        labels = listing.labels | {name}
+        labels = listing.labels | {name.name}
         player.cell.list_worker(replace(listing, labels=labels), player.now_s)
-        player.submit(f"full-{name}", LASTING, full, 1e9)
+        player.submit(f"full-{name.name}", LASTING, full, 1e9)
     player.play(1.0)
     context.allowed = dict.fromkeys(names, "ticket")
 
@@ -144,7 +145,7 @@
     player.submit("watch", LASTING, step(2, 4_000, lasting=True, per_worker_max=1), 1e9)
     key = TaskKey("watch", 0, 0, 0)
     charge = Resources(4_000, GIB, 0)
-    worker = player.cell.workers["w0"]
+    worker = player.cell.workers[WorkerId("w0")]
     worker.reserve_room(charge)
     reservation = separating.Reservation("w0", charge, player.now_s + 2.0)
     player.cell.separator._reserved[key] = reservation
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -10,6 +10,7 @@
 from support.cell_walk import FAULTS_EVACUATING, new_world, plain, walk
 
 from hornbeampaddle.cell.advice import Allowance
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Advice, Queue
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
 
@@ -135,10 +136,10 @@
 def evacuated_fifth(context):
     context.player = player = prepared(context)
     player.cell.evacuate(frozenset({"dc-9"}))
-    listing = player.cell.workers["w0"].listing
-    fifth = replace(listing, worker_id="w9", data_centre="dc-9")
+    listing = player.cell.workers[WorkerId("w0")].listing
+    fifth = replace(listing, worker_id=WorkerId("w9"), data_centre="dc-9")
     player.cell.list_worker(fifth, player.now_s)
-    player.ends["w9"] = []
+    player.ends[WorkerId("w9")] = []
     player.tick()
 
 
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -18,6 +18,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent.parent / "platform"))
 
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Queue  # noqa: E402
 from hornbeampaddle.cell.progress import JobStatus  # noqa: E402
 from hornbeampaddle_cell.leadership import HOLDER_KEY, Leadership  # noqa: E402
@@ -61,6 +62,10 @@
     "an address without a port": VALID_ENTRY | {"address": "10.0.0.9"},
     "an address of port 70000": VALID_ENTRY | {"address": "10.0.0.9:70000"},
     "an address without a host": VALID_ENTRY | {"address": ":8080"},
+    "a birth that is a text": VALID_ENTRY | {"born": "1780251652342"},
+    "a birth that is null": VALID_ENTRY | {"born": None},
+    "a birth that is a fraction": VALID_ENTRY | {"born": 1780251652342.5},
+    "a birth of zero": VALID_ENTRY | {"born": 0},
 }
 
 
@@ -94,7 +99,7 @@
 @then("the same entry in full is decoded as a worker")
 def check_decoded_as_worker(context):
     value = json.dumps(VALID_ENTRY).encode()
-    assert context.records.worker(Keyed("i-1", value)).worker_id == "i-1"
+    assert context.records.worker(Keyed("i-1", value)).worker_id.name == "i-1"
 
 
 @given("the configuration names its services")
@@ -110,7 +115,7 @@
 @when("a worker of a service that it does not name is listed")
 def list_worker_of_unknown_service(context):
     listing = replace(
-        context.world.workers["w0"].listing, worker_id="x0", service="other"
+        context.world.workers["w0"].listing, worker_id=WorkerId("x0"), service="other"
     )
     value = msgspec.msgpack.encode(listing)
     context.world.store.write(Topic.WORKERS, Keyed("x0", value))
@@ -125,6 +130,29 @@
     assert len(holder(context).cell.workers) == count, holder(context).cell.workers
 
 
+@when('another writer overwrites the entry of "{name}" with one that states no birth')
+def overwrite_entry_without_birth(context, name):
+    write_without_birth(context.world, context.world.workers[name])
+
+
+@when('a worker "{name}" starts whose entry states no birth')
+def start_without_birth(context, name):
+    world = context.world
+
+    async def begin():
+        write_without_birth(world, world.add_worker(name))
+
+    play(context, begin())
+
+
+def write_without_birth(world, worker):
+    listing = replace(
+        worker.listing, worker_id=worker.listing.worker_id.without_birth()
+    )
+    key = listing.worker_id.name
+    world.store.write(Topic.WORKERS, Keyed(key, msgspec.msgpack.encode(listing)))
+
+
 @when('another writer overwrites the entry of "{name}" with no value')
 def overwrite_entry(context, name):
     context.world.unlist_worker(name)
@@ -145,7 +173,7 @@
 @then("the holder may use {count:d} workers")
 def check_usable_count(context, count):
     workers = holder(context).cell.workers.values()
-    usable = [w.worker_id for w in workers if w.usable(context.loop.time())]
+    usable = [w.worker_id.name for w in workers if w.usable(context.loop.time())]
     assert len(usable) == count, usable
 
 
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -3,13 +3,14 @@
 from behave import given, then, when
 from support.cell_player import LASTING, TICK_S, Player, step
 
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.progress import encode
 from hornbeampaddle.cell.scheduler import Scheduler
 from hornbeampaddle.cell.settings import CellSettings
 from hornbeampaddle_cell.ledger import Ledger, lease_expiry_record
 
 JOB_ID = "lasting"
-WORKER_ID = "w0"
+WORKER_ID = WorkerId("w0")
 
 
 @given("a holder with a worker of 4 tasks that has fallen silent")
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -102,7 +102,7 @@
     worker = world.workers["w0"]
     key = TaskKey(job_id("fade"), 0, 0, 0)
     need = plain(1, 10_000, lasting=True)
-    context.stray = Run(key, 1, "w0", need, need.charge)
+    context.stray = Run(key, 1, worker.listing.worker_id, need, need.charge)
     act(context, worker._begin, context.stray)
 
 
@@ -112,7 +112,7 @@
     world = context.world
     cell = world.instances[world.holder()].holder.cell
     run = next(r for r in cell.jobs[job_id(name)].runs())
-    worker = world.workers[run.worker_id]
+    worker = world.workers[run.worker_id.name]
     assert not worker.runs
     context.stray = Run(run.key, run.number, run.worker_id, run.step, run.charge)
     assert run.number == 1
@@ -124,7 +124,7 @@
 @then("that run is ended within {seconds_s:g} s")
 def stray_run_ended(context, seconds_s):
     world = context.world
-    worker = world.workers[context.stray.worker_id]
+    worker = world.workers[context.stray.worker_id.name]
 
     def ended():
         return all(live.run is not context.stray for live in worker.runs.values())
--- a/features/steps/outlook_steps.py
+++ b/features/steps/outlook_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 from support.cell_player import GIB, step
 
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.interference import Interference
 from hornbeampaddle.cell.jobs import TaskKey
 from hornbeampaddle.cell.outlook import Outlook
@@ -39,11 +40,13 @@
 
 def worker_with(name, job_id):
     room = Resources(64_000, 256 * GIB, 0)
-    listing = WorkerListing(name, "compute", Address("127.0.0.1", 1), "dc-1", room)
+    listing = WorkerListing(
+        WorkerId(name), "compute", Address("127.0.0.1", 1), "dc-1", room
+    )
     worker = WorkerState(listing, RemoteClock(0.02))
     for position in range(3):
         key = TaskKey(job_id, 0, 0, position)
-        worker.add(Run(key, 1, name, SERVING_STEP, SERVING_STEP.charge))
+        worker.add(Run(key, 1, WorkerId(name), SERVING_STEP, SERVING_STEP.charge))
     return worker
 
 
@@ -60,4 +63,4 @@
 
 @then("it goes beside tasks in phase")
 def beside_in_phase(context):
-    assert context.chosen.worker_id == "like", context.chosen.worker_id
+    assert context.chosen.worker_id.name == "like", context.chosen.worker_id
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -1,12 +1,47 @@
 """Steps on workers that start again under the id that they had."""
 
 import asyncio
+import json
+import sys
+from dataclasses import replace
+from pathlib import Path
 
-from behave import given, when
-from support.cell_scene import new_loop, play
-from support.cell_walk import build
+import msgspec
+import structlog
+from behave import given, then, when
+from support.cell_scene import job_id, new_loop, play
+from support.cell_walk import FAULTS_RESTARTING, build, new_world, plain, walk
 
-from hornbeampaddle_standins.cell.world import World
+sys.path.insert(0, str(Path(__file__).parent.parent.parent / "platform"))
+
+from hornbeampaddle.cell import restarts  # noqa: E402
+from hornbeampaddle.cell.incarnations import WorkerId  # noqa: E402
+from hornbeampaddle.cell.jobs import Job  # noqa: E402
+from hornbeampaddle.cell.lapses import LeaseLapses  # noqa: E402
+from hornbeampaddle.cell.progress import (  # noqa: E402
+    JobState,
+    ProgressRecord,
+    Run,
+    encode,
+    restore,
+)
+from hornbeampaddle.cell.reports import NoAnswer, Report  # noqa: E402
+from hornbeampaddle.cell.workers import WorkerListing  # noqa: E402
+from hornbeampaddle.machines import Address  # noqa: E402
+from hornbeampaddle.resources import NOTHING  # noqa: E402
+from hornbeampaddle_cell.ledger import (  # noqa: E402
+    LEASE_EXPIRY_KEY,
+    Ledger,
+    lease_expiry_record,
+)
+from hornbeampaddle_cell.ports import Keyed, Topic  # noqa: E402
+from hornbeampaddle_platform.workers import Worker  # noqa: E402
+from hornbeampaddle_standins.cell.world import URGENT, World  # noqa: E402
+from hornbeampaddle_wire.http_messages import Response  # noqa: E402
+from hornbeampaddle_wire.http_server import HttpLimits, HttpServer  # noqa: E402
+
+LOOPBACK = "127.0.0.1"
+SERVER_LIMITS = HttpLimits(connections=20, body_bytes=4096)
 
 
 @given("a cell of {instances:d} instances and {workers:d} workers that state no birth")
@@ -26,6 +61,31 @@
         worker.drops_ends_ahead = False
 
 
+@given("crashed workers start again under their ids after {down_s:g} s")
+def begin_again(context, down_s):
+    context.world.begin_again_after_s = down_s
+
+
+@given("a random walk with workers that start again and seed {seed:d}")
+def random_walk_restarting(context, seed):
+    new_loop(context)
+    context.events = []
+
+    async def begin():
+        context.world = new_world(seed)
+        await walk(context.world, FAULTS_RESTARTING)
+
+    with structlog.testing.capture_logs() as context.lines:
+        play(context, begin())
+
+
+@then("workers started again under their ids, and unsettled starts were stopped")
+def walk_entered_the_path(context):
+    reasons = [(line["event"], line.get("why")) for line in context.lines]
+    assert ("worker_ended", "restarted") in reasons
+    assert ("stop", restarts.REASON) in reasons
+
+
 @when("every worker starts again under its id after {down_s:g} s")
 def restart_all(context, down_s):
     world = context.world
@@ -35,3 +95,228 @@
         await asyncio.gather(*[world.restart_worker(name, down_s) for name in names])
 
     play(context, restart())
+
+
+@when("every worker starts again under its id as the starts are sent")
+def restart_before_starts(context):
+    """Restart the workers after the holder's decision and before its starts."""
+    world = context.world
+    holder = world.instances[world.holder()].holder
+    send = holder._send_starts
+
+    def restart_and_send(decision):
+        if decision.starts:
+            for worker in list(world.workers.values()):
+                worker.on_crash = world.begin_again
+                worker.crash()
+            holder._send_starts = send
+        send(decision)
+
+    holder._send_starts = restart_and_send
+
+
+@when("every worker starts again with {cpu_millis:d} millicores, {detected}")
+def restart_smaller(context, cpu_millis, detected):
+    world = context.world
+    world.faults.fates.clear()
+    write = world.list_worker
+
+    async def restart():
+        for worker in list(world.workers.values()):
+            capacity = replace(worker.listing.capacity, cpu_millis=cpu_millis)
+            worker.listing = replace(worker.listing, capacity=capacity)
+            worker.on_crash = world.begin_again
+            worker.crash()
+
+    if "report" not in detected:
+        partition = {(i, w) for i in world.instances for w in world.workers}
+        world.faults.partitioned |= partition
+        play(context, restart())
+        play(context, asyncio.sleep(1.5))
+        world.faults.partitioned -= partition
+        return
+    world.list_worker = lambda worker: None
+    play(context, restart())
+    play(context, asyncio.sleep(1.0))
+    world.list_worker = write
+    for worker in world.workers.values():
+        write(worker)
+
+
+@when("the entries of the earlier incarnations are written again")
+def write_earlier_entries(context):
+    world = context.world
+
+    async def write():
+        for name, worker in world.workers.items():
+            worker_id = WorkerId(name, worker.listing.worker_id.born_ms - 1)
+            value = msgspec.msgpack.encode(replace(worker.listing, worker_id=worker_id))
+            world.store.write(Topic.WORKERS, Keyed(name, value))
+
+    play(context, write())
+
+
+@then("no task was started more often than 1 time")
+def started_once(context):
+    starts = [span.key for span in context.world.checker.spans]
+    assert len(starts) == len(set(starts)), starts
+
+
+@when('the births are removed from the records of "{name}"')
+def remove_births(context, name):
+    world = context.world
+    key = job_id(name)
+    for instance in world.instances.values():
+        value = instance.ledger.progress[key]
+        record = msgspec.msgpack.decode(value, type=ProgressRecord)
+        assert record.births
+        older = msgspec.structs.replace(record, births=[])
+        instance.ledger.progress[key] = msgspec.msgpack.encode(older)
+    # Instances that take over apply no later record of the job.
+    world.store.logs[Topic.PROGRESS].newest.pop(key, None)
+
+
+@when(
+    "a job's progress is stored with a run and a crash on two incarnations of "
+    '"{worker}"'
+)
+def store_progress(context, worker):
+    step = plain(2)
+    job = Job("job", URGENT, "", (step,), 0.0)
+    state = JobState(job)
+    first, second = state.open_occurrence(0)[0].tasks
+    first.last_run = 2
+    first.run = Run(first.key, 2, WorkerId(worker, 20), step, step.charge)
+    first.crashed_runs = {1: WorkerId(worker, 10)}
+    second.last_run = 1
+    second.run = Run(second.key, 1, WorkerId(worker), step, step.charge)
+    context.value = encode(state)
+    context.tasks = restore(job, context.value, 0.0).occurrences[0][0].tasks
+
+
+@then("the restored job names the same incarnations")
+def same_incarnations(context):
+    first, second = context.tasks
+    assert first.run.worker_id.born_ms == 20
+    assert first.crashed_runs[1].born_ms == 10
+    assert not second.run.worker_id.birth_known
+
+
+@then('an older instance reads "{worker}" for both')
+def read_by_older(context, worker):
+    class OlderRecord(msgspec.Struct, array_like=True):
+        status: int
+        occurrences: list[tuple[int, list[int | tuple[int, list[int], str, str]]]]
+        crashes: list[tuple[int, int, dict[int, str], list[int]]] = []
+
+    record = msgspec.msgpack.decode(context.value, type=OlderRecord)
+    ((_, tasks),) = record.occurrences
+    assert [task[2] for task in tasks] == [worker, worker]
+    assert record.crashes[0][2] == {1: worker}
+
+
+@then(
+    'the leases of "{one}" of birth {born_ms:d} and of "{other}" of no known birth '
+    "are read as written"
+)
+def lease_records(context, one, born_ms, other):
+    left_s = {WorkerId(one, born_ms): 3.0, WorkerId(other): 4.0}
+    ledger = Ledger()
+    ledger.apply_progress(lease_expiry_record(left_s), 100.0)
+    expected = {worker_id: 100.0 + s for worker_id, s in left_s.items()}
+    assert ledger.lease_expiry_at_s == expected, ledger.lease_expiry_at_s
+
+
+@then('a record of an older instance applies to every incarnation of "{name}"')
+def older_lease_record(context, name):
+    ledger = Ledger()
+    value = msgspec.msgpack.encode({name: 4.0})
+    ledger.apply_progress(Keyed(LEASE_EXPIRY_KEY, value), 100.0)
+    lapses = LeaseLapses()
+    lapses.inherit(ledger.lease_expiry_at_s)
+    assert lapses.running_out(WorkerId(name, 9))
+    assert lapses.inherited_over_at_s(WorkerId(name, 9), 200.0) == 104.0
+    assert not lapses.running_out(WorkerId("another", 9))
+
+
+class _Clock:
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
+
+def request_reports(handle, count, last_seen):
+    """Return the outcomes of reports that a worker requests one after the other."""
+
+    async def request_all():
+        server = HttpServer("worker", SERVER_LIMITS, handle)
+        address = await server.start(Address(LOOPBACK, 0))
+        listing = WorkerListing(WorkerId("w1", 5), "s", address, "dc-1", NOTHING)
+        worker = Worker(listing, 1, _Clock())
+        outcomes = [await worker.report(last_seen, None, 0.0) for _ in range(count)]
+        worker.close()
+        await server.close()
+        return outcomes
+
+    return asyncio.run(request_all())
+
+
+@given("a server that closes its connection after each second response")
+def closing_server(context):
+    context.sent = []
+
+    async def handle(request):
+        context.sent.append(json.loads(request.body)["lastSeen"])
+        closing = {"connection": "close"} if len(context.sent) % 2 == 0 else {}
+        return Response(200, b'{"clockMs": 1, "born": 5}', headers=closing)
+
+    context.handle = handle
+
+
+@when("{count:d} reports are requested that acknowledge end {last_seen:d}")
+def request_many(context, count, last_seen):
+    context.outcomes = request_reports(context.handle, count, last_seen)
+
+
+@then("the acknowledgements were sent as {values}")
+def acknowledged_as(context, values):
+    expected = [int(value) for value in values.split(", ")]
+    assert context.sent == expected, context.sent
+    reports = [o for o in context.outcomes if isinstance(o, Report)]
+    assert [report.last_seen for report in reports] == expected
+
+
+BIRTHS = {
+    "a birth that is a text": "5",
+    "a birth that is null": None,
+    "a birth that is a fraction": 5.5,
+}
+
+
+@given("a worker that answers a report with {what}")
+def strange_birth(context, what):
+    async def handle(request):
+        return Response(200, json.dumps({"clockMs": 1, "born": BIRTHS[what]}).encode())
+
+    context.handle = handle
+
+
+@when("its report is requested")
+def request_one(context):
+    with structlog.testing.capture_logs() as context.lines:
+        (context.outcome,) = request_reports(context.handle, 1, 0)
+
+
+@then("the worker counts as not answering, which is logged")
+def not_answering(context):
+    assert isinstance(context.outcome, NoAnswer), context.outcome
+    (line,) = [x for x in context.lines if x["event"] == "report: not understood"]
+    assert line["worker"] == "w1"
+
+
+@then(
+    "a report to birth {listed:d} that states {stated:d} is from the "
+    '"{sender}" incarnation'
+)
+def sender_of(context, listed, stated, sender):
+    answering = restarts.answering(WorkerId("w1", listed), stated)
+    assert answering.value == sender, answering
--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -8,6 +8,7 @@
 from support.cell_player import BATCH, GIB, LASTING, URGENT, prepared, step
 
 from hornbeampaddle.cell.advice import Allowance
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Advice, StepKey
 from hornbeampaddle.cell.workers import WorkerListing
 from hornbeampaddle.machines import Address
@@ -193,7 +194,7 @@
         room = Resources(16_000, 512 * GIB, 0)
         address = Address("127.0.0.1", 1)
         for number in range(count):
-            name = f"other{number}"
+            name = WorkerId(f"other{number}")
             listing = WorkerListing(name, "other", address, "dc-1", room)
             player.cell.list_worker(listing, player.now_s)
             player.ends[name] = []
--- a/features/support/cell_player.py
+++ b/features/support/cell_player.py
@@ -4,6 +4,7 @@
 
 from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.effects import LogEntry
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Job, Queue, Step
 from hornbeampaddle.cell.progress import JobStatus, Run, RunPhase
 from hornbeampaddle.cell.reports import Done, EndedRow, EndKind, Report, RunningRow
@@ -29,7 +30,7 @@
     cell: Scheduler = field(default_factory=lambda: Scheduler(CellSettings()))
     work_s: dict[str, float] = field(default_factory=dict)
     done_s: dict[tuple, float] = field(default_factory=dict)
-    ends: dict[str, list[EndedRow]] = field(default_factory=dict)
+    ends: dict[WorkerId, list[EndedRow]] = field(default_factory=dict)
     stops: list[tuple[float, Run]] = field(default_factory=list)
     finished_s: dict[str, float] = field(default_factory=dict)
     notes: list[tuple[float, LogEntry]] = field(default_factory=list)
@@ -43,7 +44,7 @@
 
     def add_workers(self, count, cpu_millis):
         for number in range(count):
-            name = f"w{number}"
+            name = WorkerId(f"w{number}")
             room = Resources(cpu_millis, 512 * GIB, 0)
             address = Address("127.0.0.1", 1)
             listing = WorkerListing(name, "compute", address, "dc-1", room)
@@ -56,7 +57,7 @@
         listing = self.cell.workers[worker_id].listing
         self.cell.worker_ended(worker_id, self.now_s, "replaced")
         self.replacements += 1
-        name = f"w{self.replacements}+"
+        name = WorkerId(f"w{self.replacements}+")
         self.cell.list_worker(replace(listing, worker_id=name), self.now_s)
         self.ends[name] = []
         self._report()
--- a/features/support/cell_walk.py
+++ b/features/support/cell_walk.py
@@ -117,6 +117,30 @@
     world.unlist_worker(name)
 
 
+async def _restart_worker(world, random):
+    """Start a worker again under its id, up to three times in a row."""
+    name = random.choice(sorted(world.workers))
+    world.workers[name].drops_ends_ahead = random.random() < 0.5
+    for _ in range(random.randint(1, 3)):
+        down_s = random.choice([0.0, 0.05, random.uniform(0.1, 2.0), 4.0])
+        await world.restart_worker(name, down_s)
+        await asyncio.sleep(random.choice([0.0, 0.3, random.uniform(0.5, 6.0)]))
+
+
+async def _restart_in_trouble(world, random):
+    """Start workers again while orders are late and the holder changes."""
+    losing = asyncio.create_task(_lose_orders(world, random))
+    await asyncio.sleep(random.uniform(0.0, 1.0))
+    restarting = [
+        asyncio.create_task(_restart_worker(world, random))
+        for _ in range(random.randint(1, 4))
+    ]
+    if random.random() < 0.5:
+        await asyncio.sleep(random.uniform(0.0, 1.0))
+        await _restart_holder(world, random)
+    await asyncio.gather(losing, *restarting)
+
+
 async def _refuse_orders(world, random):
     """Make workers lose answers, then refuse what is sent again, one by one."""
     for _ in range(4):
@@ -183,6 +207,10 @@
 FAULTS_EVACUATING = [*FAULTS, _evacuate, _evacuate, _resize, _submit_crashing_job]
 
 
+# Workers start again under their ids, as often as all other faults together.
+FAULTS_RESTARTING = [*FAULTS, *[_restart_worker] * 4, *[_restart_in_trouble] * 4]
+
+
 async def walk(world, faults=FAULTS):
     """Run a world under load and several faults at a time, then let it recover."""
     random = Random(world.seed)
--- a/features/support/cell_walks.py
+++ b/features/support/cell_walks.py
@@ -12,6 +12,7 @@
     FAULTS,
     FAULTS_BREAKING,
     FAULTS_EVACUATING,
+    FAULTS_RESTARTING,
     given_up,
     new_world,
     walk,
@@ -19,6 +20,9 @@
 from .virtual_loop import VirtualLoop
 
 PROCESSES = 4
+# In a quarter of the walks workers shrink and tasks crash them, in another data centres
+# are evacuated as well, in another workers start again under their ids.
+FAULTS_BY_SEED = (FAULTS_BREAKING, FAULTS, FAULTS_EVACUATING, FAULTS_RESTARTING)
 
 
 def _drop(logger, method, fields):
@@ -33,10 +37,12 @@
 
     async def walk_and_check():
         world = new_world(seed)
-        # In a third of the walks workers shrink and tasks crash them; in another third
-        # data centres are evacuated as well.
-        await walk(world, (FAULTS_BREAKING, FAULTS, FAULTS_EVACUATING)[seed % 3])
+        faults = FAULTS_BY_SEED[seed % len(FAULTS_BY_SEED)]
+        await walk(world, faults)
         wrong = [f"{job_id} was given up" for job_id in given_up(world)]
+        if faults is FAULTS_RESTARTING:
+            # Workers crash so often there that a task may lose two by coincidence.
+            wrong = []
         states = {name: await world.status(name) for name in world.accepted}
         await world.close()
         open_ = [
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -16,6 +16,7 @@
 
 from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.effects import AdviceQuestion, Decision, LogEntry
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.progress import RunPhase
 from hornbeampaddle.cell.reports import Report
 from hornbeampaddle.cell.scheduler import Scheduler
@@ -99,7 +100,7 @@
             settings, clock, store, ledger, epoch, fenced_at_s, self.step_down
         )
         self.first_report_slots = asyncio.Semaphore(settings.cell.first_reports_max)
-        self._sessions: dict[str, Session] = {}
+        self._sessions: dict[WorkerId, Session] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._woken = asyncio.Event()
         self._next_job_cleanup_s = fenced_at_s + JOB_CLEANUP_INTERVAL_S
@@ -174,16 +175,26 @@
     def update_worker_list(
         self, listed: Sequence[WorkerListing], gone: Sequence[str]
     ) -> None:
-        """Apply changes of the list of workers; ``gone`` are the ids to remove."""
+        """Apply changes of the list of workers; ``gone`` are the names to remove."""
         now_s = self.clock.now_s()
         for listing in listed:
-            self.cell.list_worker(listing, now_s)
-            if listing.worker_id not in self._sessions:
+            worker = self.cell.list_worker(listing, now_s)
+            if worker is not None and listing.worker_id not in self._sessions:
                 self._open_session(listing)
-        for worker_id in gone:
-            self.cell.unlist_worker(worker_id)
+        for name in gone:
+            self.cell.unlist_worker(name)
         self.wake()
 
+    def worker_restarted(self, earlier_id: WorkerId, report: Report) -> None:
+        """Apply the first report of a worker that has started again under its id."""
+        now_s = self.clock.now_s()
+        listing = self.cell.worker_restarted(earlier_id, report.born_ms, now_s)
+        if listing is None:
+            # Known already: the report may be older than others of this incarnation.
+            return
+        self._open_session(listing)
+        self.handle_report(listing.worker_id, report)
+
     def _open_session(self, listing: WorkerListing) -> None:
         port = MeteredWorker(self.make_worker(listing, self.epoch), self.metrics)
         session = Session(self, listing.worker_id, port)
@@ -195,7 +206,8 @@
             await session.run()
         finally:
             session.port.close()
-            self._sessions.pop(session.worker_id, None)
+            if self._sessions.get(session.worker_id) is session:
+                del self._sessions[session.worker_id]
 
     # Called by the sessions
 
@@ -222,7 +234,7 @@
         age_s = self.clock.now_s() - self.log.stored_at_s
         return age_s < lapse_s and not self.lost.is_set()
 
-    def handle_report(self, worker_id: str, report: Report) -> None:
+    def handle_report(self, worker_id: WorkerId, report: Report) -> None:
         """Queue a worker's report for the scheduler and wake the loop."""
         self.cell.intake.report(worker_id, report)
         self.wake()
@@ -351,7 +363,7 @@
                 payload = self.cell.jobs[run.key.job_id].job.payload
                 self._spawn(session.start(run, payload))
 
-    def _acknowledge(self, worker_id: str, end: int) -> None:
+    def _acknowledge(self, worker_id: WorkerId, end: int) -> None:
         worker = self.cell.workers.get(worker_id)
         if worker is None or worker.acked_end >= end:
             return
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -90,7 +90,8 @@
         self.advice = advice
         self.ledger = Ledger()
         self._foreign_listings = UnreadableRecords("workers")
-        self.leadership = Leadership(settings, Random())
+        self.random = Random()
+        self.leadership = Leadership(settings, self.random)
         self.holder: Holder | None = None
         # The epoch of the last term in which this instance held the cell.
         self._ended_epoch = 0
@@ -122,6 +123,7 @@
     def _follow(self, topic: Topic, handler: Handler) -> Follower:
         follower = Follower(self.store, topic, self.clock, handler)
         follower.wait_s = self.settings.read_wait_s
+        follower.random = self.random
         if topic is Topic.OPERATOR:
             follower.latest_only = True
         else:
@@ -461,35 +463,43 @@
         gone: list[str] = []
         for record in records:
             listing = self.codec.worker(record)
-            if listing is None or not self._is_known_service(listing):
+            if listing is None or not self._is_usable(listing):
                 listed.pop(record.key, None)
                 gone.append(record.key)
             else:
                 listed[record.key] = listing
-        gone = [worker_id for worker_id in gone if worker_id not in listed]
+        gone = [name for name in gone if name not in listed]
         self.holder.update_worker_list(list(listed.values()), gone)
 
-    def _is_known_service(self, listing: WorkerListing) -> bool:
+    def _is_usable(self, listing: WorkerListing) -> bool:
         """
-        Return whether the configuration names the service of a listing.
+        Return whether a listing was written by a worker of a configured service.
 
         Listings of other services may be written by other programs, and whatever
         listens at their addresses must not be called. Workers write their listing
         every second, so one whose service is configured later is accepted then.
         """
-        assert self.configuration is not None
+        reason = self._foreign_reason(listing)
+        if reason:
+            self._foreign_listings.mark_unreadable(listing.worker_id.name, reason)
+            return False
+        self._foreign_listings.mark_readable(listing.worker_id.name)
+        return True
+
+    def _foreign_reason(self, listing: WorkerListing) -> str:
+        """Return why a listing is another program's; empty if it is a worker's."""
+        assert self.configuration is not None and self.holder is not None
         services = self.configuration.services
-        if not services or listing.service in services:
-            self._foreign_listings.mark_readable(listing.worker_id)
-            return True
-        self._foreign_listings.mark_unreadable(
-            listing.worker_id, f"service {listing.service!r}"
-        )
-        return False
+        if services and listing.service not in services:
+            return f"service {listing.service!r}"
+        current = self.holder.cell.incarnations.current(listing.worker_id.name)
+        if current is not None and current.birth_known:
+            return "" if listing.worker_id.birth_known else "states no birth"
+        return ""
 
     def _worker_list_reloaded(self, keys: set[str]) -> None:
         """Remove the workers that a full read of the list did not return."""
         if self.holder is None:
             return
-        for worker_id in set(self.holder.cell.workers) - keys:
-            self.holder.cell.unlist_worker(worker_id)
+        for name in self.holder.cell.incarnations.names() - keys:
+            self.holder.cell.unlist_worker(name)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Job
 from hornbeampaddle.cell.progress import JobStatus, decode_status
 
@@ -55,9 +56,10 @@
     return Keyed(LOAD_PERIOD_KEY, msgspec.msgpack.encode(period_s))
 
 
-def lease_expiry_record(left_s: dict[str, float]) -> Keyed:
+def lease_expiry_record(left_s: dict[WorkerId, float]) -> Keyed:
     """Return the record of how long the leases of silent workers may still last."""
-    return Keyed(LEASE_EXPIRY_KEY, msgspec.msgpack.encode(left_s))
+    by_text = {str(worker_id): seconds_s for worker_id, seconds_s in left_s.items()}
+    return Keyed(LEASE_EXPIRY_KEY, msgspec.msgpack.encode(by_text))
 
 
 def cancel_record(job_id: str) -> Keyed:
@@ -81,7 +83,7 @@
     # When the leases of silent workers expire, on this instance's clock. The remaining
     # time counts from when the record was read, which is after it was written, so the
     # leases end no later than that.
-    lease_expiry_at_s: dict[str, float] = field(default_factory=dict)
+    lease_expiry_at_s: dict[WorkerId, float] = field(default_factory=dict)
     by_queue: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     unreadable_jobs: UnreadableRecords = field(
         default_factory=lambda: UnreadableRecords("jobs")
@@ -136,7 +138,9 @@
         value = record.value
         if record.key == LEASE_EXPIRY_KEY:
             left_s = _lease_expiry_decoder.decode(value) if value else {}
-            self.lease_expiry_at_s = {name: read_at_s + s for name, s in left_s.items()}
+            self.lease_expiry_at_s = {
+                WorkerId.parse(text): read_at_s + s for text, s in left_s.items()
+            }
         elif record.key == INTERFERENCE_KEY:
             self.slopes = _slopes_decoder.decode(value) if value else {}
         elif record.key == LOAD_PERIOD_KEY:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/logs.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/logs.py
@@ -16,6 +16,8 @@
 import msgspec
 import structlog
 
+from hornbeampaddle.cell.incarnations import WorkerId
+
 FLUSH_INTERVAL_S = 0.2
 # Several times the buffer of a pipe: if the reader stalls for a second, no line is lost
 # at 2,000 lines a second.
@@ -133,6 +135,9 @@
         _: object, level: str, fields: MutableMapping[str, Any]
     ) -> tuple[tuple[Any, ...], dict[str, Any]]:
         event = str(fields.pop("event"))
+        for name, value in fields.items():
+            if isinstance(value, WorkerId):
+                fields[name] = str(value)
         line = {"event": event, "level": level, "instance": instance, **fields}
         return (event, _encode(line) + b"\n"), {}
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from hornbeampaddle.cell.advice import Allowance
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Queue, StepKey
 from hornbeampaddle.cell.progress import Run
 from hornbeampaddle.cell.reports import HoldOutcome, NoAnswer, OrderOutcome
@@ -166,7 +167,14 @@
     async def report(
         self, last_seen: int, deadline_s: float | None, wait_s: float
     ) -> HoldOutcome:
-        """Renew the lease, acknowledge ended runs, and read the worker's report."""
+        """
+        Renew the lease, acknowledge ended runs, and read the worker's report.
+
+        ``last_seen`` is sent only over the connection of the last report, which ends
+        with the worker's incarnation; over a new one no end is acknowledged, and the
+        worker answers at once. A worker that has started again would drop ends that no
+        report has listed.
+        """
 
     def close(self) -> None:
         """Close the connections."""
@@ -175,7 +183,9 @@
 class AdvicePort(Protocol):
     """The service that advises which workers may run a step."""
 
-    async def ask(self, step: StepKey, worker_ids: Sequence[str]) -> Allowance | None:
+    async def ask(
+        self, step: StepKey, worker_ids: Sequence[WorkerId]
+    ) -> Allowance | None:
         """Return the allowed workers; ``valid_until_s`` counts from the answer."""
 
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -11,6 +11,7 @@
 import structlog
 
 from hornbeampaddle.cell.effects import PaceOrder, StopOrder
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import TaskKey
 from hornbeampaddle.cell.progress import Run, RunPhase
 from hornbeampaddle.cell.reports import (
@@ -21,6 +22,7 @@
     Refused,
     Report,
 )
+from hornbeampaddle.cell.restarts import Answering, answering
 
 from .ports import WorkerPort
 
@@ -47,7 +49,7 @@
 class Session:
     """The holder's exchange of reports and orders with one worker incarnation."""
 
-    def __init__(self, holder: "Holder", worker_id: str, port: WorkerPort) -> None:
+    def __init__(self, holder: "Holder", worker_id: WorkerId, port: WorkerPort) -> None:
         """Store the port; nothing is sent before ``run``."""
         self.holder = holder
         self.worker_id = worker_id
@@ -78,26 +80,13 @@
             else:
                 outcome = await self.port.report(acked_end, deadline_s, wait_s)
             if isinstance(outcome, Report):
-                self._delivered_acked_end = acked_end
-                self._check_ends(outcome, acked_end)
+                self._delivered_acked_end = outcome.last_seen
             if not await self._handle_outcome(outcome):
                 await self._pause_before_report(RETRY_PAUSE_S)
                 continue
             wait_s = FIRST_REPORT_WAIT_S if first else self._report_wait_s()
             await self._pause_before_report(0.0)
 
-    def _check_ends(self, report: Report, acked_end: int) -> None:
-        """Log ends that a worker lists although they were acknowledged to it."""
-        positions = [row.position for row in report.ended if row.position <= acked_end]
-        if positions:
-            log.warning(
-                "worker: lists acknowledged ends",
-                worker=self.worker_id,
-                acked_end=acked_end,
-                first=positions[0],
-                last=positions[-1],
-            )
-
     async def _first_report(self, last_seen: int) -> HoldOutcome:
         """
         Request a report that carries the worker's clock, once a slot is free.
@@ -145,10 +134,7 @@
     async def _handle_outcome(self, outcome: object) -> bool:
         match outcome:
             case Report() as report:
-                self._mark_answered()
-                self.holder.handle_report(self.worker_id, report)
-                await self._wait_for_acknowledgement()
-                return True
+                return await self._handle_report(report)
             case OtherIncarnation():
                 now_s = self.holder.clock.now_s()
                 self.holder.cell.worker_ended(self.worker_id, now_s, "replaced")
@@ -161,6 +147,33 @@
                 self._mark_unanswered(detail)
         return False
 
+    async def _handle_report(self, report: Report) -> bool:
+        match answering(self.worker_id, report.born_ms):
+            case Answering.ADDRESSED:
+                self._mark_answered()
+                self._log_acknowledged_ends(report)
+                self.holder.handle_report(self.worker_id, report)
+                await self._wait_for_acknowledgement()
+                return True
+            case Answering.SUCCESSOR:
+                self.holder.worker_restarted(self.worker_id, report)
+            case Answering.UNKNOWN:
+                # Another program wrote the entry, or answers at its address.
+                self._mark_unanswered(f"states the birth {report.born_ms}")
+        return False
+
+    def _log_acknowledged_ends(self, report: Report) -> None:
+        """Log ends that a worker lists although they were acknowledged to it."""
+        positions = [e.position for e in report.ended if e.position <= report.last_seen]
+        if positions:
+            log.warning(
+                "worker: lists acknowledged ends",
+                worker=self.worker_id,
+                last_seen=report.last_seen,
+                first=positions[0],
+                last=positions[-1],
+            )
+
     async def _wait_for_acknowledgement(self) -> None:
         """Wait until the ends of the last report are stored, for 1 s at most."""
         worker = self.holder.cell.workers.get(self.worker_id)
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/demand.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/demand.py
@@ -11,12 +11,15 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Job, Queue, Step
 from hornbeampaddle.cell.progress import Run
 from hornbeampaddle.cell.workers import WorkerListing
 from hornbeampaddle.machines import Address
 from hornbeampaddle.resources import Resources
 
+# Birth of the first incarnation of every worker.
+FIRST_BIRTH_MS = 1
 GIB = 2**30
 URGENT = Queue("urgent", "compute", 0, 3, 1.5, 0.25)
 BATCH = Queue("batch", "compute", 2, 3, 2.0, 1.0)
@@ -201,7 +204,7 @@
             if number % 3 == 2:
                 cpu_millis = cpu_millis * 3 // 2
             yield WorkerListing(
-                f"w{number:03}",
+                WorkerId(f"w{number:03}", FIRST_BIRTH_MS),
                 "compute",
                 Address("127.0.0.1", 1),
                 _data_centre(number),
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field, replace
 
 from hornbeampaddle.cell.effects import Decision, StopOrder
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import TaskKey
 from hornbeampaddle.cell.progress import JobStatus, Run, RunPhase
 from hornbeampaddle.cell.reports import Done, EndedRow, EndKind, Report, RunningRow
@@ -120,7 +121,7 @@
         self.now_s = 100.0
         self.begun_at_s = self.now_s
         self.cell = Scheduler(settings or CellSettings())
-        self.workers: dict[str, EmulatedWorker] = {}
+        self.workers: dict[WorkerId, EmulatedWorker] = {}
         self.submitted: dict[str, Submission] = {}
         self.done_at_s: dict[str, float] = {}
         self.over_since_s: dict[TaskKey, float] = {}
@@ -198,16 +199,16 @@
         self._pending_restarts.append((self.now_s + RESTART_DELAY_S, worker))
 
     def _restart_workers(self) -> None:
+        """Start crashed workers again under the ids that they had."""
         due = [worker for at_s, worker in self._pending_restarts if at_s <= self.now_s]
         self._pending_restarts = [
             entry for entry in self._pending_restarts if entry[0] > self.now_s
         ]
         for worker in due:
-            old_name = worker.listing.worker_id
-            self.cell.worker_ended(old_name, self.now_s, "replaced")
             restarts = worker.restarts + 1
-            name = f"{old_name.partition('+')[0]}+{restarts}"
-            listing = replace(worker.listing, worker_id=name)
+            born_ms = round(1000 * self.now_s)
+            worker_id = WorkerId(worker.listing.worker_id.name, born_ms)
+            listing = replace(worker.listing, worker_id=worker_id)
             self._add_worker(
                 EmulatedWorker(
                     listing, number=worker.number, whole=worker.whole, restarts=restarts
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -86,6 +86,9 @@
     over_target_s: float = 0.0
     spans: list[RunSpan] = field(default_factory=list)
     # By task: the workers that it crashed, and its starts after CRASHES_MAX crashes.
+    # Runs and dropped ends caused by late orders to an earlier incarnation of a worker,
+    # which no holder can prevent; they are not checked.
+    unpreventable: int = 0
     crashes: Counter[TaskKey] = field(default_factory=Counter)
     starts_after_crashes: Counter[TaskKey] = field(default_factory=Counter)
 
@@ -161,6 +164,8 @@
     pace: float = 1.0
     saved_s: float = 0.0
     fails: bool = False
+    # Whether the checker ignores it.
+    exempt: bool = False
 
 
 @dataclass
@@ -179,6 +184,8 @@
     slope_of: Callable[[str, str], float]
     skew_s: float = 0.0
     token: int = 0
+    # The highest token under which a report was requested.
+    reporting_token: int = 0
     lease_until_s: float = 0.0
     runs: dict[TaskKey, LiveRun] = field(default_factory=dict)
     ends: list[EndedRow] = field(default_factory=list)
@@ -205,8 +212,12 @@
     # Whether a lastSeen above the number of ends so far counts for later ends, which
     # are then dropped unread; otherwise it is ignored, and they are listed again.
     drops_ends_ahead: bool = True
-    # Set while an order that was delayed on its way is carried out.
+    # Set while an order that was delayed on its way is carried out, and if it was sent
+    # to an earlier incarnation.
     delivering_late: bool = False
+    delivering_to_successor: bool = False
+    # Set while a start is carried out that no holder can prevent.
+    unpreventable: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def now_s(self) -> float:
@@ -221,9 +232,13 @@
         """Terminate the worker and all its runs."""
         self.alive = False
         for key, live in self.runs.items():
-            self.checker.ended(key, live.span, self.now_s())
+            self._record_end(key, live)
         self.runs.clear()
 
+    def _record_end(self, key: TaskKey, live: LiveRun) -> None:
+        if not live.exempt:
+            self.checker.ended(key, live.span, self.now_s())
+
     def resize(self, capacity: Resources) -> None:
         """Change the capacity while the worker runs."""
         self.capacity_before = self.listing.capacity
@@ -305,9 +320,9 @@
 
     def _end(self, key: TaskKey, how: EndKind) -> None:
         live = self.runs.pop(key)
-        self.checker.ended(key, live.span, self.now_s())
+        self._record_end(key, live)
         self.position += 1
-        if how is EndKind.DONE:
+        if how is EndKind.DONE and not live.exempt:
             self.done_at_s[self.position] = self.now_s()
         saved = str(live.saved_s) if live.saved_s else ""
         self.ends.append(EndedRow(self.position, key, live.run.number, how, saved))
@@ -320,6 +335,11 @@
         """Start a run, or return the reason for the refusal."""
         if token < self.token:
             return Refused(Reason.FENCED, self.clock_s())
+        # No holder can prevent a start that was sent to an earlier incarnation, and is
+        # carried out before that holder, or a later one, has a report of this one.
+        self.unpreventable = (
+            self.delivering_to_successor and self.reporting_token < token
+        )
         self.token = token
         self._extend_lease(deadline_s)
         if deadline_s < self.clock_s():
@@ -337,12 +357,16 @@
         return Done(self.clock_s())
 
     def _begin(self, run: Run) -> None:
-        data_centre = self.listing.data_centre
-        span = self.checker.began(
-            run.key, data_centre, self.now_s(), self.delivering_late
-        )
+        exempt, self.unpreventable = self.unpreventable, False
+        if exempt:
+            self.checker.unpreventable += 1
+            span = RunSpan(run.key, self.now_s())
+        else:
+            span = self.checker.began(
+                run.key, self.listing.data_centre, self.now_s(), self.delivering_late
+            )
         work_s, fails = self.work_of(run)
-        live = LiveRun(run, work_s, span, fails=fails or self.fails_all)
+        live = LiveRun(run, work_s, span, fails=fails or self.fails_all, exempt=exempt)
         live.done_s = live.saved_s = float(run.checkpoint or 0)
         self.runs[run.key] = live
         self.highest_number[run.key] = run.number
@@ -397,8 +421,17 @@
         self.token = token
         if deadline_s is not None:
             self._extend_lease(deadline_s)
+        if not self.delivering_late:
+            self.reporting_token = token
         if last_seen > self.position and not self.drops_ends_ahead:
             return None
+        if self.delivering_to_successor:
+            # Sent to an earlier incarnation: no holder can prevent that this one drops
+            # ends unread.
+            dropped = [end for end in self.ends if end.position <= last_seen]
+            self.checker.unpreventable += len(dropped)
+            for end in dropped:
+                self.done_at_s.pop(end.position, None)
         for end in self.ends:
             done_at_s = self.done_at_s.pop(end.position, None)
             if end.position <= last_seen and done_at_s is not None:
@@ -485,6 +518,8 @@
         self.caller = caller
         self.token = token
         self.faults = faults
+        # The incarnation that the connection of the last report leads to.
+        self._connected_to: CellWorker | None = None
 
     def close(self) -> None:
         """Do nothing: there is no connection to close."""
@@ -494,7 +529,7 @@
     ) -> OrderOutcome:
         await asyncio.sleep(ROUND_TRIP_S / 2)
         worker = self.find()
-        if (self.caller, worker.listing.worker_id) in self.faults.partitioned:
+        if (self.caller, worker.listing.worker_id.name) in self.faults.partitioned:
             return await self._time_out()
         if not worker.alive:
             return await self._answer_when_dead(worker)
@@ -508,7 +543,7 @@
         drawn = self.faults.random.random()
         if fate is OrderFate.LATE or drawn < self.faults.late_ratio:
             loop = asyncio.get_running_loop()
-            loop.call_later(self.faults.late_s, self._deliver_late, act)
+            loop.call_later(self.faults.late_s, self._deliver_late, worker, act)
             return await self._time_out()
         outcome = act(worker)
         if drawn < self.faults.late_ratio + self.faults.lost_ratio:
@@ -516,13 +551,16 @@
         await asyncio.sleep(ROUND_TRIP_S / 2)
         return outcome
 
-    def _deliver_late(self, act: Callable[[CellWorker], OrderOutcome]) -> None:
+    def _deliver_late(
+        self, addressed: CellWorker, act: Callable[[CellWorker], OrderOutcome]
+    ) -> None:
         worker = self.find()
         if not worker.alive:
             return
         worker.delivering_late = True
+        worker.delivering_to_successor = worker is not addressed
         act(worker)
-        worker.delivering_late = False
+        worker.delivering_late = worker.delivering_to_successor = False
 
     async def _answer_when_dead(
         self, worker: CellWorker
@@ -564,6 +602,9 @@
     ) -> HoldOutcome:
         """Renew the lease, acknowledge ends and read the worker's report."""
         sent_at_s = self.find().now_s()
+        if self._connected_to is not self.find():
+            last_seen, wait_s = 0, 0.0
+        self._connected_to = None
         answering: list[CellWorker] = []
 
         def renew(worker: CellWorker) -> OrderOutcome:
@@ -578,6 +619,7 @@
         await worker.wait_for_end(wait_s)
         if not worker.alive:
             return await self._answer_when_dead(worker)
+        self._connected_to = worker
         self.faults.on_report_read()
         return Report(
             sent_at_s,
@@ -585,6 +627,8 @@
             worker.clock_s(),
             worker.rows(),
             tuple(worker.ends),
+            worker.listing.worker_id.born_ms,
+            last_seen,
         )
 
 
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from hornbeampaddle.cell.advice import Allowance
+from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Job, Queue, Step, StepKey, TaskKey
 from hornbeampaddle.cell.progress import JobStatus, Run
 from hornbeampaddle.cell.settings import CellSettings
@@ -43,6 +44,8 @@
 )
 
 MIB = 2**20
+# Unix time at which the simulated clock shows zero.
+EPOCH_S = 1_700_000_000
 ROUTE_HOST = "host"
 # Key prefix of the operator's evacuation records; the data centre's name follows.
 EVACUATE_PREFIX = "evacuate/"
@@ -129,7 +132,7 @@
 
     def wall_s(self) -> float:
         """Return simulated Unix seconds."""
-        return 1_700_000_000 + self.now_s() + self.skew_s
+        return EPOCH_S + self.now_s() + self.skew_s
 
 
 @dataclass
@@ -150,10 +153,13 @@
     # Instances may reach the store through one another.
     relays: bool = False
     # Answers the instances' advice requests; None if there is no advice service.
-    advised: Callable[[StepKey, Sequence[str]], Allowance | None] | None = None
+    advised: Callable[[StepKey, Sequence[WorkerId]], Allowance | None] | None = None
     accepted: dict[str, Job] = field(default_factory=dict)
     # By task that crashes every worker it runs on: the seconds from start to crash.
     crashing: dict[TaskKey, float] = field(default_factory=dict)
+    # The delay after which crashed workers start again under their ids; None if they
+    # come back under other ids.
+    begin_again_after_s: float | None = None
     # Workers state when they started; those of older deployments do not.
     states_births: bool = True
     # Crashed workers do not answer, instead of refusing connections, and do not
@@ -201,7 +207,7 @@
     ) -> CellWorker:
         """Start a worker and write its entry."""
         listing = WorkerListing(
-            name,
+            self._new_worker_id(name),
             "compute",
             Address("127.0.0.1", 1),
             data_centre,
@@ -217,6 +223,13 @@
         self.tasks[name] = asyncio.create_task(worker.live())
         return worker
 
+    def _new_worker_id(self, name: str) -> WorkerId:
+        """Return the id of an incarnation that starts now."""
+        if not self.states_births:
+            return WorkerId(name)
+        now_s = asyncio.get_running_loop().time()
+        return WorkerId(name, round(1000 * (EPOCH_S + now_s)))
+
     def resize_worker(self, name: str, cpu_millis: int) -> None:
         """Change a worker's capacity while it runs, and update its entry."""
         worker = self.workers[name]
@@ -226,7 +239,7 @@
     def list_worker(self, worker: CellWorker) -> None:
         """Write a worker's entry."""
         value = msgspec.msgpack.encode(worker.listing)
-        self.store.write(Topic.WORKERS, Keyed(worker.listing.worker_id, value))
+        self.store.write(Topic.WORKERS, Keyed(worker.listing.worker_id.name, value))
 
     def unlist_worker(self, name: str) -> None:
         """Remove a worker's entry."""
@@ -236,8 +249,7 @@
         """
         Crash a worker and start it again under its id, on the same address.
 
-        The new incarnation has no runs, ends or fencing token, and its clock starts
-        anew. Its entry is removed meanwhile if that takes longer than three heartbeats.
+        Its entry is removed meanwhile if that takes longer than three heartbeats.
         """
         earlier = self.workers[name]
         earlier.on_crash = lambda worker: None
@@ -246,11 +258,22 @@
         if down_s > UNLIST_DELAY_S:
             self.unlist_worker(name)
             await asyncio.sleep(down_s - UNLIST_DELAY_S)
+        self.begin_again(earlier)
+
+    def begin_again(self, earlier: CellWorker) -> None:
+        """
+        Start a crashed worker again under its id, unless that has happened.
+
+        The new incarnation has no runs, ends or fencing token, and its clock starts
+        anew.
+        """
+        name = earlier.listing.worker_id.name
         if self.workers[name] is not earlier:
             return
+        listing = replace(earlier.listing, worker_id=self._new_worker_id(name))
         now_s = asyncio.get_running_loop().time()
         worker = CellWorker(
-            earlier.listing, self.checker, self._work, self.slope_of, skew_s=-now_s
+            listing, self.checker, self._work, self.slope_of, skew_s=-now_s
         )
         worker.crash_after_s = lambda run: self.crashing.get(run.key)
         worker.on_crash = self._crashed
@@ -262,7 +285,9 @@
 
     def _crashed(self, worker: CellWorker) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(UNLIST_DELAY_S, self.unlist_worker, worker.listing.worker_id)
+        loop.call_later(
+            UNLIST_DELAY_S, self.unlist_worker, worker.listing.worker_id.name
+        )
         if self.crashes_silent:
             worker.refuses = False
         else:
@@ -271,7 +296,7 @@
     def _restart_worker(self, worker: CellWorker) -> None:
         self.restarts += 1
         worker.replaced = True
-        name, _, _ = worker.listing.worker_id.partition("+")
+        name, _, _ = worker.listing.worker_id.name.partition("+")
         room = worker.listing.capacity
         self.add_worker(
             f"{name}+{self.restarts}",
@@ -300,9 +325,9 @@
         )
 
         def make_worker(listing: WorkerListing, token: int) -> WorkerAccess:
-            worker_id = listing.worker_id
+            worker_name = listing.worker_id.name
             return WorkerAccess(
-                lambda: self.workers[worker_id], name, token, self.faults
+                lambda: self.workers[worker_name], name, token, self.faults
             )
 
         advice = self if self.advised is not None else None
@@ -323,12 +348,12 @@
     def _seed(self, instance: Instance) -> None:
         """Seed all random sources of an instance from the world's seed."""
         seed = self.seed + self.instance_starts
-        instance.leadership.random = Random(seed)
+        instance.random.seed(seed)
         instance.peer_directory.random = Random(seed)
-        for follower in (instance.jobs, instance.progress, instance.operator):
-            follower.random = Random(seed)
 
-    async def ask(self, step: StepKey, worker_ids: Sequence[str]) -> Allowance | None:
+    async def ask(
+        self, step: StepKey, worker_ids: Sequence[WorkerId]
+    ) -> Allowance | None:
         """Answer an advice request."""
         await asyncio.sleep(0.05)
         assert self.advised is not None
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_client.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_client.py
@@ -31,6 +31,8 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     idle_since_s: float
+    # Whether it has carried a complete exchange.
+    reused: bool = False
 
     def usable(self, now_s: float) -> bool:
         if self.writer.is_closing() or self.reader.at_eof():
@@ -105,14 +107,26 @@
     def _now_s(self) -> float:
         return self.clock() if self.clock else asyncio.get_running_loop().time()
 
-    async def call(self, request: Request, timeout_s: float) -> Exchange:
-        """Make one exchange; failures of the network or the server do not raise."""
+    async def call(
+        self,
+        request: Request,
+        timeout_s: float,
+        first_request: Callable[[], Request] | None = None,
+    ) -> Exchange:
+        """
+        Make one exchange; failures of the network or the server do not raise.
+
+        On a new connection the server may be another process than before: the result
+        of ``first_request`` is sent there instead, if given.
+        """
         pooled: _PooledConnection | None = None
         sent = False
         whole = False
         try:
             async with asyncio.timeout(timeout_s):
                 pooled = await self._acquire()
+                if first_request is not None and not pooled.reused:
+                    request = first_request()
                 sent = True
                 self.traffic.calls += 1
                 response = await _exchange(
@@ -178,6 +192,7 @@
             return
         if whole and not pooled.writer.is_closing():
             pooled.idle_since_s = self._now_s()
+            pooled.reused = True
             self._idle.append(pooled)
             if self.evictable:
                 self.budget.mark_idle(pooled, self)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/advice.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/advice.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from .effects import AdviceQuestion, Decision
+from .incarnations import WorkerId
 from .jobs import StepKey, TaskKey
 from .placing import allowed_share
 from .progress import StepState
@@ -31,7 +32,7 @@
 class Allowance:
     """An advice answer: tickets of the workers that may run a step, and expiry."""
 
-    tickets: dict[str, str]
+    tickets: dict[WorkerId, str]
     valid_until_s: float
 
 
@@ -54,10 +55,10 @@
     service may not have known yet. No question is sent before ``backoff_until_s``.
     """
 
-    allowed: dict[str, Ticket] = field(default_factory=dict)
-    refused: set[str] = field(default_factory=set)
-    asked: tuple[str, ...] = ()
-    ask_again_at_s: dict[str, float] = field(default_factory=dict)
+    allowed: dict[WorkerId, Ticket] = field(default_factory=dict)
+    refused: set[WorkerId] = field(default_factory=set)
+    asked: tuple[WorkerId, ...] = ()
+    ask_again_at_s: dict[WorkerId, float] = field(default_factory=dict)
     backoff_until_s: float = float("-inf")
 
     def merge(self, allowance: Allowance) -> None:
@@ -69,7 +70,7 @@
         missing = set(self.asked) - allowance.tickets.keys()
         self.refused.update(missing - self.ask_again_at_s.keys())
 
-    def valid(self, now_s: float) -> dict[str, str]:
+    def valid(self, now_s: float) -> dict[WorkerId, str]:
         """Return the tickets that have not expired, by worker id."""
         return {
             worker_id: ticket.text
@@ -77,7 +78,7 @@
             if ticket.valid_until_s > now_s
         }
 
-    def retain(self, worker_ids: Collection[str]) -> None:
+    def retain(self, worker_ids: Collection[WorkerId]) -> None:
         """
         Remove all workers but these.
 
@@ -115,7 +116,7 @@
         """Remove a step that needs no more workers."""
         self.steps.pop(step, None)
 
-    def drop_ticket(self, key: TaskKey, worker_id: str) -> None:
+    def drop_ticket(self, key: TaskKey, worker_id: WorkerId) -> None:
         """Remove a worker's ticket for a task's step, which the worker rejected."""
         advice = self.steps.get(StepKey(*key[:3]))
         if advice is not None:
@@ -128,7 +129,7 @@
     step: StepState,
     workers: list[WorkerState],
     now_s: float,
-) -> dict[str, str]:
+) -> dict[WorkerId, str]:
     """
     Return the ticket of each worker that may run a step and has room for it.
 
@@ -151,7 +152,7 @@
     step: StepState,
     advice: StepAdvice,
     room: list[WorkerState],
-    valid: dict[str, str],
+    valid: dict[WorkerId, str],
     now_s: float,
 ) -> None:
     """
--- a/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
@@ -17,6 +17,7 @@
 from typing import TYPE_CHECKING
 
 from .effects import LogEntry
+from .incarnations import WorkerId
 from .progress import JobState, JobStatus, Run, Task
 from .workers import WorkerState
 
@@ -192,7 +193,7 @@
 
 
 def _has_recent_suspect(
-    worker: WorkerState, lost_worker_ids: Collection[str], now_s: float
+    worker: WorkerState, lost_worker_ids: Collection[WorkerId], now_s: float
 ) -> bool:
     """
     Return whether the worker has a recent run of a task that may crash it.
@@ -206,7 +207,9 @@
     )
 
 
-def _isolation_cost(worker: WorkerState, avoid: str) -> tuple[int, bool, int, str]:
+def _isolation_cost(
+    worker: WorkerState, avoid: WorkerId
+) -> tuple[int, bool, int, WorkerId]:
     unreported = sum(not run.reported for run in worker.runs.values())
     name = worker.worker_id
     return unreported, name == avoid, len(worker.runs), name
--- a/packages/hornbeampaddle/hornbeampaddle/cell/effects.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/effects.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from .incarnations import WorkerId
 from .jobs import StepKey
 from .progress import Run
 
@@ -11,7 +12,7 @@
     """An order to a worker to stop an attempt."""
 
     run: Run
-    worker_id: str
+    worker_id: WorkerId
     reason: str
 
 
@@ -20,7 +21,7 @@
     """An order to a worker to run a filler at ``percent`` of its full speed."""
 
     run: Run
-    worker_id: str
+    worker_id: WorkerId
     percent: int
 
 
@@ -29,7 +30,7 @@
     """A question to the advice service: which of these workers may run a step."""
 
     step: StepKey
-    worker_ids: tuple[str, ...]
+    worker_ids: tuple[WorkerId, ...]
 
 
 @dataclass(slots=True)
@@ -48,7 +49,7 @@
     stops: list[StopOrder] = field(default_factory=list)
     paces: list[PaceOrder] = field(default_factory=list)
     questions: list[AdviceQuestion] = field(default_factory=list)
-    lapses: dict[str, float] | None = None
+    lapses: dict[WorkerId, float] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -9,8 +9,9 @@
 from typing import TYPE_CHECKING
 
 from ..resources import NOTHING
-from . import crashes
+from . import crashes, restarts
 from .effects import LogEntry, StopOrder
+from .incarnations import WorkerId
 from .jobs import Step, TaskKey
 from .progress import JobState, JobStatus, Run, RunPhase, Task
 from .reports import EndedRow, EndKind, Report, RunningRow
@@ -31,7 +32,7 @@
         """Create the processor of reports that updates the state of ``cell``."""
         self.cell = cell
 
-    def report(self, worker_id: str, report: Report) -> None:
+    def report(self, worker_id: WorkerId, report: Report) -> None:
         """Process one worker's report; ignored if the worker is unknown."""
         worker = self.cell.workers.get(worker_id)
         if worker is None:
@@ -43,20 +44,27 @@
         worker.silent = False
         worker.silent_since_s = None
         worker.last_report_at_s = now_s
-        listed = set()
+        listed: set[TaskKey] = set()
+        listed_runs: set[tuple[TaskKey, int]] = set()
+        if not first:
+            self._log_missed_ends(worker, report)
         for ended in report.ended:
             # Guards against a run that counts as stopping for good: its end may have a
             # position that was counted before, if the worker numbers its ends anew.
             if ended.position > worker.seen_end or worker.books_end(ended):
                 listed.add(ended.key)
+                listed_runs.add((ended.key, ended.number))
                 self._handle_end(worker, ended, now_s)
         if report.ended:
             worker.seen_end = max(worker.seen_end, report.ended[-1].position)
         for row in report.running:
             listed.add(row.key)
+            listed_runs.add((row.key, row.number))
             self._handle_running(worker, row, now_s)
         self._release_missing(worker, report, listed)
+        self._release_missing_strays(worker, report, listed_runs)
         if first:
+            restarts.stop_unsettled(self.cell, worker)
             detail: dict[str, object] = {
                 "worker": worker_id,
                 "running": len(report.running),
@@ -64,6 +72,17 @@
             self.cell.log(LogEntry("worker_reported", "", detail))
         self.cell.pacer.observe(worker, now_s)
 
+    def _log_missed_ends(self, worker: WorkerState, report: Report) -> None:
+        """Log ends that the worker has dropped although no report listed them."""
+        first = report.ended[0].position if report.ended else 0
+        if first > worker.seen_end + 1:
+            detail: dict[str, object] = {
+                "worker": worker.worker_id,
+                "missed": first - worker.seen_end - 1,
+                "seen_end": worker.seen_end,
+            }
+            self.cell.log(LogEntry("ends_missed", "", detail))
+
     def _handle_end(self, worker: WorkerState, row: EndedRow, now_s: float) -> None:
         self._release_room(worker, row)
         state = self.cell.jobs.get(row.key.job_id)
@@ -143,7 +162,7 @@
         if state.all_done() and not state.status.final:
             self.cell.finish(state, JobStatus.COMPLETED, now_s, "all_done")
 
-    def _runs_on(self, worker_id: str) -> dict[TaskKey, Run]:
+    def _runs_on(self, worker_id: WorkerId) -> dict[TaskKey, Run]:
         worker = self.cell.workers.get(worker_id)
         return worker.runs if worker is not None else {}
 
@@ -194,6 +213,7 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_at_s = now_s
             run.progressed_at_s = now_s
+            self._forget_crash(run)
         self.cell.mark_active(row.key.job_id)
         self._record_survival(worker, run, now_s)
         if row.checkpoint:
@@ -220,6 +240,13 @@
         if task is not None and task.run is run:
             crashes.forget_crashes_if_proven(self.cell, task, run, now_s)
 
+    def _forget_crash(self, run: Run) -> None:
+        """Forget that a run counted as lost, with an earlier incarnation: it runs."""
+        state = self.cell.jobs.get(run.key.job_id)
+        task = state.task(run.key) if state is not None else None
+        if task is not None:
+            crashes.forget_crash(self.cell, task, run.number)
+
     def _resend_stop(self, run: Run, now_s: float) -> None:
         # Guards against a stop that was answered but had no effect: the run would
         # continue for as long as its lease is renewed. A stop without an answer is sent
@@ -293,3 +320,14 @@
             confirmed = run.confirmed_at_s < report.sent_at_s
             if inherited or confirmed:
                 self.cell.release(run, report.received_at_s, "not_on_worker")
+
+    def _release_missing_strays(
+        self,
+        worker: WorkerState,
+        report: Report,
+        listed_runs: set[tuple[TaskKey, int]],
+    ) -> None:
+        """Release the room of strays that have ended or were settled by a stop."""
+        for name, stray in list(worker.strays.items()):
+            if name not in listed_runs and stray.confirmed_at_s < report.sent_at_s:
+                self.cell.release(stray, report.received_at_s, "not_on_worker")
--- a/packages/hornbeampaddle/hornbeampaddle/cell/lapses.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/lapses.py
@@ -9,6 +9,8 @@
 
 from typing import TYPE_CHECKING
 
+from .incarnations import WorkerId
+
 if TYPE_CHECKING:
     from .scheduler import Scheduler
     from .workers import WorkerState
@@ -24,23 +26,32 @@
     def __init__(self) -> None:
         """Start with no lease running out."""
         # Workers named in a record that is, or may be, stored.
-        self._recorded_ids: set[str] = set()
-        self._newest_recorded_ids: set[str] = set()
+        self._recorded_ids: set[WorkerId] = set()
+        self._newest_recorded_ids: set[WorkerId] = set()
         self._stored_at_s = float("-inf")
         # Local time at which each lease expires, from the previous holder's record.
-        self._inherited_over_at_s: dict[str, float] = {}
+        self._inherited_over_at_s: dict[WorkerId, float] = {}
+
+    def inherit(self, over_at_s: dict[WorkerId, float]) -> None:
+        """
+        Load the local times at which leases expire from the previous holder.
 
-    def inherit(self, over_at_s: dict[str, float]) -> None:
-        """Load the local times at which leases expire from the previous holder."""
+        A worker whose birth the record does not state may be any incarnation.
+        """
         self._inherited_over_at_s = dict(over_at_s)
         self._recorded_ids = set(over_at_s)
         self._newest_recorded_ids = set(over_at_s)
 
-    def inherited_over_at_s(self, worker_id: str, bound_s: float) -> float:
+    def inherited_over_at_s(self, worker_id: WorkerId, bound_s: float) -> float:
         """Return when an inherited lease expires, at most ``bound_s``."""
-        return min(bound_s, self._inherited_over_at_s.get(worker_id, bound_s))
+        over_at_s = self._inherited_over_at_s.get(worker_id)
+        if over_at_s is None:
+            over_at_s = self._inherited_over_at_s.get(
+                worker_id.without_birth(), bound_s
+            )
+        return min(bound_s, over_at_s)
 
-    def running_out(self, worker_id: str) -> bool:
+    def running_out(self, worker_id: WorkerId) -> bool:
         """
         Return whether a worker's lease must not be extended now.
 
@@ -49,9 +60,10 @@
         start its tasks elsewhere while they still run. This happens if the holder dies
         soon after such a grant.
         """
-        return worker_id in self._recorded_ids
+        ids = (worker_id, worker_id.without_birth())
+        return any(recorded in self._recorded_ids for recorded in ids)
 
-    def due(self, cell: "Scheduler", now_s: float) -> dict[str, float] | None:
+    def due(self, cell: "Scheduler", now_s: float) -> dict[WorkerId, float] | None:
         """Return the seconds left of each lease, or None if no record is due."""
         workers = [w for w in cell.workers.values() if self._is_running_out(w)]
         worker_ids = {worker.worker_id for worker in workers}
--- a/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
@@ -11,6 +11,7 @@
 from .effects import LogEntry, StopOrder
 from .progress import Run, RunPhase
 from .reports import Done, NoAnswer, OrderOutcome, OtherIncarnation, Reason, Refused
+from .restarts import note_unanswered
 from .workers import WorkerState
 
 if TYPE_CHECKING:
@@ -53,6 +54,7 @@
                     self.cell.pacer.set_initial_pace(worker, run, now_s)
                 return None
             case NoAnswer():
+                note_unanswered(worker, run, now_s)
                 return self._resend_after_s(run)
             case OtherIncarnation():
                 self.cell.worker_ended(run.worker_id, now_s, "replaced")
--- a/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/placing.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from .incarnations import WorkerId
 from .interference import Interference
 from .jobs import Step, TaskKey
 from .outlook import Outlook
@@ -54,7 +55,7 @@
 
 
 def can_place(
-    step: Step, worker: WorkerState, key: TaskKey, used: dict[str, int]
+    step: Step, worker: WorkerState, key: TaskKey, used: dict[WorkerId, int]
 ) -> bool:
     """
     Return whether a worker has room for a task now and the step allows it there.
@@ -79,14 +80,14 @@
     job_id: str
     step: Step
     model: Interference
-    used: dict[str, int]
+    used: dict[WorkerId, int]
     # Fillers may also go where they would interfere at full speed or find no spare
     # CPU. Workers that allow the highest speed come first.
     allow_reduced_pace: bool = False
     # CPU that workers can offer to fillers. Without it, serving tasks are placed by
     # their similarity to the tasks on a worker.
     outlook: Outlook | None = None
-    _heap: list[tuple[float, str, WorkerState]] = field(default_factory=list)
+    _heap: list[tuple[float, WorkerId, WorkerState]] = field(default_factory=list)
 
     def fill(self, workers: Iterable[WorkerState]) -> None:
         """Score all workers that have room and add them to the ranking."""
@@ -99,7 +100,7 @@
                 self._heap.append((-score, worker.worker_id, worker))
         heapq.heapify(self._heap)
 
-    def choose(self, key: TaskKey, avoid: str) -> WorkerState | None:
+    def choose(self, key: TaskKey, avoid: WorkerId) -> WorkerState | None:
         """
         Remove and return the best worker for one task, or None if none has room.
 
@@ -107,8 +108,8 @@
         other. The caller must book the task on the worker, then call ``booked``,
         before the next choice.
         """
-        skipped: list[tuple[float, str, WorkerState]] = []
-        fallback: tuple[float, str, WorkerState] | None = None
+        skipped: list[tuple[float, WorkerId, WorkerState]] = []
+        fallback: tuple[float, WorkerId, WorkerState] | None = None
         chosen: WorkerState | None = None
         while self._heap and chosen is None:
             entry = heapq.heappop(self._heap)
@@ -219,7 +220,7 @@
 
     Return None if no worker allows at least ``share_min``.
     """
-    best: tuple[float, float, str, WorkerState] | None = None
+    best: tuple[float, float, WorkerId, WorkerState] | None = None
     for worker in workers:
         share = allowed_share(step, worker, model)
         entry = (share, worker.spare_cpu_millis(), worker.worker_id, worker)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..resources import Resources
+from .incarnations import NO_WORKER, UNKNOWN_BIRTH_MS, WorkerId
 from .jobs import Job, Step, StepKey, TaskKey
 
 
@@ -53,7 +54,7 @@
 
     key: TaskKey
     number: int
-    worker_id: str
+    worker_id: WorkerId
     step: Step
     charge: Resources
     phase: RunPhase = RunPhase.RECORDING
@@ -81,7 +82,7 @@
     # Whether earlier attempts of its task are suspected of crashing their workers.
     suspected: bool = False
     # Workers that were lost while running earlier attempts of the task.
-    lost_worker_ids: frozenset[str] = frozenset()
+    lost_worker_ids: frozenset[WorkerId] = frozenset()
     # Whether it was placed on a worker whose CPU is fully used by other runs, which a
     # higher pace would slow down.
     shares_processors: bool = False
@@ -100,7 +101,7 @@
     ``failed_runs`` holds the numbers of the failed attempts instead of their count, so
     that an end that is listed again, to this holder or the next, counts once.
     ``crashed_runs`` maps the numbers of attempts during which the worker was lost to
-    that worker's id; ``prompt_crashes`` holds those of them whose worker was lost
+    that worker; ``prompt_crashes`` holds those of them whose worker was lost
     within ``crashes.PROMPT_CRASH_S`` of the start.
     """
 
@@ -108,11 +109,11 @@
     done: bool = False
     last_run: int = 0
     failed_runs: list[int] = field(default_factory=list)
-    crashed_runs: dict[int, str] = field(default_factory=dict)
+    crashed_runs: dict[int, WorkerId] = field(default_factory=dict)
     prompt_crashes: list[int] = field(default_factory=list)
     checkpoint: str = ""
     run: Run | None = None
-    last_worker_id: str = ""
+    last_worker_id: WorkerId = NO_WORKER
     # When its last run ended; a task without one has waited since its step was ready.
     ended_at_s: float = float("-inf")
 
@@ -140,9 +141,9 @@
         """Return the tasks that need a worker."""
         return [task for task in self.tasks if task.waiting]
 
-    def tasks_by_worker(self) -> dict[str, int]:
+    def tasks_by_worker(self) -> dict[WorkerId, int]:
         """Return the number of the step's tasks with a run, by worker id."""
-        tasks_by_worker: dict[str, int] = {}
+        tasks_by_worker: dict[WorkerId, int] = {}
         for task in self.tasks:
             if task.run is not None:
                 tasks_by_worker[task.run.worker_id] = (
@@ -233,11 +234,15 @@
     Each row of ``crashes`` is an occurrence's number, the index of a task in that
     order, a map from the runs during which a worker was lost to that worker, and those
     of these runs whose worker was lost promptly after the start.
+
+    Each row of ``births`` is an occurrence's number, the index of a task, the number of
+    a run and the birth of its worker, which is unknown for runs without a row.
     """
 
     status: int
     occurrences: list[tuple[int, list[PackedTask]]]
     crashes: list[tuple[int, int, dict[int, str], list[int]]] = []
+    births: list[tuple[int, int, int, int]] = []
 
 
 _decoder = msgspec.msgpack.Decoder(ProgressRecord)
@@ -248,14 +253,31 @@
     """Return the encoded record of a job's progress."""
     rows = []
     crashes = []
+    births = []
     for number, steps in state.occurrences.items():
         tasks = [task for step in steps for task in step.tasks]
         rows.append((number, [_pack(task) for task in tasks]))
         for task_index, task in enumerate(tasks):
-            if task.crashed_runs and not task.done:
-                row = (number, task_index, task.crashed_runs, task.prompt_crashes)
-                crashes.append(row)
-    return _encoder.encode(ProgressRecord(int(state.status), rows, crashes))
+            if task.done:
+                continue
+            if task.crashed_runs:
+                names = {run: worker.name for run, worker in task.crashed_runs.items()}
+                crashes.append((number, task_index, names, task.prompt_crashes))
+            births += [
+                (number, task_index, run, worker.born_ms)
+                for run, worker in _workers_of(task).items()
+                if worker.birth_known
+            ]
+    record = ProgressRecord(int(state.status), rows, crashes, births)
+    return _encoder.encode(record)
+
+
+def _workers_of(task: Task) -> dict[int, WorkerId]:
+    """Return the workers that a record names, by the number of the run."""
+    workers = dict(task.crashed_runs)
+    if task.run is not None:
+        workers[task.last_run] = task.run.worker_id
+    return workers
 
 
 def decode_status(value: bytes) -> JobStatus:
@@ -268,8 +290,8 @@
         return 1
     if not task.last_run:
         return 0
-    worker_id = task.run.worker_id if task.run is not None else ""
-    return (task.last_run, task.failed_runs, worker_id, task.checkpoint)
+    worker_name = task.run.worker_id.name if task.run is not None else ""
+    return (task.last_run, task.failed_runs, worker_name, task.checkpoint)
 
 
 def restore(job: Job, value: bytes | None, accepted_at_s: float) -> JobState:
@@ -285,29 +307,46 @@
     record = _decoder.decode(value)
     state.status = JobStatus(record.status)
     state.cancelled = state.status is JobStatus.CANCELLED
+    births = {
+        (number, task_index, run): born_ms
+        for number, task_index, run, born_ms in record.births
+    }
     for number, packed in record.occurrences:
         steps = state.open_occurrence(number)
         tasks = [(step.step, task) for step in steps for task in step.tasks]
-        for (step, task), cell in zip(tasks, packed, strict=True):
+        for task_index, ((step, task), cell) in enumerate(
+            zip(tasks, packed, strict=True)
+        ):
             _unpack(task, step, cell)
+            if task.run is not None:
+                place = (number, task_index, task.last_run)
+                task.run.worker_id = _with_birth(task.run.worker_id, births.get(place))
     for number, task_index, crashed, prompt in record.crashes:
         task = [t for step in state.open_occurrence(number) for t in step.tasks][
             task_index
         ]
-        task.crashed_runs, task.prompt_crashes = crashed, prompt
+        task.prompt_crashes = prompt
+        task.crashed_runs = {
+            run: _with_birth(WorkerId(name), births.get((number, task_index, run)))
+            for run, name in crashed.items()
+        }
     return state
 
 
+def _with_birth(worker_id: WorkerId, born_ms: int | None) -> WorkerId:
+    return WorkerId(worker_id.name, born_ms or UNKNOWN_BIRTH_MS)
+
+
 def _unpack(task: Task, step: Step, cell: PackedTask) -> None:
     if isinstance(cell, int):
         task.done = cell == 1
         return
-    task.last_run, task.failed_runs, worker_id, task.checkpoint = cell
-    if worker_id:
+    task.last_run, task.failed_runs, worker_name, task.checkpoint = cell
+    if worker_name:
         task.run = Run(
             task.key,
             task.last_run,
-            worker_id,
+            WorkerId(worker_name),
             step,
             step.charge,
             RunPhase.INHERITED,
--- a/packages/hornbeampaddle/hornbeampaddle/cell/reports.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/reports.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from .incarnations import UNKNOWN_BIRTH_MS
 from .jobs import TaskKey
 
 
@@ -50,7 +51,8 @@
     The complete state of one worker at a moment between two local times.
 
     ``sent_at_s`` and ``received_at_s`` are local times of the request and the answer;
-    ``clock_s`` is the time on the worker's clock.
+    ``clock_s`` is the time on the worker's clock. ``born_ms`` is the birth that the
+    worker states, ``last_seen`` the last end that the request acknowledged.
     """
 
     sent_at_s: float
@@ -58,6 +60,8 @@
     clock_s: float
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    born_ms: int = UNKNOWN_BIRTH_MS
+    last_seen: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
@@ -0,0 +1,120 @@
+"""
+Settle the orders to a worker's earlier incarnation when it starts again under its id.
+
+All runs of the earlier incarnation have ended. But the new one answers to the same id
+and refuses nothing of before: a start without an answer may still be carried out there,
+seconds later. Such a run stays booked, on the new incarnation, until a report lists it
+or a stop of it is answered there; only then may its task start elsewhere.
+"""
+
+from dataclasses import replace
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .incarnations import WorkerId
+from .progress import Run, RunPhase
+from .workers import UnansweredStart, WorkerState
+
+if TYPE_CHECKING:
+    from .scheduler import Scheduler
+
+REASON = "unsettled_start"
+# An order without an answer is carried out within this time, or never.
+LATE_ORDER_MAX_S = 15.0
+
+
+class Answering(Enum):
+    """Which incarnation of a worker has sent a report."""
+
+    ADDRESSED = "addressed"
+    # Another one: the addressed incarnation has ended.
+    SUCCESSOR = "successor"
+    # Either the entry or the report states no birth, so they may not be of one worker.
+    UNKNOWN = "unknown"
+
+
+def answering(addressed: WorkerId, born_ms: int) -> Answering:
+    """Return which incarnation sent a report that states this birth."""
+    reported = WorkerId(addressed.name, born_ms)
+    if reported == addressed:
+        return Answering.ADDRESSED
+    if addressed.birth_known and reported.birth_known:
+        return Answering.SUCCESSOR
+    return Answering.UNKNOWN
+
+
+def carry_over(
+    cell: "Scheduler", old: WorkerState, new: WorkerState, now_s: float
+) -> None:
+    """Book the runs whose starts may still be carried out on the new incarnation."""
+    for name, start in old.unanswered_starts.items():
+        if now_s - start.sent_at_s <= LATE_ORDER_MAX_S:
+            new.unanswered_starts[name] = start
+    for run in list(old.runs.values()):
+        if _may_arrive(run, new):
+            _rebook(cell, old, new, run)
+    for start in new.unanswered_starts.values():
+        booked = new.runs.get(start.run.key)
+        if booked is None or booked.number != start.run.number:
+            # Its end is known, or its task has another run by now.
+            stray = _copy(start.run, new, RunPhase.SENDING)
+            new.add_stray(stray)
+            cell.stop(stray, REASON)
+
+
+def _may_arrive(run: Run, new: WorkerState) -> bool:
+    if run.sent_at_s == float("-inf"):
+        # The earlier holder sent it: whether it got an answer is unknown.
+        return True
+    if run.phase is RunPhase.RECORDING:
+        return False
+    # A start that was answered, but is in no report, may have been answered by the new
+    # incarnation before it was known.
+    return not run.reported or (run.key, run.number) in new.unanswered_starts
+
+
+def _rebook(cell: "Scheduler", old: WorkerState, new: WorkerState, run: Run) -> None:
+    # The fencing token of this holder's first report makes the worker refuse the orders
+    # of earlier holders, so the report tells whether they were carried out.
+    own = run.sent_at_s != float("-inf")
+    copy = _copy(run, new, RunPhase.SENDING if own else RunPhase.INHERITED)
+    old.remove(run)
+    new.add(copy)
+    state = cell.jobs.get(run.key.job_id)
+    task = state.task(run.key) if state is not None else None
+    if task is not None and task.run is run:
+        task.run = copy
+        cell.dirty.add(run.key.job_id)
+    if run.phase is RunPhase.STOPPING:
+        cell.stop(copy, run.stop_reason)
+    elif own:
+        new.unsettled.append(copy)
+
+
+def _copy(run: Run, new: WorkerState, phase: RunPhase) -> Run:
+    return replace(
+        run,
+        worker_id=new.worker_id,
+        phase=phase,
+        confirmed_at_s=float("inf"),
+        reported_at_s=float("inf"),
+        stop_sent_at_s=float("-inf"),
+        stop_first_sent_at_s=float("inf"),
+        stop_reason="",
+    )
+
+
+def note_unanswered(worker: WorkerState, run: Run, now_s: float) -> None:
+    """Remember a start without an answer for as long as it may be carried out."""
+    for name, start in list(worker.unanswered_starts.items()):
+        if now_s - start.sent_at_s > LATE_ORDER_MAX_S:
+            del worker.unanswered_starts[name]
+    worker.unanswered_starts[run.key, run.number] = UnansweredStart(run, now_s)
+
+
+def stop_unsettled(cell: "Scheduler", worker: WorkerState) -> None:
+    """Stop the carried runs that the first report of an incarnation does not list."""
+    for run in worker.unsettled:
+        if worker.books(run) and run.phase is RunPhase.SENDING:
+            cell.stop(run, REASON)
+    worker.unsettled.clear()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -9,13 +9,15 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from ..clocks import RemoteClock
 from ..machines import Address
 from ..resources import NOTHING
-from . import crashes, dispatch, moving, pacing
+from . import crashes, dispatch, moving, pacing, restarts
 from .advice import AdviceCache, Allowance
 from .effects import Decision, LogEntry, PaceOrder, StopOrder
+from .incarnations import Incarnations, WorkerId
 from .intake import ReportIntake
 from .interference import Interference
 from .jobs import Job, Queue, StepKey
@@ -58,7 +60,8 @@
         """Start with no job and no worker."""
         self.settings = settings
         self.jobs: dict[str, JobState] = {}
-        self.workers: dict[str, WorkerState] = {}
+        self.workers: dict[WorkerId, WorkerState] = {}
+        self.incarnations = Incarnations()
         # Time as of which the list of workers is complete; infinite if no list is
         # followed.
         self.list_complete_at_s = float("inf")
@@ -67,7 +70,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.evacuations_complete_at_s = float("inf")
         # The most recent workers that stopped answering, each with the time.
-        self.recent_silences: deque[tuple[str, float]] = deque(
+        self.recent_silences: deque[tuple[WorkerId, float]] = deque(
             maxlen=RECENT_SILENCES_MAX
         )
         self.open_jobs: dict[str, JobState] = {}
@@ -157,14 +160,20 @@
 
     # Workers
 
-    def list_worker(self, listing: WorkerListing, now_s: float) -> WorkerState:
-        """Add or update one worker from the list of workers."""
-        worker = self.workers.get(listing.worker_id)
+    def list_worker(self, listing: WorkerListing, now_s: float) -> WorkerState | None:
+        """
+        Add or update one worker from the list of workers.
+
+        Returns None if the entry was written by an earlier incarnation.
+        """
+        worker_id = listing.worker_id
+        if self.incarnations.outdated(worker_id):
+            self.log(LogEntry("listing_outdated", "", {"worker": worker_id}))
+            return None
+        worker = self.workers.get(worker_id)
         if worker is None:
-            worker = self._new_worker(listing)
-            worker.listed_at_s = now_s
-            self._inherit_lease(worker, now_s)
-            self.log(LogEntry("worker_listed", "", {"worker": listing.worker_id}))
+            worker = self._begin_incarnation(listing, now_s)
+            self.log(LogEntry("worker_listed", "", {"worker": worker_id}))
         was_draining = worker.listing.draining
         shrank = not worker.listing.capacity.fits_in(listing.capacity)
         worker.update_listing(listing)
@@ -176,6 +185,35 @@
             self._stop_for_drain(worker)
         return worker
 
+    def worker_restarted(
+        self, earlier_id: WorkerId, born_ms: int, now_s: float
+    ) -> WorkerListing | None:
+        """
+        Replace an incarnation by its successor, which has answered in its place.
+
+        Returns a listing of the successor, whose capacity and labels may differ:
+        nothing is placed there until the list of workers tells them. Returns None if
+        the incarnation was not known or had been replaced.
+        """
+        earlier = self.workers.get(earlier_id)
+        if earlier is None:
+            return None
+        worker_id = WorkerId(earlier_id.name, born_ms)
+        listing = replace(earlier.listing, worker_id=worker_id, draining=False)
+        worker = self._begin_incarnation(listing, now_s)
+        worker.listed = False
+        return listing
+
+    def _begin_incarnation(self, listing: WorkerListing, now_s: float) -> WorkerState:
+        """Add a worker; an earlier incarnation of it has ended."""
+        earlier_id = self.incarnations.current(listing.worker_id.name)
+        worker = self._new_worker(listing)
+        worker.listed_at_s = now_s
+        self._inherit_lease(worker, now_s)
+        if earlier_id is not None:
+            self.worker_ended(earlier_id, now_s, "restarted", worker)
+        return worker
+
     def may_start(self, now_s: float) -> bool:
         """
         Return whether the views of workers and evacuations are recent enough to start.
@@ -218,15 +256,27 @@
         if evacuated:
             self._withdraw_starts(worker, "evacuated")
 
-    def unlist_worker(self, worker_id: str) -> None:
+    def unlist_worker(self, name: str) -> None:
         """Mark a worker as absent from the list of workers."""
-        worker = self.workers.get(worker_id)
+        worker_id = self.incarnations.current(name)
+        worker = self.workers.get(worker_id) if worker_id is not None else None
         if worker is not None and worker.listed:
             worker.listed = False
             self.log(LogEntry("worker_unlisted", "", {"worker": worker_id}))
 
-    def worker_ended(self, worker_id: str, now_s: float, why: str) -> None:
-        """Release all runs of a worker whose process has certainly ended."""
+    def worker_ended(
+        self,
+        worker_id: WorkerId,
+        now_s: float,
+        why: str,
+        successor: WorkerState | None = None,
+    ) -> None:
+        """
+        Release all runs of a worker whose process has certainly ended.
+
+        If it has started again under its id, runs whose starts may still be carried out
+        stay booked on its ``successor``.
+        """
         worker = self.workers.get(worker_id)
         if worker is None:
             return
@@ -237,17 +287,32 @@
             "runs": len(worker.runs),
         }
         self.log(LogEntry("worker_ended", "", detail))
-        self._release_lost_runs(worker, now_s, f"worker_{why}")
+        if successor is not None:
+            detail["successor"] = successor.worker_id
+        self._release_lost_runs(worker, now_s, f"worker_{why}", successor)
         del self.workers[worker_id]
-
-    def _release_lost_runs(self, worker: WorkerState, now_s: float, why: str) -> None:
-        """Release all runs of a lost worker; detect whether a task crashed it."""
+        self.incarnations.end(worker_id)
+
+    def _release_lost_runs(
+        self,
+        worker: WorkerState,
+        now_s: float,
+        why: str,
+        successor: WorkerState | None = None,
+    ) -> None:
+        """Release the runs of a lost worker; detect whether a task crashed it."""
         # A listed worker is still alive to the list of workers, even if it does not
         # answer here, and a draining worker was about to exit.
         crashed = worker.gone or not worker.listed
+        if not worker.worker_id.birth_known and worker.last_report_at_s == -math.inf:
+            # Known only from a record without births: its successor may be the worker
+            # that the record names.
+            crashed = crashed and successor is None
         failing: list[JobState] = []
         if crashed and not worker.listing.draining:
             failing = crashes.count(self, worker, now_s)
+        if successor is not None:
+            restarts.carry_over(self, worker, successor, now_s)
         for run in worker.all_runs():
             self.release(run, now_s, why)
         crashes.fail_jobs(self, failing, now_s)
@@ -256,6 +321,7 @@
         clock = RemoteClock(self.settings.clock_error_ratio)
         worker = WorkerState(listing, clock)
         self.workers[listing.worker_id] = worker
+        self.incarnations.begin(listing.worker_id)
         return worker
 
     def _lease_bound_s(self) -> float:
@@ -316,8 +382,9 @@
             worker.reported = False
             if not worker.listed:
                 del self.workers[worker.worker_id]
+                self.incarnations.remove(worker.worker_id)
 
-    def lease_deadline(self, worker_id: str, now_s: float) -> float | None:
+    def lease_deadline(self, worker_id: WorkerId, now_s: float) -> float | None:
         """
         Return the deadline, on the worker's clock, of a lease that begins now.
 
@@ -353,7 +420,7 @@
         max_pause_s = IDLE_PAUSE_LEASE_RATIO * self.settings.lease_s
         return min(max_pause_s, max(0.0, interval_s - self.settings.report_wait_s))
 
-    def worker_silent(self, worker_id: str, now_s: float) -> None:
+    def worker_silent(self, worker_id: WorkerId, now_s: float) -> None:
         """Mark a worker as not answering; its lease is not renewed."""
         worker = self.workers.get(worker_id)
         if worker is not None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from ..resources import NOTHING, Resources
+from .incarnations import WorkerId
 from .jobs import TaskKey
 from .outlook import Outlook, ServingKind, serving_on
 from .placing import suits
@@ -112,7 +113,7 @@
 class Reservation:
     """Resources reserved until a deadline on the worker that a task moves to."""
 
-    worker_id: str
+    worker_id: WorkerId
     charge: Resources
     until_s: float
 
@@ -159,7 +160,7 @@
             return
         places = self._places(outlook, now_s)
         candidates = self._candidates(places, outlook, now_s)
-        busy: set[str] = set()
+        busy: set[WorkerId] = set()
         for move in self._moves(candidates, places, outlook):
             if budget < 1:
                 return
@@ -310,7 +311,7 @@
     return outlook.value_millis(kinds, capacity_millis, reserved_millis)
 
 
-def _workers_of(move: Relocation | Exchange) -> set[str]:
+def _workers_of(move: Relocation | Exchange) -> set[WorkerId]:
     match move:
         case Relocation(moving, target):
             return {moving.place.worker.worker_id, target.worker.worker_id}
--- a/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
@@ -4,6 +4,7 @@
 
 from .crashes import suspected
 from .effects import Decision, LogEntry
+from .incarnations import WorkerId
 from .progress import JobState, Run, StepState, Task
 from .workers import WorkerState
 
@@ -18,7 +19,7 @@
     step: StepState,
     task: Task,
     worker: WorkerState,
-    granted: dict[str, str],
+    granted: dict[WorkerId, str],
     now_s: float,
 ) -> Run:
     """
--- a/packages/hornbeampaddle/hornbeampaddle/cell/turns.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/turns.py
@@ -5,6 +5,7 @@
 
 from .candidates import Candidates
 from .effects import Decision
+from .incarnations import WorkerId
 from .placing import Ranking
 from .progress import JobState, Run, StepState, Task
 from .starting import start_task
@@ -32,7 +33,7 @@
     step: StepState
     workers: list[WorkerState]
     now_s: float
-    granted: dict[str, str] = field(default_factory=dict)
+    granted: dict[WorkerId, str] = field(default_factory=dict)
 
     @property
     def service(self) -> str:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -13,6 +13,7 @@
 from ..clocks import RemoteClock
 from ..machines import Address
 from ..resources import NOTHING, Resources
+from .incarnations import WorkerId
 from .interference import PRIOR_BASELINE_SLACK, Interference
 from .jobs import TaskKey
 from .progress import Run
@@ -30,7 +31,7 @@
 class WorkerListing:
     """One entry of the list of workers; ``labels`` are its kind and its rack."""
 
-    worker_id: str
+    worker_id: WorkerId
     service: str
     address: Address
     data_centre: str
@@ -58,6 +59,14 @@
     slope: float
 
 
+@dataclass(frozen=True, slots=True)
+class UnansweredStart:
+    """A start of which a copy got no answer, and when that copy was sent."""
+
+    run: Run
+    sent_at_s: float
+
+
 @dataclass(slots=True)
 class WorkerState:
     """The holder's view of one incarnation of a worker."""
@@ -82,6 +91,13 @@
     # Run of a task suspected of crashing workers: nothing else starts here until a
     # report lists it.
     isolated_run: Run | None = None
+    # Starts of this holder to this incarnation, or to earlier ones at moments ago, of
+    # which a copy got no answer and may still be carried out, and when it was sent.
+    unanswered_starts: dict[tuple[TaskKey, int], UnansweredStart] = field(
+        default_factory=dict
+    )
+    # Runs carried over from an earlier incarnation, until the first report.
+    unsettled: list[Run] = field(default_factory=list)
     # Positions of the last end that was processed and of the last one acknowledged.
     seen_end: int = 0
     acked_end: int = 0
@@ -121,7 +137,7 @@
     _slack_left: dict[str, float] = field(default_factory=dict)
 
     @property
-    def worker_id(self) -> str:
+    def worker_id(self) -> WorkerId:
         """Return the id of this incarnation of the worker."""
         return self.listing.worker_id
 
