--- a/features/model.feature
+++ b/features/model.feature
@@ -13,6 +13,7 @@
       | slots         | 100    |
       | cell          | 700    |
       | crashes       | 100    |
+      | restarts      | 50     |
 
   Scenario Outline: <specification> needs <guard>
     When the checker explores "<specification>" without "<guard>"
@@ -48,3 +49,7 @@
       | crashes       | successor_counts_vanished |
       | crashes       | counted_by_run            |
       | crashes       | gives_up                  |
+      | restarts      | births_compared           |
+      | restarts      | acknowledged_over_same_connection |
+      | restarts      | unsettled_start_stopped_first |
+      | restarts      | unreported_run_carried_over |
--- a/features/steps/walk_steps.py
+++ b/features/steps/walk_steps.py
@@ -3,7 +3,7 @@
 from behave import then, when
 from support.walk import walk
 
-from model import cell, crashes, slots, takeover
+from model import cell, crashes, restarts, slots, takeover
 from model.check import check
 
 MODULES = {
@@ -11,6 +11,7 @@
     "slots": slots,
     "cell": cell,
     "crashes": crashes,
+    "restarts": restarts,
 }
 
 
--- a/model/check.py
+++ b/model/check.py
@@ -7,10 +7,10 @@
 
 from minicheck import check_safety
 
-from . import cell, crashes, slots, takeover
+from . import cell, crashes, restarts, slots, takeover
 
 MAX_STATES = 2_000_000
-SPECIFICATIONS = (takeover, slots, cell, crashes)
+SPECIFICATIONS = (takeover, slots, cell, crashes, restarts)
 
 
 @dataclass(frozen=True)
