Settle starts that are under way when a worker starts again

A start without an answer at the time counts as unanswered from then on. The scenarios need the settling of copies of answered starts, of ended runs, and over two incarnations.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -2,9 +2,9 @@
   Such a worker knows nothing of before: it has no runs, ends or fencing token, and its
   counts and its clock start anew. ``born`` tells its incarnations apart.
 
-  Scenario: An end that a worker lists after it started again counts
+  Scenario Outline: An end that a worker lists after it started again counts: <births>
     # Guards against a task that runs again after its end was acknowledged unread.
-    Given a cell of 3 instances and 2 workers
+    Given a cell of 3 instances and 2 workers that state <births>
     When a job "ea01" of 2 steps of 6 tasks is handed in
     Then the job "ea01" is shown as completed within 8 s
     When every worker starts again under its id after 1 s
@@ -13,6 +13,11 @@
     And no promise of the cell was broken
     And no task was started more often than needed
 
+    Examples:
+      | births       |
+      | their births |
+      | no birth     |
+
   Scenario: An end that no report has listed yet is not acknowledged
     # Guards against a task that runs again after its end was acknowledged unread: the
     # earlier incarnation's last end is acknowledged to the new one.
@@ -24,9 +29,12 @@
     And a job "ec02" of 1 steps of 3 tasks is handed in
     And 0.1 s pass in the cell
     And reports are lost from now on
+    And no worker writes its entry from now on
     And every worker starts again under its id after 0 s
     And 2.5 s pass in the cell
     And orders are carried out at once again
+    And 1 s pass in the cell
+    And the workers write their entries again
     Then the job "ec02" is shown as completed within 8 s
     And no promise of the cell was broken
 
@@ -59,6 +67,41 @@
     Then the job "ed01" is shown as completed within 15 s
     And no promise of the cell was broken
 
+  Scenario Outline: A late copy of a start that was answered is settled, too: <work_s> s of work
+    # Guards against a task that runs twice, or again after its end: the earlier
+    # incarnation would have refused the copy.
+    Given a cell of 3 instances and 2 workers
+    And tasks take <work_s> s
+    When starts are carried out 3 s late from now on
+    And a job "ed07" of 1 steps of 4 tasks is handed in
+    And 0.2 s pass in the cell
+    And orders are carried out at once again
+    And 1.4 s pass in the cell
+    And every worker starts again under its id after 0 s
+    And 4 s pass in the cell
+    Then the job "ed07" is shown as completed within 20 s
+    And no promise of the cell was broken
+
+    Examples:
+      | work_s |
+      | 6      |
+      | 0.3    |
+
+  Scenario: A start that is under way when the worker starts again twice is settled
+    # Guards against a task that runs twice: the copy outlives two incarnations.
+    Given a cell of 3 instances and 2 workers
+    And tasks take 6 s
+    When starts are carried out 3 s late from now on
+    And a job "ed08" of 1 steps of 4 tasks is handed in
+    And 0.1 s pass in the cell
+    And every worker starts again under its id after 0 s
+    And orders are carried out at once again
+    And 1.5 s pass in the cell
+    And every worker starts again under its id after 0 s
+    And 4 s pass in the cell
+    Then the job "ed08" is shown as completed within 20 s
+    And no promise of the cell was broken
+
   Scenario: A task that the new incarnation has started goes on there
     # Guards against a task that runs twice: the start was answered, by the incarnation
     # that the holder did not know yet.
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -44,12 +44,12 @@
 SERVER_LIMITS = HttpLimits(connections=20, body_bytes=4096)
 
 
-@given("a cell of {instances:d} instances and {workers:d} workers that state no birth")
-def start_cell_without_births(context, instances, workers):
+@given("a cell of {instances:d} instances and {workers:d} workers that state {births}")
+def start_cell_stating(context, instances, workers, births):
     new_loop(context)
 
     async def begin():
-        context.world = World(7, states_births=False)
+        context.world = World(7, states_births=births != "no birth")
         await build(context.world, instances, workers)
 
     play(context, begin())
@@ -61,6 +61,23 @@
         worker.drops_ends_ahead = False
 
 
+@when("no worker writes its entry from now on")
+def stop_listing(context):
+    context.world.list_worker = lambda worker: None
+
+
+@when("the workers write their entries again")
+def list_again(context):
+    world = context.world
+    del world.list_worker
+
+    async def write():
+        for worker in world.workers.values():
+            world.list_worker(worker)
+
+    play(context, write())
+
+
 @given("crashed workers start again under their ids after {down_s:g} s")
 def begin_again(context, down_s):
     context.world.begin_again_after_s = down_s
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -184,7 +184,7 @@
     slope_of: Callable[[str, str], float]
     skew_s: float = 0.0
     token: int = 0
-    # The highest token under which a report was requested.
+    # The token under which a report was last received.
     reporting_token: int = 0
     lease_until_s: float = 0.0
     runs: dict[TaskKey, LiveRun] = field(default_factory=dict)
@@ -421,8 +421,6 @@
         self.token = token
         if deadline_s is not None:
             self._extend_lease(deadline_s)
-        if not self.delivering_late:
-            self.reporting_token = token
         if last_seen > self.position and not self.drops_ends_ahead:
             return None
         if self.delivering_to_successor:
@@ -620,6 +618,7 @@
         if not worker.alive:
             return await self._answer_when_dead(worker)
         self._connected_to = worker
+        worker.reporting_token = self.token
         self.faults.on_report_read()
         return Report(
             sent_at_s,
--- a/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
@@ -51,6 +51,10 @@
         if now_s - start.sent_at_s <= LATE_ORDER_MAX_S:
             new.unanswered_starts[name] = start
     for run in list(old.runs.values()):
+        sent = float("-inf") < run.sent_at_s <= now_s
+        if sent and run.confirmed_at_s == float("inf"):
+            # Its answer is under way, and may never come.
+            new.unanswered_starts[run.key, run.number] = UnansweredStart(run, now_s)
         if _may_arrive(run, new):
             _rebook(cell, old, new, run)
     for start in new.unanswered_starts.values():
