--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -87,6 +87,24 @@
       | 6      |
       | 0.3    |
 
+  Scenario: A late copy is settled although the store does not answer
+    # Guards against a task that runs again after its end: the stop would wait for the
+    # record of a decision.
+    Given a cell of 3 instances and 2 workers
+    And tasks take 0.3 s
+    When starts are carried out 3 s late from now on
+    And a job "ed09" of 1 steps of 4 tasks is handed in
+    And 0.2 s pass in the cell
+    And orders are carried out at once again
+    And 1.5 s pass in the cell
+    And a job "ed10" of 1 steps of 1 tasks is handed in
+    And the store is silent for the holder only
+    And 0.1 s pass in the cell
+    And every worker starts again under its id after 0 s
+    And 8 s pass in the cell
+    Then the job "ed09" is shown as completed within 20 s
+    And no promise of the cell was broken
+
   Scenario: A start that is under way when the worker starts again twice is settled
     # Guards against a task that runs twice: the copy outlives two incarnations.
     Given a cell of 3 instances and 2 workers
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -15,7 +15,7 @@
 import structlog
 
 from hornbeampaddle.cell.advice import Allowance
-from hornbeampaddle.cell.effects import AdviceQuestion, Decision, LogEntry
+from hornbeampaddle.cell.effects import AdviceQuestion, Decision, LogEntry, StopOrder
 from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.progress import RunPhase
 from hornbeampaddle.cell.reports import Report
@@ -235,8 +235,14 @@
         return age_s < lapse_s and not self.lost.is_set()
 
     def handle_report(self, worker_id: WorkerId, report: Report) -> None:
-        """Queue a worker's report for the scheduler and wake the loop."""
+        """Pass a worker's report to the scheduler and wake the loop."""
+        worker = self.cell.workers.get(worker_id)
+        first = worker is not None and not worker.reported
         self.cell.intake.report(worker_id, report)
+        if first:
+            # A start to an earlier incarnation may be carried out at any moment: its
+            # stop does not wait for the record of a decision that is being stored.
+            self._send_stops(self.cell.take_stops(self.clock.now_s()))
         self.wake()
 
     def step_down(self, why: str) -> None:
@@ -344,10 +350,7 @@
         self._may_start = may_start
 
     def _dispatch_without_storing(self, decision: Decision) -> None:
-        for stop in decision.stops:
-            session = self._sessions.get(stop.worker_id)
-            if session is not None:
-                self._spawn(session.stop(stop))
+        self._send_stops(decision.stops)
         for pace in decision.paces:
             session = self._sessions.get(pace.worker_id)
             if session is not None:
@@ -355,6 +358,12 @@
         for question in decision.questions:
             self._spawn(self._ask_advice(question))
 
+    def _send_stops(self, stops: Sequence[StopOrder]) -> None:
+        for stop in stops:
+            session = self._sessions.get(stop.worker_id)
+            if session is not None:
+                self._spawn(session.stop(stop))
+
     def _send_starts(self, decision: Decision) -> None:
         for run in decision.starts:
             session = self._sessions.get(run.worker_id)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -600,7 +600,7 @@
             self.separator.separate(now_s)
         if self.may_start(now_s):
             dispatch.place(self, decision, now_s, wall_s)
-        decision.stops = self._take_stops(now_s)
+        decision.stops = self.take_stops(now_s)
         decision.paces = self.pacer.take_orders()
         for order in decision.paces:
             self._log_pace(order)
@@ -625,7 +625,7 @@
         }
         self.log(LogEntry("pace", order.run.key.job_id, detail))
 
-    def _take_stops(self, now_s: float) -> list[StopOrder]:
+    def take_stops(self, now_s: float) -> list[StopOrder]:
         """Return the stops for workers that can be reached; keep the others."""
         ready: list[StopOrder] = []
         kept: list[StopOrder] = []
