Let each guard of restarted workers fail a scenario of its own

Undone one by one, five guards failed no scenario: the crash count (its scenario still played new ids), the two checks of outdated entries, the wait for the list before placing, and the wait for a settled copy. In three the runs were too young to be in a report, which another guard caught.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -87,6 +87,22 @@
       | 6      |
       | 0.3    |
 
+  Scenario: A task waits until the late copy of its start is settled
+    # Guards against a task that runs twice: the worker can be asked, but not ordered.
+    Given a cell of 3 instances and 2 workers
+    And tasks take 6 s
+    When starts are carried out 3 s late from now on
+    And a job "ed12" of 1 steps of 4 tasks is handed in
+    And 0.2 s pass in the cell
+    And orders are carried out at once again
+    And 1.4 s pass in the cell
+    And stops are lost from now on
+    And every worker starts again under its id after 0 s
+    And 4 s pass in the cell
+    And orders are carried out at once again
+    Then the job "ed12" is shown as completed within 25 s
+    And no promise of the cell was broken
+
   Scenario: A late copy is settled although the store does not answer
     # Guards against a task that runs again after its end: the stop would wait for the
     # record of a decision.
@@ -150,17 +166,34 @@
     When every worker starts again under its id after 0.2 s
     And 2 s pass in the cell
     Given a lasting job "ed04" of 4 tasks is at work
-    When the entries of the earlier incarnations are written again
+    When 1 s pass in the cell
+    And the entries of the earlier incarnations are written again
     And 2 s pass in the cell
     Then 4 tasks of "ed04" are at work
     And no task was started more often than 1 time
     And no promise of the cell was broken
 
+  Scenario: A worker whose clock was set back is known by its reports
+    # Guards against a worker that is never used again, and against runs that are
+    # released when a late write names the earlier incarnation, of the later birth.
+    Given a cell of 3 instances and 2 workers
+    When every worker starts again, 5 s before its earlier birth by its clock
+    And 2 s pass in the cell
+    And every worker writes its entry
+    Given a lasting job "ed11" of 4 tasks is at work
+    When 1 s pass in the cell
+    And the entries of the earlier incarnations are written again
+    And 2 s pass in the cell
+    Then 4 tasks of "ed11" are at work
+    And no task was started more often than 1 time
+    And no promise of the cell was broken
+
   Scenario Outline: A worker may be of another kind when it starts again: <detected>
     # Guards against starts beyond the capacity of the new incarnation.
     Given a cell of 3 instances and 1 workers
     And a lasting job "ed05" of 3 tasks is at work
-    When every worker starts again with 5000 millicores, <detected>
+    When 1 s pass in the cell
+    And every worker starts again with 5000 millicores, <detected>
     And 3 s pass in the cell
     Then 1 tasks of "ed05" are at work
     And no promise of the cell was broken
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -106,6 +106,7 @@
 @when("every worker starts again under its id after {down_s:g} s")
 def restart_all(context, down_s):
     world = context.world
+    context.earlier = {name: w.listing for name, w in world.workers.items()}
 
     async def restart():
         names = sorted(world.workers)
@@ -160,14 +161,32 @@
         write(worker)
 
 
+@when("every worker starts again, {back_s:d} s before its earlier birth by its clock")
+def restart_before_birth(context, back_s):
+    world = context.world
+    ids = {name: w.listing.worker_id for name, w in world.workers.items()}
+    world._new_worker_id = lambda name: WorkerId(
+        name, ids[name].born_ms - 1000 * back_s
+    )
+    restart_all(context, 0.2)
+
+
+@when("every worker writes its entry")
+def write_entries(context):
+    async def write():
+        for worker in context.world.workers.values():
+            context.world.list_worker(worker)
+
+    play(context, write())
+
+
 @when("the entries of the earlier incarnations are written again")
 def write_earlier_entries(context):
     world = context.world
 
     async def write():
-        for name, worker in world.workers.items():
-            worker_id = WorkerId(name, worker.listing.worker_id.born_ms - 1)
-            value = msgspec.msgpack.encode(replace(worker.listing, worker_id=worker_id))
+        for name, listing in context.earlier.items():
+            value = msgspec.msgpack.encode(listing)
             world.store.write(Topic.WORKERS, Keyed(name, value))
 
     play(context, write())
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -285,6 +285,9 @@
 
     def _crashed(self, worker: CellWorker) -> None:
         loop = asyncio.get_running_loop()
+        if self.begin_again_after_s is not None:
+            loop.call_later(self.begin_again_after_s, self.begin_again, worker)
+            return
         loop.call_later(
             UNLIST_DELAY_S, self.unlist_worker, worker.listing.worker_id.name
         )
