Ask a worker that closes each connection with a pause, and keep the later incarnation

Found by reading. Over a new connection a worker answers at once; one that closes each connection would be asked without end. And where records name two incarnations of a worker, the one with the later birth is current, whichever is read first; runs of the other are booked there until its first report.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -216,6 +216,19 @@
     And no promise of the cell was broken
     And no task was started more often than needed
 
+  Scenario Outline: Of two incarnations in the records the later one counts: <one>, <other>
+    # Guards against a task that waits for the lease of an incarnation that has ended.
+    When a holder inherits a run on "w1" of birth <one> and one on "w1" of birth <other>
+    And "w1" of birth 20 is listed, and reports no run
+    Then both tasks wait for a worker
+    And "w1" of birth 20 is the only worker that is known
+
+    Examples:
+      | one | other |
+      | 10  | 20    |
+      | 20  | 10    |
+      | 0   | 20    |
+
   Scenario: Records name the incarnation of each run and of each crash
     When a job's progress is stored with a run and a crash on two incarnations of "w1"
     Then the restored job names the same incarnations
@@ -232,6 +245,14 @@
     When 5 reports are requested that acknowledge end 7
     Then the acknowledgements were sent as 0, 7, 0, 7, 0
 
+  Scenario: A worker that closes each connection is not asked without a pause
+    # Guards against a holder that is busy with one worker: over a new connection the
+    # worker answers at once.
+    Given a cell of 3 instances and 1 workers
+    When the worker closes its connection after each report
+    And 3 s pass in the cell
+    Then the worker was asked for at most 12 reports in that time
+
   Scenario Outline: A report with <what> is not understood, and the holder goes on
     # Guards against a holder that ends its term because of one worker's answer.
     Given a worker that answers a report with <what>
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -59,6 +59,8 @@
         self._report_due = asyncio.Event()
         # The last end whose acknowledgement the worker has received.
         self._delivered_acked_end = 0
+        # Whether the last report came over a new connection.
+        self._connected_anew = False
         self._unanswered_since_s: float | None = None
         self._stops_in_progress: set[tuple[TaskKey, int]] = set()
 
@@ -79,13 +81,17 @@
                 outcome = await self._first_report(acked_end)
             else:
                 outcome = await self.port.report(acked_end, deadline_s, wait_s)
-            if isinstance(outcome, Report):
-                self._delivered_acked_end = outcome.last_seen
+            if isinstance(outcome, Report) and not outcome.connected_anew:
+                self._delivered_acked_end = acked_end
             if not await self._handle_outcome(outcome):
                 await self._pause_before_report(RETRY_PAUSE_S)
                 continue
             wait_s = FIRST_REPORT_WAIT_S if first else self._report_wait_s()
-            await self._pause_before_report(0.0)
+            # A worker that closes each connection answers at once each time.
+            anew = isinstance(outcome, Report) and outcome.connected_anew
+            pause_s = RETRY_PAUSE_S if anew and self._connected_anew else 0.0
+            self._connected_anew = anew
+            await self._pause_before_report(pause_s)
 
     async def _first_report(self, last_seen: int) -> HoldOutcome:
         """
@@ -151,7 +157,7 @@
         match answering(self.worker_id, report.born_ms):
             case Answering.ADDRESSED:
                 self._mark_answered()
-                self._log_acknowledged_ends(report)
+                self._log_delivered_ends(report)
                 self.holder.handle_report(self.worker_id, report)
                 await self._wait_for_acknowledgement()
                 return True
@@ -162,14 +168,15 @@
                 self._mark_unanswered(f"states the birth {report.born_ms}")
         return False
 
-    def _log_acknowledged_ends(self, report: Report) -> None:
-        """Log ends that a worker lists although they were acknowledged to it."""
-        positions = [e.position for e in report.ended if e.position <= report.last_seen]
+    def _log_delivered_ends(self, report: Report) -> None:
+        """Log ends that a worker lists although it received their acknowledgement."""
+        acked_end = self._delivered_acked_end
+        positions = [e.position for e in report.ended if e.position <= acked_end]
         if positions:
             log.warning(
                 "worker: lists acknowledged ends",
                 worker=self.worker_id,
-                last_seen=report.last_seen,
+                acked_end=acked_end,
                 first=positions[0],
                 last=positions[-1],
             )
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -600,7 +600,8 @@
     ) -> HoldOutcome:
         """Renew the lease, acknowledge ends and read the worker's report."""
         sent_at_s = self.find().now_s()
-        if self._connected_to is not self.find():
+        anew = self._connected_to is not self.find()
+        if anew:
             last_seen, wait_s = 0, 0.0
         self._connected_to = None
         answering: list[CellWorker] = []
@@ -627,7 +628,7 @@
             worker.rows(),
             tuple(worker.ends),
             worker.listing.worker_id.born_ms,
-            last_seen,
+            anew,
         )
 
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/reports.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/reports.py
@@ -52,7 +52,8 @@
 
     ``sent_at_s`` and ``received_at_s`` are local times of the request and the answer;
     ``clock_s`` is the time on the worker's clock. ``born_ms`` is the birth that the
-    worker states, ``last_seen`` the last end that the request acknowledged.
+    worker states; ``connected_anew`` tells that the request went over a new connection,
+    and acknowledged no end.
     """
 
     sent_at_s: float
@@ -61,7 +62,7 @@
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
     born_ms: int = UNKNOWN_BIRTH_MS
-    last_seen: int = 0
+    connected_anew: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -132,15 +132,25 @@
     def _inherit(self, run: Run, now_s: float) -> None:
         worker = self.workers.get(run.worker_id)
         if worker is None:
-            # Guards against a duplicate run of a task that an unreachable worker
-            # still runs: the attempt counts as running until the longest possible
-            # lease has expired or the worker has answered.
-            listing = WorkerListing(run.worker_id, "", NO_ADDRESS, "", NOTHING)
-            worker = self._new_worker(listing)
-            worker.listed = False
-            self._inherit_lease(worker, now_s)
+            worker = self._inherit_worker(run.worker_id, now_s)
+            run.worker_id = worker.worker_id
         worker.add(run)
 
+    def _inherit_worker(self, worker_id: WorkerId, now_s: float) -> WorkerState:
+        """Return the state of a worker that a record names, new or its successor's."""
+        current_id = self.incarnations.current(worker_id.name)
+        if current_id is not None and worker_id.born_ms < current_id.born_ms:
+            # The first report of the later incarnation tells whether the run goes on.
+            return self.workers[current_id]
+        # Guards against a duplicate run of a task that an unreachable worker
+        # still runs: the attempt counts as running until the longest possible
+        # lease has expired or the worker has answered.
+        listing = WorkerListing(worker_id, "", NO_ADDRESS, "", NOTHING)
+        worker = self._begin_incarnation(listing, now_s)
+        worker.listed = False
+        worker.listed_at_s = float("-inf")
+        return worker
+
     def cancel(self, job_id: str, now_s: float) -> None:
         """Cancel a job and stop its runs; unknown and ended jobs are unchanged."""
         state = self.jobs.get(job_id)
