Play starts under way over two incarnations on other workers, and reports that do not wait

Undone, neither guard failed a scenario: the task came back to the same worker, which refused the older copy, and no scenario looked at the wait.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -124,19 +124,31 @@
 
   Scenario: A start that is under way when the worker starts again twice is settled
     # Guards against a task that runs twice: the copy outlives two incarnations.
-    Given a cell of 3 instances and 2 workers
+    Given a cell of 3 instances and 4 workers
     And tasks take 6 s
     When starts are carried out 3 s late from now on
-    And a job "ed08" of 1 steps of 4 tasks is handed in
+    And a job "ed08" of 1 steps of 2 tasks is handed in
     And 0.1 s pass in the cell
-    And every worker starts again under its id after 0 s
+    And no worker writes its entry from now on
+    And every worker with a start under way starts again
     And orders are carried out at once again
-    And 1.5 s pass in the cell
-    And every worker starts again under its id after 0 s
+    And 2 s pass in the cell
+    And the same workers start again
     And 4 s pass in the cell
+    And the workers write their entries again
     Then the job "ed08" is shown as completed within 20 s
     And no promise of the cell was broken
 
+  Scenario: The holder knows at once that a worker has started again
+    # Guards against late starts that the new incarnation carries out meanwhile: the
+    # answer to a report that waits for an end would tell only after the wait.
+    Given a cell of 3 instances and 2 workers
+    And a lasting job "ed14" of 4 tasks is at work
+    When no worker writes its entry from now on
+    And every worker starts again under its id after 0 s
+    And 0.4 s pass in the cell
+    Then the holder knows the new incarnations
+
   Scenario: A task that the new incarnation has started goes on there
     # Guards against a task that runs twice: the start was answered, by the incarnation
     # that the holder did not know yet.
@@ -263,6 +275,7 @@
     Given a server that closes its connection after each second response
     When 5 reports are requested that acknowledge end 7
     Then the acknowledgements were sent as 0, 7, 0, 7, 0
+    And the reports over new connections did not wait for an end
 
   Scenario: A worker that closes each connection is not asked without a pause
     # Guards against a holder that is busy with one worker: over a new connection the
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -115,6 +115,26 @@
     restart_each(context, sorted(n for n, w in workers.items() if w.runs), down_s)
 
 
+@when("every worker with a start under way starts again")
+def restart_starting(context):
+    workers = holder_of(context.world).cell.workers.values()
+    names = sorted(w.worker_id.name for w in workers if w.runs)
+    assert names
+    restart_each(context, names, 0.0)
+
+
+@when("the same workers start again")
+def restart_same(context):
+    restart_each(context, sorted(context.earlier), 0.0)
+
+
+@then("the holder knows the new incarnations")
+def new_incarnations_known(context):
+    world = context.world
+    living = {w.listing.worker_id for w in world.workers.values()}
+    assert set(holder_of(world).cell.workers) == living
+
+
 def restart_each(context, names, down_s):
     world = context.world
     context.earlier = {name: world.workers[name].listing for name in names}
@@ -368,7 +388,7 @@
         address = await server.start(Address(LOOPBACK, 0))
         listing = WorkerListing(WorkerId("w1", 5), "s", address, "dc-1", NOTHING)
         worker = Worker(listing, 1, _Clock())
-        outcomes = [await worker.report(last_seen, None, 0.0) for _ in range(count)]
+        outcomes = [await worker.report(last_seen, None, 0.1) for _ in range(count)]
         worker.close()
         await server.close()
         return outcomes
@@ -378,10 +398,12 @@
 
 @given("a server that closes its connection after each second response")
 def closing_server(context):
-    context.sent = []
+    context.sent, context.waits = [], []
 
     async def handle(request):
-        context.sent.append(json.loads(request.body)["lastSeen"])
+        body = json.loads(request.body)
+        context.sent.append(body["lastSeen"])
+        context.waits.append("waitMs" in body)
         closing = {"connection": "close"} if len(context.sent) % 2 == 0 else {}
         return Response(200, b'{"clockMs": 1, "born": 5}', headers=closing)
 
@@ -401,6 +423,11 @@
     assert [r.connected_anew for r in reports] == [not value for value in expected]
 
 
+@then("the reports over new connections did not wait for an end")
+def new_connections_no_wait(context):
+    assert context.waits == [value > 0 for value in context.sent], context.waits
+
+
 BIRTHS = {
     "a birth that is a text": "5",
     "a birth that is null": None,
