Draw claims as before, and the pauses of the list's reader from the same source

Instances shared one random source since, which changed who claims first; claims draw from their own again, and only the reader of the list of workers, whose pauses made walks differ, draws from theirs.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -90,8 +90,7 @@
         self.advice = advice
         self.ledger = Ledger()
         self._foreign_listings = UnreadableRecords("workers")
-        self.random = Random()
-        self.leadership = Leadership(settings, self.random)
+        self.leadership = Leadership(settings, Random())
         self.holder: Holder | None = None
         # The epoch of the last term in which this instance held the cell.
         self._ended_epoch = 0
@@ -123,7 +122,6 @@
     def _follow(self, topic: Topic, handler: Handler) -> Follower:
         follower = Follower(self.store, topic, self.clock, handler)
         follower.wait_s = self.settings.read_wait_s
-        follower.random = self.random
         if topic is Topic.OPERATOR:
             follower.latest_only = True
         else:
@@ -438,6 +436,7 @@
         self.jobs.wait_s = self.settings.holder_read_wait_s
         self.progress.pause_s = self.settings.read_wait_s
         workers = self._follow(Topic.WORKERS, self._apply_worker_records)
+        workers.random = self.leadership.random
         workers.wait_s = 0.0
         workers.pause_s = self.settings.workers_read_s
         workers.on_reload = self._worker_list_reloaded
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -351,8 +351,10 @@
     def _seed(self, instance: Instance) -> None:
         """Seed all random sources of an instance from the world's seed."""
         seed = self.seed + self.instance_starts
-        instance.random.seed(seed)
+        instance.leadership.random = Random(seed)
         instance.peer_directory.random = Random(seed)
+        for follower in (instance.jobs, instance.progress, instance.operator):
+            follower.random = Random(seed)
 
     async def ask(
         self, step: StepKey, worker_ids: Sequence[WorkerId]
