Derive what a restart need not keep, and look tasks up in one place

Carried starts are those on a worker before its first report that have no answer, so no list of them is kept; the intake tells the holder that a report was the first instead of both working it out; Scheduler.task replaces four copies of one lookup. The check that a session removes only itself guarded nothing: sessions are kept by incarnation, and none is opened while one stands there.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -206,8 +206,7 @@
             await session.run()
         finally:
             session.port.close()
-            if self._sessions.get(session.worker_id) is session:
-                del self._sessions[session.worker_id]
+            self._sessions.pop(session.worker_id, None)
 
     # Called by the sessions
 
@@ -236,10 +235,7 @@
 
     def handle_report(self, worker_id: WorkerId, report: Report) -> None:
         """Pass a worker's report to the scheduler and wake the loop."""
-        worker = self.cell.workers.get(worker_id)
-        first = worker is not None and not worker.reported
-        self.cell.intake.report(worker_id, report)
-        if first:
+        if self.cell.intake.report(worker_id, report):
             # A start to an earlier incarnation may be carried out at any moment: its
             # stop does not wait for the record of a decision that is being stored.
             self._send_stops(self.cell.take_stops(self.clock.now_s()))
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -492,8 +492,9 @@
         if services and listing.service not in services:
             return f"service {listing.service!r}"
         current = self.holder.cell.incarnations.current(listing.worker_id.name)
-        if current is not None and current.birth_known:
-            return "" if listing.worker_id.birth_known else "states no birth"
+        states_birth = current is not None and current.birth_known
+        if states_birth and not listing.worker_id.birth_known:
+            return "states no birth"
         return ""
 
     def _worker_list_reloaded(self, keys: set[str]) -> None:
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -217,7 +217,7 @@
     delivering_late: bool = False
     delivering_to_successor: bool = False
     # Set while a start is carried out that no holder can prevent.
-    unpreventable: bool = False
+    exempting: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def now_s(self) -> float:
@@ -337,9 +337,7 @@
             return Refused(Reason.FENCED, self.clock_s())
         # No holder can prevent a start that was sent to an earlier incarnation, and is
         # carried out before that holder, or a later one, has a report of this one.
-        self.unpreventable = (
-            self.delivering_to_successor and self.reporting_token < token
-        )
+        self.exempting = self.delivering_to_successor and self.reporting_token < token
         self.token = token
         self._extend_lease(deadline_s)
         if deadline_s < self.clock_s():
@@ -357,7 +355,7 @@
         return Done(self.clock_s())
 
     def _begin(self, run: Run) -> None:
-        exempt, self.unpreventable = self.unpreventable, False
+        exempt, self.exempting = self.exempting, False
         if exempt:
             self.checker.unpreventable += 1
             span = RunSpan(run.key, self.now_s())
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -32,11 +32,15 @@
         """Create the processor of reports that updates the state of ``cell``."""
         self.cell = cell
 
-    def report(self, worker_id: WorkerId, report: Report) -> None:
-        """Process one worker's report; ignored if the worker is unknown."""
+    def report(self, worker_id: WorkerId, report: Report) -> bool:
+        """
+        Process one worker's report; ignored if the worker is unknown.
+
+        Returns whether it is the worker's first one.
+        """
         worker = self.cell.workers.get(worker_id)
         if worker is None:
-            return
+            return False
         now_s = report.received_at_s
         worker.clock.observe(report.clock_s, now_s)
         first = not worker.reported
@@ -71,6 +75,7 @@
             }
             self.cell.log(LogEntry("worker_reported", "", detail))
         self.cell.pacer.observe(worker, now_s)
+        return first
 
     def _log_missed_ends(self, worker: WorkerState, report: Report) -> None:
         """Log ends that the worker has dropped although no report listed them."""
@@ -213,7 +218,10 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_at_s = now_s
             run.progressed_at_s = now_s
-            self._forget_crash(run)
+            task = self.cell.task(run.key)
+            if task is not None:
+                # It counted as lost with an earlier incarnation, but goes on here.
+                crashes.forget_crash(self.cell, task, run.number)
         self.cell.mark_active(row.key.job_id)
         self._record_survival(worker, run, now_s)
         if row.checkpoint:
@@ -235,18 +243,10 @@
         run.reported_at_s = min(run.reported_at_s, now_s)
         if worker.isolated_run is run:
             worker.end_isolation()
-        state = self.cell.jobs.get(run.key.job_id)
-        task = state.task(run.key) if state is not None else None
+        task = self.cell.task(run.key)
         if task is not None and task.run is run:
             crashes.forget_crashes_if_proven(self.cell, task, run, now_s)
 
-    def _forget_crash(self, run: Run) -> None:
-        """Forget that a run counted as lost, with an earlier incarnation: it runs."""
-        state = self.cell.jobs.get(run.key.job_id)
-        task = state.task(run.key) if state is not None else None
-        if task is not None:
-            crashes.forget_crash(self.cell, task, run.number)
-
     def _resend_stop(self, run: Run, now_s: float) -> None:
         # Guards against a stop that was answered but had no effect: the run would
         # continue for as long as its lease is renewed. A stop without an answer is sent
--- a/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
@@ -84,15 +84,12 @@
     copy = _copy(run, new, RunPhase.SENDING if own else RunPhase.INHERITED)
     old.remove(run)
     new.add(copy)
-    state = cell.jobs.get(run.key.job_id)
-    task = state.task(run.key) if state is not None else None
+    task = cell.task(run.key)
     if task is not None and task.run is run:
         task.run = copy
         cell.dirty.add(run.key.job_id)
     if run.phase is RunPhase.STOPPING:
         cell.stop(copy, run.stop_reason)
-    elif own:
-        new.unsettled.append(copy)
 
 
 def _copy(run: Run, new: WorkerState, phase: RunPhase) -> Run:
@@ -117,8 +114,12 @@
 
 
 def stop_unsettled(cell: "Scheduler", worker: WorkerState) -> None:
-    """Stop the carried runs that the first report of an incarnation does not list."""
-    for run in worker.unsettled:
-        if worker.books(run) and run.phase is RunPhase.SENDING:
+    """
+    Stop the carried runs that the first report of an incarnation does not list.
+
+    Nothing is placed on a worker before its first report, so each start that still has
+    no answer is one to an earlier incarnation.
+    """
+    for run in list(worker.runs.values()):
+        if run.phase is RunPhase.SENDING:
             cell.stop(run, REASON)
-    worker.unsettled.clear()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -20,11 +20,11 @@
 from .incarnations import Incarnations, WorkerId
 from .intake import ReportIntake
 from .interference import Interference
-from .jobs import Job, Queue, StepKey
+from .jobs import Job, Queue, StepKey, TaskKey
 from .lapses import LeaseLapses
 from .orders import OrderTracker
 from .outlook import Outlook, waiting_shares
-from .progress import JobState, JobStatus, Run, RunPhase, encode, restore
+from .progress import JobState, JobStatus, Run, RunPhase, Task, encode, restore
 from .sampling import Sampler
 from .separating import Separator
 from .settings import CellSettings
@@ -151,6 +151,11 @@
         worker.listed_at_s = float("-inf")
         return worker
 
+    def task(self, key: TaskKey) -> Task | None:
+        """Return a task, or None if its job is not known or has no such task."""
+        state = self.jobs.get(key.job_id)
+        return state.task(key) if state is not None else None
+
     def cancel(self, job_id: str, now_s: float) -> None:
         """Cancel a job and stop its runs; unknown and ended jobs are unchanged."""
         state = self.jobs.get(job_id)
@@ -492,8 +497,7 @@
         worker = self.workers.get(run.worker_id)
         if worker is not None:
             worker.remove(run)
-        state = self.jobs.get(run.key.job_id)
-        task = state.task(run.key) if state is not None else None
+        task = self.task(run.key)
         if task is None or task.run is not run:
             return
         task.run = None
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -96,8 +96,6 @@
     unanswered_starts: dict[tuple[TaskKey, int], UnansweredStart] = field(
         default_factory=dict
     )
-    # Runs carried over from an earlier incarnation, until the first report.
-    unsettled: list[Run] = field(default_factory=list)
     # Positions of the last end that was processed and of the last one acknowledged.
     seen_end: int = 0
     acked_end: int = 0
