--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -260,6 +260,18 @@
       | 20  | 10    |
       | 0   | 20    |
 
+  Scenario: A run of a record without births counts no crash when the birth is learned
+    # Guards against jobs that are given up because instances were upgraded.
+    When a holder inherits a run on "w1" of birth 0 and one on "w1" of birth 0
+    And "w1" of birth 20 is listed, and reports no run
+    Then both tasks wait for a worker
+    And no crash counts against either
+
+  Scenario: Births add little to a record, which every instance reads
+    # Guards against slow links that are filled by records, so that starts get no answer.
+    When a job's progress is stored with 20 runs on workers born within 300 ms
+    Then the record has at most 3 bytes more for each run and 12 in all
+
   Scenario: Records name the incarnation of each run and of each crash
     When a job's progress is stored with a run and a crash on two incarnations of "w1"
     Then the restored job names the same incarnations
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -42,6 +42,7 @@
 from hornbeampaddle_wire.http_server import HttpLimits, HttpServer  # noqa: E402
 
 LOOPBACK = "127.0.0.1"
+FIRST_BIRTH_MS = 1_780_251_652_342
 SERVER_LIMITS = HttpLimits(connections=20, body_bytes=4096)
 
 
@@ -285,6 +286,34 @@
         assert not state.runs(), state.runs()
 
 
+@then("no crash counts against either")
+def no_crash_counts_inherited(context):
+    for state in context.player.cell.jobs.values():
+        assert not any(task.crashed_runs for task in state.tasks())
+
+
+def stored_bytes(births_ms):
+    """Return the size of a record with a run on a worker of each birth."""
+    step = plain(len(births_ms))
+    state = JobState(Job("job", URGENT, "", (step,), 0.0))
+    for task, born_ms in zip(state.open_occurrence(0)[0].tasks, births_ms, strict=True):
+        task.last_run = 1
+        task.run = Run(task.key, 1, WorkerId("w1", born_ms), step, step.charge)
+    return len(encode(state))
+
+
+@when("a job's progress is stored with {runs:d} runs on workers born within {ms:d} ms")
+def store_runs(context, runs, ms):
+    context.run_count = runs
+    births_ms = [FIRST_BIRTH_MS + (number * 37) % ms for number in range(runs)]
+    context.added_bytes = stored_bytes(births_ms) - stored_bytes([0] * runs)
+
+
+@then("the record has at most {each:d} bytes more for each run and {all_:d} in all")
+def little_added(context, each, all_):
+    assert 0 < context.added_bytes <= each * context.run_count + all_
+
+
 @then('"{name}" of birth {born_ms:d} is the only worker that is known')
 def only_worker(context, name, born_ms):
     assert list(context.player.cell.workers) == [WorkerId(name, born_ms)]
