Store the birth of a worker once, not with each of its runs

A birth is a record of its own under .birth/NAME, stored with the records of the decision in which it changes: when an incarnation ends, all its runs end or pass to its successor in that decision, so the name in a record of a run always means the birth stored last. Older instances skip these keys. With one birth a name, two incarnations of a worker can't stand in the records any more; the branch for that and its scenario go. Births of workers that were forgotten, or left while the holder changed, are deleted.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -241,41 +241,41 @@
     And tasks take 6 s
     When a job "ed06" of 1 steps of 4 tasks is handed in
     And 2 s pass in the cell
-    And the births are removed from the records of "ed06"
+    And the stored births are removed
     And the holder dies
     Then the job "ed06" is shown as completed within 20 s
     And no promise of the cell was broken
     And no task was started more often than needed
 
-  Scenario Outline: Of two incarnations in the records the later one counts: <one>, <other>
-    # Guards against a task that waits for the lease of an incarnation that has ended.
-    When a holder inherits a run on "w1" of birth <one> and one on "w1" of birth <other>
-    And "w1" of birth 20 is listed, and reports no run
-    Then both tasks wait for a worker
-    And "w1" of birth 20 is the only worker that is known
-
-    Examples:
-      | one | other |
-      | 10  | 20    |
-      | 20  | 10    |
-      | 0   | 20    |
-
   Scenario: A run of a record without births counts no crash when the birth is learned
     # Guards against jobs that are given up because instances were upgraded.
-    When a holder inherits a run on "w1" of birth 0 and one on "w1" of birth 0
+    When a holder inherits a run on "w1", whose birth is not stored
     And "w1" of birth 20 is listed, and reports no run
-    Then both tasks wait for a worker
-    And no crash counts against either
+    Then its task waits for a worker, and no crash counts against it
 
-  Scenario: Births add little to a record, which every instance reads
-    # Guards against slow links that are filled by records, so that starts get no answer.
-    When a job's progress is stored with 20 runs on workers born within 300 ms
-    Then the record has at most 3 bytes more for each run and 12 in all
+  Scenario: A birth is stored when it changes, and deleted with its worker
+    # Guards against slow links that are filled by births in records that every instance
+    # reads, so that starts get no answer in time.
+    Given a cell of 3 instances and 4 workers
+    When a job "ed15" of 2 steps of 6 tasks is handed in
+    Then the job "ed15" is shown as completed within 8 s
+    And 4 births were stored, and 0 deleted
+    When every worker starts again under its id after 0.2 s
+    And 3 s pass in the cell
+    Then 8 births were stored, and 0 deleted
+    When the worker "w0" leaves
+    And 16 s pass in the cell
+    Then 8 births were stored, and 1 deleted
+    When the worker "w1" leaves
+    And the holder dies
+    Then another instance holds the cell within 4 s
+    When 2 s pass in the cell
+    Then 8 births were stored, and 2 deleted
 
   Scenario: Records name the incarnation of each run and of each crash
     When a job's progress is stored with a run and a crash on two incarnations of "w1"
     Then the restored job names the same incarnations
-    And an older instance reads "w1" for both
+    And an older instance reads "w1" and "w2"
 
   Scenario: The record of expiring leases names incarnations
     Then the leases of "w1" of birth 7 and of "w2" of no known birth are read as written
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -28,6 +28,7 @@
     CANCEL_PREFIX,
     JobChange,
     Ledger,
+    birth_record,
     interference_record,
     lease_expiry_record,
     load_period_record,
@@ -128,6 +129,7 @@
         self.cell.model.inherit(self.ledger.slopes)
         if self.ledger.period_s is not None:
             self.cell.model.forecaster.inherit(self.ledger.period_s)
+        self.cell.incarnations.stored_births_ms = dict(self.ledger.births_ms)
         self.cell.lapses.inherit(self.ledger.lease_expiry_at_s)
         for job_id in self.ledger.jobs:
             self._add_job(job_id, now_s)
@@ -308,6 +310,7 @@
         records = self._take_progress_deletions()
         records += [Keyed(key, value) for key, value in decision.records.items()]
         records += self._model_records(now_s)
+        records += [birth_record(*change) for change in decision.births_ms.items()]
         if decision.lapses is not None:
             records.append(lease_expiry_record(decision.lapses))
         self._log_summary(now_s)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -501,5 +501,7 @@
         """Remove the workers that a full read of the list did not return."""
         if self.holder is None:
             return
-        for name in self.holder.cell.incarnations.names() - keys:
-            self.holder.cell.unlist_worker(name)
+        cell = self.holder.cell
+        for name in cell.incarnations.names() - keys:
+            cell.unlist_worker(name)
+        cell.incarnations.keep_births(keys)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -23,12 +23,15 @@
 NON_JOB_PREFIX = "."
 INTERFERENCE_KEY = ".interference"
 LEASE_EXPIRY_KEY = ".lapses"
+# Prefix of the key of a worker's birth; its name follows.
+BIRTH_PREFIX = ".birth/"
 LOAD_PERIOD_KEY = ".swings"
 _job_decoder = msgspec.msgpack.Decoder(Job)
 _job_encoder = msgspec.msgpack.Encoder()
 _lease_expiry_decoder = msgspec.msgpack.Decoder(dict[str, float])
 _slopes_decoder = msgspec.msgpack.Decoder(dict[str, dict[str, float]])
 _period_decoder = msgspec.msgpack.Decoder(float)
+_birth_decoder = msgspec.msgpack.Decoder(int)
 
 
 class JobChange(Enum):
@@ -62,6 +65,12 @@
     return Keyed(LEASE_EXPIRY_KEY, msgspec.msgpack.encode(by_text))
 
 
+def birth_record(name: str, born_ms: int | None) -> Keyed:
+    """Return the record of the birth of a worker's incarnation; None deletes it."""
+    value = msgspec.msgpack.encode(born_ms) if born_ms is not None else None
+    return Keyed(BIRTH_PREFIX + name, value)
+
+
 def cancel_record(job_id: str) -> Keyed:
     """Return the record that cancels a job."""
     return Keyed(CANCEL_PREFIX + job_id, b"1")
@@ -84,6 +93,8 @@
     # time counts from when the record was read, which is after it was written, so the
     # leases end no later than that.
     lease_expiry_at_s: dict[WorkerId, float] = field(default_factory=dict)
+    # Births of workers by name, of the incarnations that records of runs mean.
+    births_ms: dict[str, int] = field(default_factory=dict)
     by_queue: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     unreadable_jobs: UnreadableRecords = field(
         default_factory=lambda: UnreadableRecords("jobs")
@@ -145,6 +156,8 @@
             self.slopes = _slopes_decoder.decode(value) if value else {}
         elif record.key == LOAD_PERIOD_KEY:
             self.period_s = _period_decoder.decode(value) if value else None
+        elif record.key.startswith(BIRTH_PREFIX):
+            self._apply_birth(record.key.removeprefix(BIRTH_PREFIX), value)
         elif record.key.startswith(NON_JOB_PREFIX):
             return
         elif value is None:
@@ -153,6 +166,12 @@
             self.statuses[record.key] = decode_status(value)
             self.progress[record.key] = value
 
+    def _apply_birth(self, name: str, value: bytes | None) -> None:
+        if value is None:
+            self.births_ms.pop(name, None)
+        else:
+            self.births_ms[name] = _birth_decoder.decode(value)
+
     def _remove_progress(self, job_id: str) -> None:
         self.progress.pop(job_id, None)
         self.statuses.pop(job_id, None)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/effects.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/effects.py
@@ -40,7 +40,8 @@
 
     The effects must happen in this order: ``records`` are stored first, in one append;
     ``starts`` are sent only after that append has been acknowledged. Stops, paces and
-    questions need no record. ``lapses``, if given, is stored with the records: the
+    questions need no record. ``births_ms`` are changed births of workers by name, None
+    to delete one, stored with the records. So is ``lapses``, if given: the
     seconds left of the lease of each silent worker.
     """
 
@@ -50,6 +51,7 @@
     paces: list[PaceOrder] = field(default_factory=list)
     questions: list[AdviceQuestion] = field(default_factory=list)
     lapses: dict[WorkerId, float] | None = None
+    births_ms: dict[str, int | None] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/incarnations.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/incarnations.py
@@ -6,6 +6,7 @@
 the time of its start together name one incarnation.
 """
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 # The time of birth of a worker that states none, and in records that have none.
@@ -52,11 +53,22 @@
 
 
 class Incarnations:
-    """The current incarnation of each worker, and the last ones that have ended."""
+    """
+    The current incarnation of each worker, and the last ones that have ended.
+
+    Records of runs name workers without their births. The births are stored by name
+    when they change, with the records of that decision: when an incarnation ends, all
+    its runs end or pass to its successor in the same decision, so a record of a run
+    always means the incarnation whose birth was stored last.
+    """
 
     def __init__(self) -> None:
         """Start without any worker."""
         self._current: dict[str, WorkerId] = {}
+        # The births in the log, and the changes to them that are to be stored; None
+        # deletes one.
+        self.stored_births_ms: dict[str, int] = {}
+        self._birth_changes_ms: dict[str, int | None] = {}
         # The keys, oldest first, are the incarnations.
         self._ended: dict[WorkerId, None] = {}
 
@@ -71,11 +83,34 @@
     def begin(self, worker_id: WorkerId) -> None:
         """Make an incarnation the current one of its worker."""
         self._current[worker_id.name] = worker_id
+        self._note_birth(worker_id.name, worker_id.born_ms or None)
 
     def remove(self, worker_id: WorkerId) -> None:
         """Forget an incarnation whose state is unknown."""
         if self._current.get(worker_id.name) == worker_id:
             del self._current[worker_id.name]
+            self._note_birth(worker_id.name, None)
+
+    def _note_birth(self, name: str, born_ms: int | None) -> None:
+        if self.stored_births_ms.get(name) == born_ms:
+            self._birth_changes_ms.pop(name, None)
+        else:
+            self._birth_changes_ms[name] = born_ms
+
+    def keep_births(self, names: Collection[str]) -> None:
+        """Delete the stored births of all workers but these and the known ones."""
+        for name in self.stored_births_ms.keys() - names - self._current.keys():
+            self._note_birth(name, None)
+
+    def take_birth_changes(self) -> dict[str, int | None]:
+        """Return the births to store by name, None to delete one, and clear them."""
+        changes, self._birth_changes_ms = self._birth_changes_ms, {}
+        for name, born_ms in changes.items():
+            if born_ms is None:
+                self.stored_births_ms.pop(name, None)
+            else:
+                self.stored_births_ms[name] = born_ms
+        return changes
 
     def end(self, worker_id: WorkerId) -> None:
         """Note that an incarnation has certainly ended."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -6,10 +6,9 @@
 holder rebuilds the state from the newest records.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
-from itertools import accumulate, pairwise
 
 import msgspec
 
@@ -236,17 +235,15 @@
     order, a map from the runs during which a worker was lost to that worker, and those
     of these runs whose worker was lost promptly after the start.
 
-    ``births`` has the births of the workers of the attempts that may be running, in the
-    order of the tasks, each less the one before: every instance reads each record, and
-    most births are close. It is empty if all are unknown. Each row of ``crash_births``
-    is an occurrence's number, the index of a task, the number of a run in ``crashes``
-    and the birth of the worker that was lost, if known.
+    Each row of ``crash_births`` is an occurrence's number, the index of a task, the
+    number of a run in ``crashes`` and the birth of the worker that was lost, if known.
+    The births of the workers of attempts that may be running are stored apart, see
+    ``Incarnations``: every instance reads each record, so these are kept small.
     """
 
     status: int
     occurrences: list[tuple[int, list[PackedTask]]]
     crashes: list[tuple[int, int, dict[int, str], list[int]]] = []
-    births: list[int] = []
     crash_births: list[tuple[int, int, int, int]] = []
 
 
@@ -259,11 +256,9 @@
     rows = []
     crashes = []
     crash_births = []
-    births = []
     for number, steps in state.occurrences.items():
         tasks = [task for step in steps for task in step.tasks]
         rows.append((number, [_pack(task) for task in tasks]))
-        births += [run.worker_id.born_ms for run in map(_named_run, tasks) if run]
         for task_index, task in enumerate(tasks):
             if task.done or not task.crashed_runs:
                 continue
@@ -274,17 +269,8 @@
                 for run, worker in task.crashed_runs.items()
                 if worker.birth_known
             ]
-    if not any(births):
-        births = []
-    differences = [after - before for before, after in pairwise([0, *births])]
     status = int(state.status)
-    record = ProgressRecord(status, rows, crashes, differences, crash_births)
-    return _encoder.encode(record)
-
-
-def _named_run(task: Task) -> Run | None:
-    """Return the run whose worker the packed task names, if it names one."""
-    return task.run if not task.done and task.last_run else None
+    return _encoder.encode(ProgressRecord(status, rows, crashes, crash_births))
 
 
 def decode_status(value: bytes) -> JobStatus:
@@ -301,10 +287,16 @@
     return (task.last_run, task.failed_runs, worker_name, task.checkpoint)
 
 
-def restore(job: Job, value: bytes | None, accepted_at_s: float) -> JobState:
+def restore(
+    job: Job,
+    value: bytes | None,
+    accepted_at_s: float,
+    births_ms: Mapping[str, int] | None = None,
+) -> JobState:
     """
     Rebuild a job's state from its stored progress.
 
+    ``births_ms`` are the stored births of workers by name, unknown if missing.
     Attempts that may still be running are restored in phase INHERITED until their
     workers report.
     """
@@ -314,14 +306,11 @@
     record = _decoder.decode(value)
     state.status = JobStatus(record.status)
     state.cancelled = state.status is JobStatus.CANCELLED
-    births = accumulate(record.births)
     for number, packed in record.occurrences:
         steps = state.open_occurrence(number)
         tasks = [(step.step, task) for step in steps for task in step.tasks]
         for (step, task), cell in zip(tasks, packed, strict=True):
-            _unpack(task, step, cell)
-            if task.run is not None:
-                task.run.worker_id = _with_birth(task.run.worker_id, next(births, None))
+            _unpack(task, step, cell, births_ms or {})
     crash_births = {
         (number, task_index, run): born_ms
         for number, task_index, run, born_ms in record.crash_births
@@ -332,19 +321,17 @@
         ]
         task.prompt_crashes = prompt
         task.crashed_runs = {
-            run: _with_birth(
-                WorkerId(name), crash_births.get((number, task_index, run))
+            run: WorkerId(
+                name, crash_births.get((number, task_index, run), UNKNOWN_BIRTH_MS)
             )
             for run, name in crashed.items()
         }
     return state
 
 
-def _with_birth(worker_id: WorkerId, born_ms: int | None) -> WorkerId:
-    return WorkerId(worker_id.name, born_ms or UNKNOWN_BIRTH_MS)
-
-
-def _unpack(task: Task, step: Step, cell: PackedTask) -> None:
+def _unpack(
+    task: Task, step: Step, cell: PackedTask, births_ms: Mapping[str, int]
+) -> None:
     if isinstance(cell, int):
         task.done = cell == 1
         return
@@ -353,7 +340,7 @@
         task.run = Run(
             task.key,
             task.last_run,
-            WorkerId(worker_name),
+            WorkerId(worker_name, births_ms.get(worker_name, UNKNOWN_BIRTH_MS)),
             step,
             step.charge,
             RunPhase.INHERITED,
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -110,7 +110,8 @@
         """
         if job.job_id in self.jobs:
             return
-        state = restore(job, progress, accepted_at_s)
+        births_ms = self.incarnations.stored_births_ms
+        state = restore(job, progress, accepted_at_s, births_ms)
         self.jobs[job.job_id] = state
         if not job.lasting:
             newest = [*self._recent_acceptances, (accepted_at_s, job.job_id)]
@@ -132,25 +133,15 @@
     def _inherit(self, run: Run, now_s: float) -> None:
         worker = self.workers.get(run.worker_id)
         if worker is None:
-            worker = self._inherit_worker(run.worker_id, now_s)
-            run.worker_id = worker.worker_id
+            # Guards against a duplicate run of a task that an unreachable worker
+            # still runs: the attempt counts as running until the longest possible
+            # lease has expired or the worker has answered.
+            listing = WorkerListing(run.worker_id, "", NO_ADDRESS, "", NOTHING)
+            worker = self._new_worker(listing)
+            worker.listed = False
+            self._inherit_lease(worker, now_s)
         worker.add(run)
 
-    def _inherit_worker(self, worker_id: WorkerId, now_s: float) -> WorkerState:
-        """Return the state of a worker that a record names, new or its successor's."""
-        current_id = self.incarnations.current(worker_id.name)
-        if current_id is not None and worker_id.born_ms < current_id.born_ms:
-            # The first report of the later incarnation tells whether the run goes on.
-            return self.workers[current_id]
-        # Guards against a duplicate run of a task that an unreachable worker
-        # still runs: the attempt counts as running until the longest possible
-        # lease has expired or the worker has answered.
-        listing = WorkerListing(worker_id, "", NO_ADDRESS, "", NOTHING)
-        worker = self._begin_incarnation(listing, now_s)
-        worker.listed = False
-        worker.listed_at_s = float("-inf")
-        return worker
-
     def task(self, key: TaskKey) -> Task | None:
         """Return a task, or None if its job is not known or has no such task."""
         state = self.jobs.get(key.job_id)
@@ -625,6 +616,7 @@
         self._newly_active -= self.dirty
         self.dirty.clear()
         self._close_finished(now_s)
+        decision.births_ms = self.incarnations.take_birth_changes()
         decision.lapses = self.lapses.due(self, now_s)
         return decision
 
