--- a/model/cell.py
+++ b/model/cell.py
@@ -59,6 +59,16 @@
     "acknowledged",  # the end was acknowledged to the worker
 )
 
+# What holds for one task on a worker and on another one, whatever the specification.
+TASK_INVARIANTS = {
+    "a task never runs twice at a time": lambda d: (
+        d["running"] + d["running_there"] <= 1
+    ),
+    "no run after an acknowledged end": lambda d: (
+        not (d["acknowledged"] and d["running_there"])
+    ),
+}
+
 
 @dataclass(frozen=True)
 class Guards:
@@ -221,12 +231,5 @@
         fields=FIELDS,
         initial=State().values(),
         transitions=transitions,
-        invariants={
-            "a task never runs twice at a time": lambda d: (
-                d["running"] + d["running_there"] <= 1
-            ),
-            "no run after an acknowledged end": lambda d: (
-                not (d["acknowledged"] and d["running_there"])
-            ),
-        },
+        invariants=TASK_INVARIANTS,
     )
--- a/model/restarts.py
+++ b/model/restarts.py
@@ -13,14 +13,12 @@
 
 from minicheck import Protocol
 
+from .cell import FORGOTTEN, LISTED, NOTHING, TASK_INVARIANTS
+
 # The last end that was acknowledged to the first incarnation, and the number of the
 # task's end on the second.
 ACKNOWLEDGED_BEFORE = 1
 NUMBER_ON_SECOND = 1
-# The task's end as the worker lists it; NOTHING means no end.
-NOTHING = 0
-LISTED = 1
-FORGOTTEN = 2
 # What the holder believes of the run.
 WAITS = 0
 BOOKED = 1
@@ -151,12 +149,5 @@
         fields=FIELDS,
         initial=State().values(),
         transitions=transitions,
-        invariants={
-            "a task never runs twice at a time": lambda d: (
-                d["running"] + d["running_there"] <= 1
-            ),
-            "no run after an acknowledged end": lambda d: (
-                not (d["acknowledged"] and d["running_there"])
-            ),
-        },
+        invariants=TASK_INVARIANTS,
     )
