--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -11,7 +11,7 @@
 from hornbeampaddle.resources import NOTHING
 from hornbeampaddle_cell.callers import Accepted
 from hornbeampaddle_cell.ports import Keyed, Topic
-from hornbeampaddle_standins.cell.workers import OrderFate
+from hornbeampaddle_standins.cell.access import OrderFate
 from hornbeampaddle_standins.cell.world import URGENT
 
 
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -34,14 +34,9 @@
 )
 from hornbeampaddle_cell.settings import InstanceSettings
 
+from .access import OrderFaults, WorkerAccess
 from .store import CellStore
-from .workers import (
-    RESTART_DELAY_S,
-    CellWorker,
-    InvariantChecker,
-    OrderFaults,
-    WorkerAccess,
-)
+from .workers import RESTART_DELAY_S, CellWorker, InvariantChecker
 
 MIB = 2**20
 # Unix time at which the simulated clock shows zero.
