--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -19,6 +19,7 @@
 from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.progress import RunPhase
 from hornbeampaddle.cell.reports import Report
+from hornbeampaddle.cell.restarts import replace_incarnation
 from hornbeampaddle.cell.scheduler import Scheduler
 from hornbeampaddle.cell.summary import summary
 from hornbeampaddle.cell.workers import WorkerListing
@@ -190,7 +191,7 @@
     def worker_restarted(self, earlier_id: WorkerId, report: Report) -> None:
         """Apply the first report of a worker that has started again under its id."""
         now_s = self.clock.now_s()
-        listing = self.cell.worker_restarted(earlier_id, report.born_ms, now_s)
+        listing = replace_incarnation(self.cell, earlier_id, report.born_ms, now_s)
         if listing is None:
             # Known already: the report may be older than others of this incarnation.
             return
--- a/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
@@ -13,7 +13,7 @@
 
 from .incarnations import WorkerId
 from .progress import Run, RunPhase
-from .workers import UnansweredStart, WorkerState
+from .workers import UnansweredStart, WorkerListing, WorkerState
 
 if TYPE_CHECKING:
     from .scheduler import Scheduler
@@ -43,6 +43,26 @@
     return Answering.UNKNOWN
 
 
+def replace_incarnation(
+    cell: "Scheduler", earlier_id: WorkerId, born_ms: int, now_s: float
+) -> WorkerListing | None:
+    """
+    Replace an incarnation by its successor, which has answered in its place.
+
+    Returns a listing of the successor, whose capacity and labels may differ: nothing is
+    placed there until the list of workers tells them. Returns None if the incarnation
+    was not known or had been replaced.
+    """
+    earlier = cell.workers.get(earlier_id)
+    if earlier is None:
+        return None
+    worker_id = WorkerId(earlier_id.name, born_ms)
+    listing = replace(earlier.listing, worker_id=worker_id, draining=False)
+    worker = cell.begin_incarnation(listing, now_s)
+    worker.listed = False
+    return listing
+
+
 def carry_over(
     cell: "Scheduler", old: WorkerState, new: WorkerState, now_s: float
 ) -> None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -9,7 +9,6 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 
 from ..clocks import RemoteClock
 from ..machines import Address
@@ -178,7 +177,7 @@
             return None
         worker = self.workers.get(worker_id)
         if worker is None:
-            worker = self._begin_incarnation(listing, now_s)
+            worker = self.begin_incarnation(listing, now_s)
             self.log(LogEntry("worker_listed", "", {"worker": worker_id}))
         was_draining = worker.listing.draining
         shrank = not worker.listing.capacity.fits_in(listing.capacity)
@@ -191,26 +190,7 @@
             self._stop_for_drain(worker)
         return worker
 
-    def worker_restarted(
-        self, earlier_id: WorkerId, born_ms: int, now_s: float
-    ) -> WorkerListing | None:
-        """
-        Replace an incarnation by its successor, which has answered in its place.
-
-        Returns a listing of the successor, whose capacity and labels may differ:
-        nothing is placed there until the list of workers tells them. Returns None if
-        the incarnation was not known or had been replaced.
-        """
-        earlier = self.workers.get(earlier_id)
-        if earlier is None:
-            return None
-        worker_id = WorkerId(earlier_id.name, born_ms)
-        listing = replace(earlier.listing, worker_id=worker_id, draining=False)
-        worker = self._begin_incarnation(listing, now_s)
-        worker.listed = False
-        return listing
-
-    def _begin_incarnation(self, listing: WorkerListing, now_s: float) -> WorkerState:
+    def begin_incarnation(self, listing: WorkerListing, now_s: float) -> WorkerState:
         """Add a worker; an earlier incarnation of it has ended."""
         earlier_id = self.incarnations.current(listing.worker_id.name)
         worker = self._new_worker(listing)
