--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -175,6 +175,15 @@
     And at most 2 workers crashed
     And no promise of the cell was broken
 
+  Scenario: Crashes of workers that are back under their ids survive changes of the holder
+    # As above, for a holder that knows the earlier incarnation from the records alone.
+    Given a cell of 3 instances and 6 workers
+    And crashed workers start again under their ids after 0.5 s
+    When a job "ed16" of 6 tasks is handed in, of which task 0 crashes its workers
+    And the holder dies soon after each crash, 4 times
+    Then the job "ed16" is shown as failed within 40 s
+    And no promise of the cell was broken
+
   Scenario: A write of the earlier incarnation that takes effect late changes nothing
     # Guards against runs that are released although their worker goes on.
     Given a cell of 3 instances and 2 workers
