Measure what a worker's report costs its holder, by a command

`make bench` prints it now: workers answer on loopback from another process, and only the time of the process that reads their reports counts, through the platform's client, the meter and the scheduler's intake.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(BIN)/python -m bench.rest
 	$(BIN)/python -m bench.loglines
 	$(BIN)/python -m bench.path
+	PYTHONPATH=platform $(BIN)/python -m bench.reports
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.takeover
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.spread
 
