Test that a large cell of busy workers keeps starting and keeps its tasks

The stand-ins charge a holder's processor now (reports, first reports, ends, orders, ranked workers, decisions, steps without room, listings), in one queue of its own, so that workers and store go on in their own time; answers read after their timeout count as none. Cells of 60 workers with costs times 50 / 1.07.

features/cell, orders and relay: passed after the change to the stand-ins.

--- a/features/large_cell.feature
+++ b/features/large_cell.feature
@@ -68,3 +68,49 @@
     Given 1200 workers of 16 cores
     When 150 filler jobs of 8 tasks of 8 cores are submitted over 15 s
     Then no started task waited longer than 0.3 s
+
+  Scenario: The tasks of a busy cell survive the replacement of all instances
+    # Guards against reports of busy workers that take all time of a new holder.
+    Given a cell of 60 workers with the costs of 3000
+    When the case "takeover-all" is played
+    Then no job with room waited 3 s without a task at work
+    And no lasting task was away for 9 s
+    And the holder stored within 1.5 s at all times
+
+  Scenario: The tasks of a busy cell survive the death of the holder
+    # Guards against a successor that reads reports too late to renew the leases.
+    Given a cell of 60 workers with the costs of 3000
+    When the case "takeover-kill" is played
+    Then no job with room waited 3 s without a task at work
+    And no lasting task was away for 9 s
+    And the list of workers was at most 2.4 s old
+
+  Scenario: A busy cell recovers from a short suspension of its holder
+    # Guards against a backlog of reports that never shrinks again.
+    Given a cell of 60 workers with the costs of 3000
+    When the case "busy-suspended" is played
+    Then no job with room waited 3 s without a task at work
+    And no lasting task was away for 9 s
+    And the list of workers was at most 2.4 s old
+
+  Scenario: A busy cell survives the restart of all its workers
+    # Guards against first reports of new incarnations that make the holder lose the cell.
+    Given a cell of 60 workers with the costs of 3000
+    When the case "worker-restarts" is played
+    Then no job with room waited 3 s without a task at work
+    And no lasting task was away for 9 s
+    And the list of workers was at most 2.4 s old
+    And the holder stored within 1.5 s at all times
+
+  Scenario: Long decisions leave time for orders and reports
+    # Guards against decisions in a full cell that follow each other without a pause.
+    Given a cell of 60 workers with the costs of 3000 and reports of 0 ms
+    When the case "full-100" is played
+    Then no job with room waited 3 s without a task at work
+    And the list of workers was at most 2.4 s old
+
+  Scenario: The pending count is right while holders of a busy cell die
+    # Guards against a count that leaves out jobs whose starts no worker has confirmed.
+    Given a cell of 60 workers with the costs of 3000
+    When the case "takeovers-kill" is played
+    Then the pending count was never under half
--- a/features/steps/large_cell_steps.py
+++ b/features/steps/large_cell_steps.py
@@ -10,6 +10,8 @@
 from support.cell_player import step as make_step
 from support.cell_scene import new_loop, play
 from support.cell_walk import build
+from support.holder_load import CASES, REPORT_S, LoadedCell, scaled_costs
+from support.holder_load import play as play_loaded
 
 from hornbeampaddle.cell.placing import Ranking
 from hornbeampaddle.cell.settings import CellSettings
@@ -249,3 +251,45 @@
     assert len(starts) >= context.task_count, (len(starts), context.task_count)
     longest_s = max(float(note.detail["waited_s"]) for note in starts)
     assert longest_s <= limit_s, longest_s
+
+
+@given("a cell of {workers:d} workers with the costs of 3000")
+@given(
+    "a cell of {workers:d} workers with the costs of 3000 and reports of {cost_ms:g} ms"
+)
+def charged_cell(context, workers, cost_ms=REPORT_S * 1000):
+    costs = scaled_costs(workers, cost_ms / 1000)
+    if not cost_ms:
+        costs.first_report_s = 0.0
+    context.loaded = LoadedCell(workers, costs)
+
+
+@when('the case "{name}" is played')
+def play_case(context, name):
+    context.figures = play_loaded(context.loaded, CASES[name])
+
+
+@then("no job with room waited {limit_s:g} s without a task at work")
+def jobs_had_runs(context, limit_s):
+    assert context.figures.without_run_s < limit_s, str(context.figures)
+
+
+@then("no lasting task was away for {limit_s:g} s")
+def lasting_tasks_returned(context, limit_s):
+    assert context.figures.task_away_s < limit_s, str(context.figures)
+
+
+@then("the list of workers was at most {limit_s:g} s old")
+def list_was_recent(context, limit_s):
+    assert context.figures.list_age_s <= limit_s, str(context.figures)
+
+
+@then("the holder stored within {limit_s:g} s at all times")
+def holder_stored(context, limit_s):
+    assert context.figures.stored_age_s < limit_s, str(context.figures)
+
+
+@then("the pending count was never under half")
+def pending_count_right(context):
+    assert context.figures.counts, "no count was compared"
+    assert context.figures.count_ratio >= 0.5, str(context.figures)
--- /dev/null
+++ b/features/support/holder_load.py
@@ -0,0 +1,513 @@
+"""
+Measure a holder whose work costs processor time, in simulated cells.
+
+Each cell stands for one of 3,000 workers: it has fewer of them, and each report,
+order and ranking costs the holder more in proportion. ``python -m
+support.holder_load`` prints the figures of all cases, and of those named after it.
+"""
+
+import asyncio
+import logging
+import sys
+from contextlib import contextmanager
+from dataclasses import dataclass, field, replace
+from unittest.mock import patch
+
+import structlog
+
+from hornbeampaddle.cell import dispatch, sampling
+from hornbeampaddle.cell.placing import Ranking
+from hornbeampaddle.cell.scheduler import Scheduler
+from hornbeampaddle.cell.settings import CellSettings
+from hornbeampaddle.cell.waiting import WaitReason
+from hornbeampaddle_cell.holder import Holder
+from hornbeampaddle_standins.cell.processor import ProcessorCosts
+from hornbeampaddle_standins.cell.world import URGENT, World
+from support.cell_walk import build, plain
+from support.virtual_loop import VirtualLoop
+
+LARGE_CELL_WORKERS = 3000
+HOLDER_CORES = 1.07
+# Processor time of one core for one worker of a cell of 3,000.
+REPORT_S = 0.00043
+ORDER_S = 0.00043
+END_S = 0.0001
+LISTING_S = 0.00003
+RANKED_S = 0.0000015
+DECISION_S = 0.0000015
+UNPLACED_S = 0.000001
+PROBE_S = 0.05
+RAMP_STEPS = 10
+# Shorter than the time for which a holder keeps the cell without storing.
+SUSPENDED_S = 1.0
+RAMP_STEP_S = 1.0
+# A pending count is compared with the jobs that were accepted this long before.
+COUNTED_AFTER_S = 5.0
+
+
+def scaled_costs(workers, report_s=REPORT_S):
+    """Return the costs of a cell of ``workers`` that stands for 3,000."""
+    scale = LARGE_CELL_WORKERS / workers / HOLDER_CORES
+    return ProcessorCosts(
+        report_s=scale * report_s,
+        first_report_s=scale * report_s,
+        end_s=scale * END_S,
+        order_s=scale * ORDER_S,
+        ranked_s=scale * RANKED_S,
+        decision_s=scale * DECISION_S,
+        unplaced_s=scale * UNPLACED_S,
+        listing_s=scale * LISTING_S,
+    )
+
+
+def scaled_settings(workers):
+    """Return the settings whose rates and limits are scaled down like the cell."""
+    scale = workers / LARGE_CELL_WORKERS
+    defaults = CellSettings()
+    return replace(
+        defaults,
+        idle_reports_per_s=defaults.idle_reports_per_s * scale,
+        first_reports_max=max(1, round(defaults.first_reports_max * scale)),
+    )
+
+
+@contextmanager
+def charged_decisions(loaded):
+    """Charge the holder's decisions by the workers that they rank."""
+    ranked = unplaced = 0
+    original_fill, original_decide = Ranking.fill, Scheduler.decide
+    original_iterate, original_place = Holder._iterate, dispatch._place_step
+
+    def counting_fill(ranking, workers):
+        nonlocal ranked
+        workers = list(workers)
+        ranked += len(workers)
+        original_fill(ranking, workers)
+
+    def counting_place(turn):
+        nonlocal unplaced
+        reason = original_place(turn)
+        unplaced += reason is WaitReason.NO_ROOM
+        return reason
+
+    def charged_decide(cell, now_s, wall_s):
+        nonlocal ranked, unplaced
+        ranked = unplaced = 0
+        decision = original_decide(cell, now_s, wall_s)
+        processor = _processor(loaded.world, lambda holder: holder.cell is cell)
+        if processor is not None:
+            costs = processor.costs
+            per_worker_s = costs.decision_s + unplaced * costs.unplaced_s
+            cost_s = ranked * costs.ranked_s + len(cell.workers) * per_worker_s
+            loaded.probe.figures.decision_s = max(
+                loaded.probe.figures.decision_s, cost_s
+            )
+            processor.decide(cost_s)
+        return decision
+
+    async def queued_iterate(holder):
+        processor = _processor(loaded.world, lambda other: other is holder)
+        if processor is not None:
+            await processor.turn()
+        await original_iterate(holder)
+
+    scale = loaded.workers / LARGE_CELL_WORKERS
+    sample_size = max(1, round(sampling.SAMPLE_SIZE * scale))
+    with (
+        patch.object(Ranking, "fill", counting_fill),
+        patch.object(Scheduler, "decide", charged_decide),
+        patch.object(dispatch, "_place_step", counting_place),
+        patch.object(Holder, "_iterate", queued_iterate),
+        patch.object(sampling, "SAMPLE_SIZE", sample_size),
+    ):
+        yield
+
+
+def _processor(world, wanted):
+    for name, instance in world.instances.items():
+        if instance.holder is not None and wanted(instance.holder):
+            return world.processors[name]
+    return None
+
+
+@dataclass
+class Figures:
+    """The worst moments of a cell since the figures were cleared, in seconds."""
+
+    list_age_s: float = 0.0
+    stored_age_s: float = 0.0
+    lag_s: float = 0.0
+    without_start_s: float = 0.0
+    without_run_s: float = 0.0
+    task_away_s: float = 0.0
+    # The epochs of the holders.
+    terms: set = field(default_factory=set)
+    usable_min: int = 10**9
+    count_ratio: float = 1.0
+    counts: int = 0
+    used_ratio: float = 0.0
+    # Largest share of the cell's processors that its tasks had reserved.
+    reserved_ratio: float = 0.0
+    decision_s: float = 0.0
+
+    def __str__(self):
+        return (
+            f"list {self.list_age_s:.2f} s old, stored {self.stored_age_s:.2f} s ago, "
+            f"lag {self.lag_s:.2f} s, a decision {self.decision_s:.2f} s, "
+            f"no start for {self.without_start_s:.2f} s, "
+            f"a job without a run for {self.without_run_s:.2f} s, a lasting task away "
+            f"for {self.task_away_s:.2f} s, cell lost {max(0, len(self.terms) - 1)} "
+            f"times, usable workers down to {self.usable_min}, "
+            f"count at {self.count_ratio:.2f} of the jobs that wait "
+            f"({self.counts} compared), "
+            f"processor {100 * self.used_ratio:.0f} %, "
+            f"reserved {100 * self.reserved_ratio:.0f} %"
+        )
+
+
+class Probe:
+    """Watches a world and keeps the worst figures."""
+
+    def __init__(self, world):
+        self.world = world
+        self.figures = Figures()
+        self.accepted_at_s = {}
+        self.last_run_at_s = {}
+        self.begun = set()
+        self.finished = set()
+        self.away_since_s = {}
+        # Jobs for which there is no room.
+        self.blocked = set()
+        self.started_s = 0.0
+        self.used_before_s = 0.0
+
+    def clear(self):
+        """Forget the figures so far."""
+        self.figures = Figures()
+        self.started_s = asyncio.get_running_loop().time()
+        self.used_before_s = self._used_s()
+
+    def _used_s(self):
+        return sum(p.used_s for p in self.world.processors.values())
+
+    async def watch(self):
+        while True:
+            await asyncio.sleep(PROBE_S)
+            now_s = asyncio.get_running_loop().time()
+            self._watch_holder(now_s)
+            self._watch_jobs(now_s)
+            self._watch_counts(now_s)
+            passed_s = max(PROBE_S, now_s - self.started_s)
+            self.figures.used_ratio = (self._used_s() - self.used_before_s) / passed_s
+
+    def _watch_holder(self, now_s):
+        figures = self.figures
+        for name, instance in self.world.instances.items():
+            holder = instance.holder
+            if holder is None:
+                continue
+            figures.terms.add(holder.epoch)
+            if holder.lost.is_set():
+                continue
+            stored_age_s = now_s - holder.log.stored_at_s
+            figures.stored_age_s = max(figures.stored_age_s, stored_age_s)
+            list_age_s = now_s - holder.list_complete_at_s()
+            if list_age_s < float("inf"):
+                figures.list_age_s = max(figures.list_age_s, list_age_s)
+            lag_s = self.world.processors[name].lag_s()
+            figures.lag_s = max(figures.lag_s, lag_s)
+            usable = sum(w.usable(now_s) for w in holder.cell.workers.values())
+            figures.usable_min = min(figures.usable_min, usable)
+
+    def _watch_jobs(self, now_s):
+        figures, checker = self.figures, self.world.checker
+        running = {key for w in self.world.workers.values() for key in w.runs}
+        running_jobs = {key.job_id for key in running}
+        self.begun |= running_jobs | {span.key.job_id for span in checker.spans}
+        ended = {s.key for s in checker.spans if s.ended_at_s < float("inf")}
+        reserved = sum(
+            live.run.step.need.cpu_millis
+            for worker in self.world.workers.values()
+            for live in worker.runs.values()
+        )
+        capacity = sum(
+            w.listing.capacity.cpu_millis for w in self.world.workers.values()
+        )
+        figures.reserved_ratio = max(figures.reserved_ratio, reserved / capacity)
+        waiting = False
+        for job_id, job in self.world.accepted.items():
+            self.accepted_at_s.setdefault(job_id, now_s)
+            tasks = sum(step.count for step in job.steps)
+            if job.lasting:
+                at_work = sum(key.job_id == job_id for key in running)
+                if at_work == tasks:
+                    self.away_since_s[job_id] = now_s
+                away_s = now_s - self.away_since_s.get(job_id, now_s)
+                figures.task_away_s = max(figures.task_away_s, away_s)
+                waiting = waiting or away_s > 0
+                continue
+            if sum(key.job_id == job_id for key in ended) >= tasks:
+                self.finished.add(job_id)
+            if job_id in self.finished or job_id in self.blocked:
+                continue
+            if job_id in running_jobs:
+                self.last_run_at_s[job_id] = now_s
+            last_s = self.last_run_at_s.get(job_id, self.accepted_at_s[job_id])
+            without_s = now_s - last_s
+            figures.without_run_s = max(figures.without_run_s, without_s)
+            waiting = waiting or without_s > 0
+        last_start_s = max(checker.started_at_s, default=now_s)
+        if waiting:
+            without_start_s = now_s - max(last_start_s, self.started_s)
+            figures.without_start_s = max(figures.without_start_s, without_start_s)
+
+    def _watch_counts(self, now_s):
+        pending = sum(
+            1
+            for job_id, at_s in self.accepted_at_s.items()
+            if job_id not in self.begun and now_s - at_s > COUNTED_AFTER_S
+        )
+        if not pending:
+            return
+        for name, instance in self.world.instances.items():
+            count = instance.callers.pending(URGENT.name)
+            if count is not None and name != self.world.holder():
+                ratio = count / pending
+                self.figures.counts += 1
+                self.figures.count_ratio = min(self.figures.count_ratio, ratio)
+
+
+@dataclass
+class LoadedCell:
+    """A cell of charged instances with a probe."""
+
+    workers: int
+    costs: ProcessorCosts
+    instances: int = 3
+    settings: CellSettings | None = None
+
+    async def begin(self):
+        settings = self.settings or scaled_settings(self.workers)
+        self.world = World(7, cell_settings=settings, costs=ProcessorCosts())
+        self.probe = Probe(self.world)
+        self.world.tasks["probe"] = asyncio.create_task(self.probe.watch())
+        self.number = 0
+        await build(self.world, self.instances, self.workers)
+        await asyncio.sleep(5.0)
+
+    async def charge(self):
+        """
+        Let work take processor time, and keep the worst figures from then on.
+
+        The costs rise slowly: reports that come at one moment would block the holder.
+        """
+        for share in range(1, RAMP_STEPS + 1):
+            for name in ProcessorCosts.__slots__:
+                cost_s = getattr(self.costs, name) * share / RAMP_STEPS
+                setattr(self.world.costs, name, cost_s)
+            await asyncio.sleep(RAMP_STEP_S)
+        self.probe.clear()
+
+    async def submit(self, *steps):
+        self.number += 1
+        return await self.world.submit(f"{self.number:016x}", URGENT, *steps)
+
+    async def occupy(self, cpu_millis=2000):
+        """Put a lasting task on each worker."""
+        step = plain(self.workers, cpu_millis, lasting=True, per_worker_max=1)
+        await self.submit(step)
+        return await self.world.until(
+            lambda: all(w.runs for w in self.world.workers.values()), 20.0
+        )
+
+    async def load(self, duration_s, jobs_per_s, tasks=4, cpu_millis=500):
+        """Submit jobs of tasks that end."""
+        for _ in range(round(duration_s * jobs_per_s)):
+            asyncio.get_running_loop().create_task(
+                self.submit(plain(tasks, cpu_millis))
+            )
+            await asyncio.sleep(1 / jobs_per_s)
+
+    async def replace_holder(self, how):
+        """End the holder's process, or those of all instances, and start it again."""
+        world = self.world
+        names = sorted(world.instances) if how == "all" else [world.holder()]
+        assert all(names), "the cell has no holder"
+        for name in names:
+            if how == "stop":
+                await world.instances[name].stop()
+            await world.kill(name)
+        await asyncio.sleep(0.5)
+        for name in names:
+            world.start_instance(name)
+
+
+def play(loaded, script):
+    """Run a script on a cell in simulated time and return its figures."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+
+    async def run():
+        await loaded.begin()
+        await script(loaded)
+        watching = loaded.world.tasks["probe"]
+        assert not watching.done(), watching.exception()
+
+    with charged_decisions(loaded):
+        try:
+            loop.run_until_complete(run())
+        finally:
+            loop.run_until_complete(loaded.world.close())
+            loop.close()
+    return loaded.probe.figures
+
+
+async def idle(loaded):
+    await loaded.charge()
+    await loaded.load(15.0, 1.0)
+    await asyncio.sleep(5.0)
+
+
+async def busy_lasting(loaded):
+    assert await loaded.occupy()
+    await loaded.charge()
+    await loaded.load(15.0, 1.0)
+    await asyncio.sleep(5.0)
+
+
+async def busy_suspended(loaded):
+    assert await loaded.occupy()
+    await loaded.charge()
+    load = asyncio.create_task(loaded.load(20.0, 1.0))
+    await asyncio.sleep(2.0)
+    loaded.world.processors[loaded.world.holder()].charge(SUSPENDED_S)
+    await load
+
+
+def busy_short(starts_per_s):
+    """Return a script with this rate of starts in the cell of 3,000 workers."""
+
+    async def script(loaded):
+        loaded.world.work_s = 0.6
+        jobs_per_s = starts_per_s * loaded.workers / LARGE_CELL_WORKERS / 4
+        await loaded.charge()
+        await loaded.load(20.0, jobs_per_s, cpu_millis=6000)
+        await asyncio.sleep(5.0)
+
+    return script
+
+
+def takeover(how, occupied=True):
+    """Return a script in which the holder's process ends, or those of all."""
+
+    async def script(loaded):
+        if occupied:
+            assert await loaded.occupy()
+        await loaded.charge()
+        load = asyncio.create_task(loaded.load(20.0, 1.0))
+        await asyncio.sleep(1.0)
+        await loaded.replace_holder(how)
+        await load
+        await asyncio.sleep(5.0)
+
+    return script
+
+
+def full(waiting_jobs):
+    """Return a script of a busy cell with jobs whose tasks need whole workers."""
+
+    async def script(loaded):
+        assert await loaded.occupy(cpu_millis=4500)
+        await loaded.charge()
+        for _ in range(waiting_jobs):
+            await loaded.submit(plain(2, 16_000))
+        loaded.probe.blocked.update(loaded.world.accepted)
+        await loaded.load(15.0, 1.0)
+
+    return script
+
+
+async def list_changes(loaded):
+    await loaded.charge()
+    load = asyncio.create_task(loaded.load(20.0, 1.0))
+    await asyncio.sleep(3.0)
+    for number in range(10):
+        for name in sorted(loaded.world.workers):
+            loaded.world.resize_worker(name, 15_000 + number)
+        await asyncio.sleep(1.0)
+    await load
+
+
+async def worker_restarts(loaded):
+    """Restart every worker under its id while all are busy."""
+    assert await loaded.occupy()
+    await loaded.charge()
+    load = asyncio.create_task(loaded.load(20.0, 1.0))
+    await asyncio.sleep(3.0)
+    world = loaded.world
+    restarts = [world.restart_worker(name) for name in sorted(world.workers)]
+    await asyncio.gather(*restarts)
+    await load
+
+
+def takeovers(how):
+    """Return a script in which three holders end one after another."""
+
+    async def script(loaded):
+        assert await loaded.occupy()
+        await loaded.charge()
+        load = asyncio.create_task(loaded.load(25.0, 1.0))
+        for _ in range(3):
+            await loaded.replace_holder(how)
+            await loaded.world.until(lambda: loaded.world.holder() is not None, 10.0)
+        await load
+
+    return script
+
+
+CASES = {
+    "idle": idle,
+    "busy-lasting": busy_lasting,
+    "busy-suspended": busy_suspended,
+    "busy-short-600": busy_short(600),
+    "busy-short-3000": busy_short(3000),
+    "takeover-idle-kill": takeover("kill", occupied=False),
+    "takeover-kill": takeover("kill"),
+    "takeover-stop": takeover("stop"),
+    "takeover-all": takeover("all"),
+    "takeovers-kill": takeovers("kill"),
+    "takeovers-stop": takeovers("stop"),
+    "worker-restarts": worker_restarts,
+    "full-20": full(20),
+    "full-100": full(100),
+    "list-changes": list_changes,
+}
+WORKERS = 60
+
+
+def main(names):
+    """Print the figures of the named cases, by cost that is left out."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    free_costs = ("", "all", *ProcessorCosts.__slots__)
+    given = [n.partition("=")[2] for n in sys.argv if n.startswith("--report-ms=")]
+    report_s = float(given[0]) / 1000 if given else REPORT_S
+    given = [n.partition("=")[2] for n in sys.argv if n.startswith("--workers=")]
+    workers = int(given[0]) if given else WORKERS
+    for name in names or CASES:
+        for free in free_costs if "--vary" in sys.argv else ("",):
+            costs = scaled_costs(workers, report_s)
+            if free == "all":
+                costs = ProcessorCosts()
+            elif free:
+                costs = replace(costs, **{free: 0.0})
+            try:
+                figures = play(LoadedCell(workers, costs), CASES[name])
+            except AssertionError as error:
+                figures = f"did not begin: {error!r}"
+            print(f"{name}, {free or 'nothing'} free: {figures}", flush=True)
+
+
+if __name__ == "__main__":
+    main([name for name in sys.argv[1:] if not name.startswith("--")])
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/access.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/access.py
@@ -18,6 +18,7 @@
     Report,
 )
 
+from .processor import Processor
 from .workers import CALL_TIMEOUT_S, ROUND_TRIP_S, CellWorker
 
 
@@ -65,9 +66,15 @@
         caller: str,
         token: int,
         faults: OrderFaults,
+        processor: Processor | None = None,
     ) -> None:
-        """Reach what ``find`` returns at the moment, under the network's faults."""
+        """
+        Reach what ``find`` returns at the moment, under the network's faults.
+
+        The caller's ``processor`` reads the answers; without one that takes no time.
+        """
         self.find = find
+        self.processor = processor
         self.caller = caller
         self.token = token
         self.faults = faults
@@ -104,6 +111,19 @@
         await asyncio.sleep(ROUND_TRIP_S / 2)
         return outcome
 
+    async def _charged_order(
+        self, kind: str, act: Callable[[CellWorker], OrderOutcome]
+    ) -> OrderOutcome:
+        """Send an order and read its answer, which the processor may do too late."""
+        if self.processor is None:
+            return await self._order(kind, act)
+        due_s = self.find().now_s() + CALL_TIMEOUT_S
+        outcome = await self._order(kind, act)
+        if isinstance(outcome, NoAnswer):
+            return outcome
+        in_time = await self.processor.answer(self.processor.costs.order_s, due_s)
+        return outcome if in_time else NoAnswer("read too late")
+
     def _deliver_late(
         self, addressed: CellWorker, act: Callable[[CellWorker], OrderOutcome]
     ) -> None:
@@ -130,7 +150,7 @@
 
     async def start(self, run: Run, payload: str, deadline_s: float) -> OrderOutcome:
         """Start a run, unless the worker is unwell."""
-        return await self._order(
+        return await self._charged_order(
             "start",
             lambda worker: _unless_unwell(
                 worker, lambda: worker.start(run, self.token, deadline_s)
@@ -139,14 +159,14 @@
 
     async def stop(self, run: Run) -> OrderOutcome:
         """Stop a run, unless the worker is unwell."""
-        return await self._order(
+        return await self._charged_order(
             "stop",
             lambda worker: _unless_unwell(worker, lambda: worker.stop(run, self.token)),
         )
 
     async def pace(self, run: Run, percent: int) -> OrderOutcome:
         """Limit a run to a percentage of its speed."""
-        return await self._order(
+        return await self._charged_order(
             "pace", lambda worker: worker.pace(run, self.token, percent)
         )
 
@@ -176,7 +196,7 @@
         self._connected_to = worker
         worker.reporting_token = self.token
         self.faults.on_report_read()
-        return Report(
+        report = Report(
             sent_at_s,
             worker.now_s(),
             worker.clock_s(),
@@ -185,6 +205,17 @@
             worker.listing.worker_id.born_ms,
             anew,
         )
+        due_s = sent_at_s + wait_s + CALL_TIMEOUT_S
+        if self.processor is None or await self._read(self.processor, report, due_s):
+            return report
+        return NoAnswer("read too late")
+
+    async def _read(self, processor: Processor, report: Report, due_s: float) -> bool:
+        costs = processor.costs
+        cost_s = costs.report_s + costs.end_s * len(report.ended)
+        if report.connected_anew:
+            cost_s += costs.first_report_s
+        return await processor.answer(cost_s, due_s)
 
 
 def _unless_unwell(worker: CellWorker, act: Callable[[], OrderOutcome]) -> OrderOutcome:
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/store.py
@@ -25,6 +25,8 @@
     Unavailable,
 )
 
+from .processor import Processor
+
 # Response time of a call, about that of the users' store.
 ROUND_TRIP_S = 0.006
 # Time after which a call without an answer fails, in addition to the time for which
@@ -179,9 +181,12 @@
         self.reads_refused += 1
         return False
 
-    def port(self, name: str) -> "StoreAccess":
-        """Return the store port of one instance."""
-        return StoreAccess(self, name)
+    def port(
+        self, name: str, processor: Processor | None = None
+    ) -> "StoreAccess | ChargedStoreAccess":
+        """Return the store port of one instance; ``processor`` reads the answers."""
+        access = StoreAccess(self, name)
+        return access if processor is None else ChargedStoreAccess(access, processor)
 
     def write(self, topic: Topic, record: Keyed) -> None:
         """Append as an operator or a worker, unaffected by faults."""
@@ -326,6 +331,54 @@
         return True
 
 
+class ChargedStoreAccess:
+    """The store port of an instance whose processor may read an answer too late."""
+
+    def __init__(self, access: StoreAccess, processor: Processor) -> None:
+        """Wrap a port."""
+        self.access = access
+        self.processor = processor
+
+    async def append(
+        self,
+        topic: Topic,
+        records: Sequence[Keyed],
+        producer: Producer | None,
+        at_offset: int | None,
+    ) -> AppendOutcome:
+        """Append all records or none."""
+        due_s = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        outcome = await self.access.append(topic, records, producer, at_offset)
+        if isinstance(outcome, NoAnswer):
+            return outcome
+        in_time = await self.processor.answer(0.0, due_s)
+        return outcome if in_time else NoAnswer("read too late")
+
+    async def read(self, topic: Topic, span: Span) -> ReadOutcome:
+        """Read from an offset."""
+        due_s = asyncio.get_running_loop().time() + span.wait_s + CALL_TIMEOUT_S
+        outcome = await self.access.read(topic, span)
+        if isinstance(outcome, NoAnswer):
+            return outcome
+        records = outcome.records if isinstance(outcome, Batch) else ()
+        in_time = await self.processor.answer(self._cost_s(topic, records), due_s)
+        return outcome if in_time else NoAnswer("read too late")
+
+    async def newest(self, topic: Topic) -> NewestOutcome:
+        """Read the newest record of each key."""
+        due_s = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        outcome = await self.access.newest(topic)
+        if isinstance(outcome, NoAnswer):
+            return outcome
+        records = outcome.records if isinstance(outcome, Newest) else ()
+        in_time = await self.processor.answer(self._cost_s(topic, records), due_s)
+        return outcome if in_time else NoAnswer("read too late")
+
+    def _cost_s(self, topic: Topic, records: Sequence[Keyed]) -> float:
+        listed = topic is Topic.WORKERS
+        return len(records) * self.processor.costs.listing_s if listed else 0.0
+
+
 def _size_bytes(records: Sequence[Keyed]) -> int:
     return sum(len(record.key) + len(record.value or b"") for record in records)
 
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -35,6 +35,7 @@
 from hornbeampaddle_cell.settings import InstanceSettings
 
 from .access import OrderFaults, WorkerAccess
+from .processor import Processor, ProcessorCosts
 from .store import CellStore
 from .workers import RESTART_DELAY_S, CellWorker, InvariantChecker
 
@@ -116,14 +117,22 @@
 class SkewedClock:
     """The clocks of one instance; after a pause they show the current time."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, skew_s: float) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        skew_s: float,
+        processor: Processor | None = None,
+    ) -> None:
         """Read the simulated ``loop``; ``skew_s`` is the error of the wall clock."""
         self.loop = loop
         self.skew_s = skew_s
+        self.processor = processor
 
     def now_s(self) -> float:
-        """Return simulated seconds."""
-        return self.loop.time()
+        """Return simulated seconds, at the end of a decision that is charged."""
+        if self.processor is None:
+            return self.loop.time()
+        return max(self.loop.time(), self.processor.deciding_until_s)
 
     def wall_s(self) -> float:
         """Return simulated Unix seconds."""
@@ -155,6 +164,9 @@
     # The delay after which crashed workers start again under their ids; None if they
     # come back under other ids.
     begin_again_after_s: float | None = None
+    # What work costs the instances; None if it takes no time.
+    costs: ProcessorCosts | None = None
+    processors: dict[str, Processor] = field(default_factory=dict)
     # Workers state when they started; those of older deployments do not.
     states_births: bool = True
     # Crashed workers do not answer, instead of refusing connections, and do not
@@ -322,17 +334,21 @@
             store_reads_per_s=self.store_reads_per_s,
         )
 
+        processor = None
+        if self.costs is not None:
+            processor = self.processors[name] = Processor(self.costs)
+
         def make_worker(listing: WorkerListing, token: int) -> WorkerAccess:
             worker_name = listing.worker_id.name
             return WorkerAccess(
-                lambda: self.workers[worker_name], name, token, self.faults
+                lambda: self.workers[worker_name], name, token, self.faults, processor
             )
 
         advice = self if self.advised is not None else None
         instance = Instance(
             settings,
-            SkewedClock(asyncio.get_running_loop(), skew_s),
-            self.store.port(name),
+            SkewedClock(asyncio.get_running_loop(), skew_s, processor),
+            self.store.port(name, processor),
             WorldCodec(),
             make_worker,
             advice,
