--- a/features/support/holder_load.py
+++ b/features/support/holder_load.py
@@ -36,6 +36,8 @@
 RANKED_S = 0.0000015
 DECISION_S = 0.0000015
 UNPLACED_S = 0.000001
+# Open jobs of a large cell that has started nothing for seconds.
+BACKLOG_JOBS = 112
 PROBE_S = 0.05
 RAMP_STEPS = 10
 # Shorter than the time for which a holder keeps the cell without storing.
@@ -323,9 +325,10 @@
     async def load(self, duration_s, jobs_per_s, tasks=4, cpu_millis=500):
         """Submit jobs of tasks that end."""
         for _ in range(round(duration_s * jobs_per_s)):
-            asyncio.get_running_loop().create_task(
-                self.submit(plain(tasks, cpu_millis))
-            )
+            if self.world.instances:
+                asyncio.get_running_loop().create_task(
+                    self.submit(plain(tasks, cpu_millis))
+                )
             await asyncio.sleep(1 / jobs_per_s)
 
     async def replace_holder(self, how):
@@ -465,6 +468,31 @@
     return script
 
 
+def takeover_backlog(how, cpu_millis, occupied):
+    """
+    Return a script in which jobs arrive while a cell has no holder.
+
+    As many as in the cell of 3,000 workers: orders and ends cost what they cost there.
+    """
+
+    async def script(loaded):
+        costs = loaded.costs
+        scale = LARGE_CELL_WORKERS / loaded.workers
+        loaded.costs = replace(
+            costs, order_s=costs.order_s / scale, end_s=costs.end_s / scale
+        )
+        if occupied:
+            assert await loaded.occupy()
+        await loaded.charge()
+        load = asyncio.create_task(loaded.load(10.0, BACKLOG_JOBS / 10, 1, cpu_millis))
+        await asyncio.sleep(1.0)
+        await loaded.replace_holder(how)
+        await load
+        await asyncio.sleep(10.0)
+
+    return script
+
+
 CASES = {
     "idle": idle,
     "busy-lasting": busy_lasting,
@@ -477,6 +505,8 @@
     "takeover-all": takeover("all"),
     "takeovers-kill": takeovers("kill"),
     "takeovers-stop": takeovers("stop"),
+    "backlog-idle": takeover_backlog("all", 4000, occupied=False),
+    "backlog-busy": takeover_backlog("all", 4000, occupied=True),
     "worker-restarts": worker_restarts,
     "full-20": full(20),
     "full-100": full(100),
