Log what the holder's time goes to, and why the store turns an instance away

Cause: a holder out of processor time and one whose reads the store does not answer looked alike: 'starts: views too old' with a loop lag of 0.1 to 0.3 s, or with none.

'cell: state' carries, since the line before (span_s): reports, decisions and reads of the list of workers with the time each took to apply, the age of the list, the size of its next read and the age of the last stored record. 'relay: store turns us away' carries its reason.

The new fields have no scenario of their own.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/follower.py
@@ -118,6 +118,11 @@
         """Return the seconds since the time as of which the view is complete."""
         return self.clock.now_s() - self.complete_at_s
 
+    @property
+    def read_bytes(self) -> int:
+        """The size of the next read."""
+        return self._read_bytes
+
     @property
     def lost(self) -> bool:
         """Whether the last read failed."""
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -34,6 +34,7 @@
     lease_expiry_record,
     load_period_record,
 )
+from .load import HolderLoad
 from .metrics import MeteredWorker, Metrics
 from .ports import (
     AdvicePort,
@@ -107,6 +108,7 @@
         self._woken = asyncio.Event()
         self._next_job_cleanup_s = fenced_at_s + JOB_CLEANUP_INTERVAL_S
         self._next_summary_s = fenced_at_s
+        self.load = HolderLoad()
         self._next_model_save_s = fenced_at_s + MODEL_SAVE_INTERVAL_S
         # Jobs deleted from the log of jobs whose progress records are still stored.
         self._deleted_jobs: set[str] = set()
@@ -114,6 +116,8 @@
         self._next_decision_s = float("-inf")
         # Returns the local time as of which the list of workers is complete.
         self.list_complete_at_s: Callable[[], float] = lambda: float("inf")
+        # Returns the size of the next read of the list of workers, 0 if it is not read.
+        self.list_read_bytes: Callable[[], int] = lambda: 0
         # Returns the local time as of which the operator's evacuations are complete.
         self.evacuations_complete_at_s: Callable[[], float] = lambda: float("inf")
         self._may_start = True
@@ -238,7 +242,10 @@
 
     def handle_report(self, worker_id: WorkerId, report: Report) -> None:
         """Pass a worker's report to the scheduler and wake the loop."""
-        if self.cell.intake.report(worker_id, report):
+        began_s = self.clock.now_s()
+        first = self.cell.intake.report(worker_id, report)
+        self.load.reported(self.clock.now_s() - began_s)
+        if first:
             # A start to an earlier incarnation may be carried out at any moment: its
             # stop does not wait for the record of a decision that is being stored.
             self._send_stops(self.cell.take_stops(self.clock.now_s()))
@@ -302,6 +309,7 @@
         self._update_view_ages(now_s)
         decision = self.cell.decide(now_s, self.clock.wall_s())
         took_s = self.clock.now_s() - now_s
+        self.load.decided(took_s)
         self._next_decision_s = now_s + min(
             DECISION_INTERVAL_MAX_S, DECISION_INTERVAL_RATIO * took_s
         )
@@ -424,7 +432,17 @@
         state = summary(self.cell, now_s)
         self.metrics.update_cell_gauges(state)
         lag_s = round(self.metrics.loop_lag_s, 3)
-        log.info("cell: state", epoch=self.epoch, loop_lag_s=lag_s, **asdict(state))
+        log.info(
+            "cell: state",
+            epoch=self.epoch,
+            loop_lag_s=lag_s,
+            list_age_s=_age_s(now_s, self.cell.list_complete_at_s),
+            stored_age_s=round(now_s - self.log.stored_at_s, 3),
+            list_read_bytes=self.list_read_bytes(),
+            **self.load.fields(now_s),
+            **asdict(state),
+        )
+        self.load = HolderLoad.since(now_s)
 
     def _delete_finished_jobs(self, now_s: float) -> None:
         if now_s < self._next_job_cleanup_s:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -441,6 +441,7 @@
         workers.pause_s = self.settings.workers_read_s
         workers.on_reload = self._worker_list_reloaded
         holder.list_complete_at_s = lambda: workers.complete_at_s
+        holder.list_read_bytes = lambda: workers.read_bytes
         following = asyncio.create_task(workers.run())
         try:
             await holder.run()
@@ -458,6 +459,7 @@
     def _apply_worker_records(self, records: Sequence[Keyed]) -> None:
         if self.holder is None:
             return
+        began_s = self.clock.now_s()
         listed: dict[str, WorkerListing] = {}
         gone: list[str] = []
         for record in records:
@@ -469,6 +471,7 @@
                 listed[record.key] = listing
         gone = [name for name in gone if name not in listed]
         self.holder.update_worker_list(list(listed.values()), gone)
+        self.holder.load.listed(len(records), self.clock.now_s() - began_s)
 
     def _is_usable(self, listing: WorkerListing) -> bool:
         """
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -198,7 +198,7 @@
             if not isinstance(outcome, Unavailable | NoAnswer):
                 self._mark_store_reachable()
                 return outcome
-            self._mark_store_unreachable()
+            self._mark_store_unreachable(outcome.detail)
         if isinstance(outcome, NoAnswer) and not idempotent:
             return outcome
         relayed = await self._call_peers(ask, timeout_s, idempotent)
@@ -232,11 +232,13 @@
             log.info("relay: store serves us again", gone_s=gone_s)
             self._away_since_s = None
 
-    def _mark_store_unreachable(self) -> None:
+    def _mark_store_unreachable(self, detail: str) -> None:
         if self._away_since_s is None:
             self._away_since_s = self.clock.now_s()
             log.warning(
-                "relay: store turns us away", peers=len(self.peer_directory.shuffled())
+                "relay: store turns us away",
+                detail=detail,
+                peers=len(self.peer_directory.shuffled()),
             )
 
     async def _call_peers(
@@ -316,7 +318,7 @@
         if outcome is None:
             outcome = await self._execute_for_peer(ask)
         if isinstance(outcome, Unavailable | NoAnswer):
-            self._mark_store_unreachable()
+            self._mark_store_unreachable(outcome.detail)
         answer = encode_outcome(outcome)
         if isinstance(ask, NewestAsk) and ask.knows_views:
             return compress(answer)
