Leave two thirds of the holder's time between long decisions

Callers saw: in a full cell of thousands of workers jobs that fit waited for many seconds, and the cell was lost beside no fault.

Cause: the pause after a decision was four times its duration, but 0.1 s at most. A decision of 0.3 s, which many steps without room make, was followed by the next one at once, and reports, orders and records waited behind.

Decisions of up to 25 ms pause as before, those of up to 33 ms 0.1 s.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -55,10 +55,12 @@
 # Longest wait for an event: leases and due times are checked at least this often.
 IDLE_INTERVAL_S = 0.1
 # Time between the starts of two decisions, as a multiple of the last decision's
-# duration: deciding takes at most a quarter of the CPU and leaves the rest to orders
-# and reports.
+# duration: deciding takes at most a quarter of the CPU, and a third if decisions are
+# long, and leaves the rest to orders and reports.
 DECISION_INTERVAL_RATIO = 4.0
-DECISION_INTERVAL_MAX_S = 0.1
+LONG_DECISION_INTERVAL_RATIO = 3.0
+# Shortest interval between long decisions.
+LONG_DECISION_INTERVAL_MIN_S = 0.1
 # How often finished jobs are deleted, and how many jobs are deleted at a time.
 JOB_CLEANUP_INTERVAL_S = 5.0
 JOB_CLEANUP_BATCH_SIZE = 100
@@ -310,9 +312,7 @@
         decision = self.cell.decide(now_s, self.clock.wall_s())
         took_s = self.clock.now_s() - now_s
         self.load.decided(took_s)
-        self._next_decision_s = now_s + min(
-            DECISION_INTERVAL_MAX_S, DECISION_INTERVAL_RATIO * took_s
-        )
+        self._next_decision_s = now_s + _decision_interval_s(took_s)
         self._dispatch_without_storing(decision)
         ends = [(worker, end) for worker, end in self.cell.acknowledgements()]
         self._delete_finished_jobs(now_s)
@@ -479,6 +479,12 @@
             self.step_down("a task broke an invariant")
 
 
+def _decision_interval_s(took_s: float) -> float:
+    """Return the time from the start of a decision that took ``took_s`` to the next."""
+    longest_s = max(LONG_DECISION_INTERVAL_MIN_S, LONG_DECISION_INTERVAL_RATIO * took_s)
+    return min(DECISION_INTERVAL_RATIO * took_s, longest_s)
+
+
 def _age_s(now_s: float, complete_at_s: float) -> float | None:
     """Return the age of a view; ``None`` before it was first complete."""
     age_s = now_s - complete_at_s
