Bound the reports of busy workers, too

Cause: a worker on which anything runs was asked for its next report as soon as the last one came, 0.8 s later at most: 3,750 reports a second from 3,000 workers, more than a holder's processor reads. The list of workers, its records and the answers to its orders wait behind them.

Change: reports of busy workers share 800 a second (cell.busy_reports_per_s): above 640 of them a worker holds its report back for up to 2 s, which costs no time when a run ends, and only beyond that the holder pauses. No pause where a task that ends runs, where a lease or a start is in doubt, before an end is acknowledged, and for a worker that was silent; 0.8 s as before where fillers beside serving tasks must be paced. How each worker is asked is a decision of its own (cell/polling.py), which the pause of idle workers moves to.

--- a/features/support/holder_load.py
+++ b/features/support/holder_load.py
@@ -69,6 +69,7 @@
     return replace(
         defaults,
         idle_reports_per_s=defaults.idle_reports_per_s * scale,
+        busy_reports_per_s=defaults.busy_reports_per_s * scale,
         first_reports_max=max(1, round(defaults.first_reports_max * scale)),
     )
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import structlog
@@ -13,6 +14,7 @@
 from hornbeampaddle.cell.effects import PaceOrder, StopOrder
 from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import TaskKey
+from hornbeampaddle.cell.polling import Poll
 from hornbeampaddle.cell.progress import Run, RunPhase
 from hornbeampaddle.cell.reports import (
     HoldOutcome,
@@ -44,6 +46,8 @@
 # the timeout of an answer, stops go out 0.8 s apart at first and 1.6 s apart later.
 STOP_RETRY_BASE_S = 0.2
 STOP_RETRY_MAX_S = 1.0
+# For a worker that has been removed.
+NO_POLL = Poll(0.0, 0.0)
 
 
 class Session:
@@ -55,7 +59,7 @@
         self.worker_id = worker_id
         self.port = port
         self.acked = asyncio.Event()
-        # Set before a start is sent, to end the pause between reports.
+        # Set when an order is sent, to end the pause between reports.
         self._report_due = asyncio.Event()
         # The last end whose acknowledgement the worker has received.
         self._delivered_acked_end = 0
@@ -84,14 +88,16 @@
             if isinstance(outcome, Report) and not outcome.connected_anew:
                 self._delivered_acked_end = acked_end
             if not await self._handle_outcome(outcome):
-                await self._pause_before_report(RETRY_PAUSE_S)
+                pause_s = max(RETRY_PAUSE_S, self._next_poll().pause_s)
+                await self._pause_before_report(pause_s)
                 continue
-            wait_s = FIRST_REPORT_WAIT_S if first else self._report_wait_s()
             # A worker that closes each connection answers at once each time.
             anew = isinstance(outcome, Report) and outcome.connected_anew
-            pause_s = RETRY_PAUSE_S if anew and self._connected_anew else 0.0
+            min_pause_s = RETRY_PAUSE_S if anew and self._connected_anew else 0.0
             self._connected_anew = anew
-            await self._pause_before_report(pause_s)
+            poll = self._next_poll()
+            wait_s = FIRST_REPORT_WAIT_S if first else poll.wait_s
+            await self._pause_before_report(max(min_pause_s, poll.pause_s))
 
     async def _first_report(self, last_seen: int) -> HoldOutcome:
         """
@@ -103,24 +109,21 @@
         async with self.holder.first_report_slots:
             return await self.port.report(last_seen, None, FIRST_REPORT_WAIT_S)
 
-    async def _pause_before_report(self, min_pause_s: float) -> None:
-        """
-        Wait before the next report, longer while the worker is idle.
-
-        Continuous reports of thousands of idle workers would take a whole core, and
-        the holder's list of workers would become too old to start tasks.
-        """
+    def _next_poll(self) -> Poll:
+        """Return how to ask for the next report, with a pause if the cell is large."""
         cell = self.holder.cell
         worker = cell.workers.get(self.worker_id)
-        pause_s = min_pause_s
-        # No idle pause while an end is unacknowledged: if the worker went down during
-        # the pause, the end would count as if it had never happened.
-        if (
-            worker is not None
-            and worker.idle()
-            and self._delivered_acked_end >= worker.seen_end
-        ):
-            pause_s = max(min_pause_s, cell.idle_pause_s())
+        if worker is None:
+            return NO_POLL
+        poll = cell.polling.next_poll(worker)
+        # No pause while an end is unacknowledged: if the worker went down during the
+        # pause, the end would count as if it had never happened.
+        if self._delivered_acked_end < worker.seen_end:
+            return replace(poll, pause_s=0.0)
+        return poll
+
+    async def _pause_before_report(self, pause_s: float) -> None:
+        """Wait before the next report, unless an order makes one due."""
         if not pause_s:
             return
         self._report_due.clear()
@@ -130,13 +133,6 @@
         except TimeoutError:
             pass
 
-    def _report_wait_s(self) -> float:
-        settings = self.holder.cell.settings
-        worker = self.holder.cell.workers.get(self.worker_id)
-        if worker is not None and worker.over_since_s is not None:
-            return settings.report_wait_over_s
-        return settings.report_wait_s
-
     async def _handle_outcome(self, outcome: object) -> bool:
         match outcome:
             case Report() as report:
@@ -279,6 +275,7 @@
     async def _stop(self, order: StopOrder) -> None:
         cell = self.holder.cell
         pause_s = STOP_RETRY_BASE_S
+        self._report_due.set()
         while cell.booked(order.run):
             order.run.stop_sent_at_s = self.holder.clock.now_s()
             if not self.holder.may_send_orders():
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
@@ -20,7 +20,7 @@
 from hornbeampaddle.cell.reports import Done, EndedRow, EndKind, Report, RunningRow
 from hornbeampaddle.cell.scheduler import Scheduler
 from hornbeampaddle.cell.settings import CellSettings
-from hornbeampaddle.cell.workers import WorkerListing, WorkerState
+from hornbeampaddle.cell.workers import WorkerListing
 from hornbeampaddle.resources import NOTHING, Resources
 
 from .demand import Demand, Submission
@@ -402,13 +402,8 @@
         report = Report(sent_at_s, self.now_s, self.now_s, rows, ended)
         self.cell.intake.report(name, report)
         self.cell.lease_deadline(name, self.now_s)
-        worker.report_at_s = self.now_s + self._wait_s(state)
-
-    def _wait_s(self, state: WorkerState) -> float:
-        settings = self.cell.settings
-        if state.over_since_s is not None:
-            return settings.report_wait_over_s
-        return settings.report_wait_s
+        poll = self.cell.polling.next_poll(state)
+        worker.report_at_s = self.now_s + poll.pause_s + poll.wait_s
 
     def _row(self, live: EmulatedRun) -> RunningRow:
         step = live.run.step
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/polling.py
@@ -0,0 +1,85 @@
+"""
+Decide when and how each worker is asked for its next report.
+
+Reports cost the holder CPU time, whatever is in them. Their rate is therefore limited
+for the cell as a whole, and each worker's interval grows with the number of workers:
+without a limit, the reports of thousands of workers take all of the holder's time, and
+neither its records nor its views of the store are up to date.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .settings import CellSettings
+from .workers import WorkerState
+
+# Longest pause between two reports, as a fraction of the lease: nothing would start on
+# a worker whose lease expires during the pause before its next report.
+PAUSE_LEASE_RATIO = 0.6
+# Longest time for which a worker is asked to hold back its report; the rest of the
+# interval is a pause in which no request is under way.
+WAIT_MAX_S = 2.0
+# How often the busy workers are counted.
+COUNT_INTERVAL_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """
+    How to ask for the next report.
+
+    The holder pauses for ``pause_s``; the worker then holds its report back until a run
+    ends, for at most ``wait_s``.
+    """
+
+    pause_s: float
+    wait_s: float
+
+
+class Polling:
+    """The intervals at which the workers of one cell report."""
+
+    def __init__(self, settings: CellSettings) -> None:
+        """Start without workers."""
+        self.settings = settings
+        self._worker_count = 0
+        self._busy_count = 0
+        self._counted_at_s = float("-inf")
+
+    def count(self, workers: Iterable[WorkerState], now_s: float) -> None:
+        """Count the workers that share the rates of reports, if that is due."""
+        if now_s - self._counted_at_s < COUNT_INTERVAL_S:
+            return
+        self._counted_at_s = now_s
+        idle = [worker.idle() for worker in workers]
+        self._worker_count = len(idle)
+        self._busy_count = len(idle) - sum(idle)
+
+    def next_poll(self, worker: WorkerState) -> Poll:
+        """Return how to ask a worker for its next report."""
+        settings = self.settings
+        if worker.over_since_s is not None:
+            return Poll(0.0, settings.report_wait_over_s)
+        if worker.idle():
+            return self._idle_poll()
+        if worker.serving and worker.filler_cpu_millis:
+            # Older readings would let a serving task miss its target for too long
+            # before the fillers beside it are paced.
+            return Poll(0.0, settings.report_wait_s)
+        interval_s = max(
+            settings.report_wait_s, self._busy_count / settings.busy_reports_per_s
+        )
+        wait_s = min(WAIT_MAX_S, interval_s)
+        if worker.plain_cpu_millis or worker.awaits_report():
+            # The next step of a job that callers wait for starts with this report.
+            return Poll(0.0, wait_s)
+        return Poll(self._limit_pause_s(interval_s - wait_s), wait_s)
+
+    def _idle_poll(self) -> Poll:
+        wait_s = self.settings.report_wait_s
+        interval_s = self._worker_count / self.settings.idle_reports_per_s
+        return Poll(self._limit_pause_s(interval_s - wait_s), wait_s)
+
+    def _limit_pause_s(self, pause_s: float) -> float:
+        longest_s = PAUSE_LEASE_RATIO * self.settings.lease_s
+        return min(longest_s, max(0.0, pause_s))
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -23,6 +23,7 @@
 from .lapses import LeaseLapses
 from .orders import OrderTracker
 from .outlook import Outlook, waiting_shares
+from .polling import Polling
 from .progress import JobState, JobStatus, Run, RunPhase, Task, encode, restore
 from .sampling import Sampler
 from .separating import Separator
@@ -44,8 +45,6 @@
 # age for starts. A stop takes up to 0.9 s and a start about as long; half of the
 # shortest maximum age of a view is left for them.
 DISPLACE_VIEW_AGE_RATIO = 0.5
-# Longest pause between two reports, as a fraction of the lease.
-IDLE_PAUSE_LEASE_RATIO = 0.6
 # Placeholder address of a worker that is known only from an old record.
 NO_ADDRESS = Address("", 0)
 
@@ -84,6 +83,7 @@
         self.pacer = pacing.Pacer(settings, self.model)
         self.separator = Separator(self)
         self.sampler = Sampler()
+        self.polling = Polling(settings)
         self.waits = WaitTracker()
         self.mean_work = MeanWork()
         self.lapses = LeaseLapses()
@@ -398,14 +398,6 @@
         )
         return worker.granted_deadline_s
 
-    def idle_pause_s(self) -> float:
-        """Return the pause between two reports of an idle worker."""
-        interval_s = len(self.workers) / self.settings.idle_reports_per_s
-        # Guards against a lease that expires during the pause: nothing would start on
-        # the worker before its next report.
-        max_pause_s = IDLE_PAUSE_LEASE_RATIO * self.settings.lease_s
-        return min(max_pause_s, max(0.0, interval_s - self.settings.report_wait_s))
-
     def worker_silent(self, worker_id: WorkerId, now_s: float) -> None:
         """Mark a worker as not answering; its lease is not renewed."""
         worker = self.workers.get(worker_id)
@@ -578,6 +570,7 @@
         """Place waiting tasks; return the records to store and orders to send."""
         self._use_ratios.clear()
         self.expire(now_s)
+        self.polling.count(self.workers.values(), now_s)
         self.model.solve(now_s)
         decision = Decision()
         if self.may_displace(now_s):
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -68,6 +68,8 @@
     # Target rate of reports per second over all idle workers: the larger the cell, the
     # less often each of them is polled, which leaves the holder time for busy workers.
     idle_reports_per_s: float = 500.0
+    # The same over all busy workers, except those whose fillers must be paced.
+    busy_reports_per_s: float = 800.0
     # Limit on concurrent first reports, so that a new holder does not lose the cell.
     first_reports_max: int = 128
     # Maximum age of the list of workers at which tasks may start: operators allow 3 s
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -291,6 +291,13 @@
         """Return whether nothing runs here and every end is acknowledged."""
         return not self.runs and not self.strays and self.acked_end >= self.seen_end
 
+    def awaits_report(self) -> bool:
+        """Return whether the next report renews a doubtful lease or settles a run."""
+        if self.silent or self.granted_deadline_s is None:
+            return True
+        settling = self.unanswered_starts or self.strays
+        return self.isolated_run is not None or bool(settling)
+
     def lost_at_s(self, now_s: float) -> float:
         """Return when a worker that is lost now stopped answering."""
         return now_s if self.silent_since_s is None else self.silent_since_s
