Start no more tasks at a time than their answers can be read

Cause: a decision starts whatever fits. An order costs about 0.5 ms of the holder; beyond some hundreds the answers of all are read after their timeout of 0.6 s, and each start is sent again.

Change: a decision starts no further step while 512 starts are being stored or sent (cell.pending_starts_max), most urgent steps first; others wait as starts_pending.

--- a/features/large_cell.feature
+++ b/features/large_cell.feature
@@ -109,6 +109,13 @@
     Then no job with room waited 3 s without a task at work
     And the list of workers was at most 2.4 s old
 
+  Scenario: More starts than a holder can send leave time for records and reports
+    # Guards against a burst of starts whose answers are all read too late.
+    Given a cell of 60 workers with the costs of 3000
+    When the case "busy-short-3000" is played
+    Then the list of workers was at most 2.4 s old
+    And the holder stored within 1.5 s at all times
+
   Scenario: The pending count is right while holders of a busy cell die
     # Guards against a count that leaves out jobs whose starts no worker has confirmed.
     Given a cell of 60 workers with the costs of 3000
--- a/features/support/holder_load.py
+++ b/features/support/holder_load.py
@@ -70,6 +70,7 @@
         defaults,
         idle_reports_per_s=defaults.idle_reports_per_s * scale,
         busy_reports_per_s=defaults.busy_reports_per_s * scale,
+        pending_starts_max=max(1, round(defaults.pending_starts_max * scale)),
         first_reports_max=max(1, round(defaults.first_reports_max * scale)),
     )
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -33,6 +33,11 @@
     sampled_candidates = Candidates(sample, cell.model) if sample is not None else None
     unplaceable = UnplaceableSteps()
     for _, state, step in ready:
+        if not cell.orders.may_add_starts(now_s):
+            cell.waits.record_unplaced(
+                state, step, usable, WaitReason.STARTS_PENDING, now_s
+            )
+            continue
         service = cell.service_of(state.job)
         if sampled_candidates is not None:
             suited = sampled_candidates.suited(service, step.step)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
@@ -21,6 +21,8 @@
 # longest one.
 RESEND_BASE_S = 0.1
 RESEND_MAX_S = 1.0
+# How long a start counts as pending: one that cannot be sent holds back no others.
+PENDING_MAX_S = 1.0
 
 
 class OrderTracker:
@@ -29,6 +31,24 @@
     def __init__(self, cell: "Scheduler") -> None:
         """Create the tracker that updates the state of ``cell``."""
         self.cell = cell
+        # The starts of this holder whose first copy is not sent or not answered yet.
+        self._pending_starts: list[Run] = []
+
+    def add_start(self, run: Run) -> None:
+        """Count a start as pending until its first copy is answered or timed out."""
+        self._pending_starts.append(run)
+
+    def may_add_starts(self, now_s: float) -> bool:
+        """Return whether the number of pending starts is below its limit."""
+        self._pending_starts = [
+            run for run in self._pending_starts if self._is_pending(run, now_s)
+        ]
+        return len(self._pending_starts) < self.cell.settings.pending_starts_max
+
+    def _is_pending(self, run: Run, now_s: float) -> bool:
+        if run.phase > RunPhase.SENDING or run.unanswered:
+            return False
+        return now_s - run.placed_at_s < PENDING_MAX_S and self.cell.booked(run)
 
     def start_answered(
         self, run: Run, outcome: OrderOutcome, now_s: float
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -70,7 +70,11 @@
     idle_reports_per_s: float = 500.0
     # The same over all busy workers, except those whose fillers must be paced.
     busy_reports_per_s: float = 800.0
-    # Limit on concurrent first reports, so that a new holder does not lose the cell.
+    # Limit on starts that are being stored or sent: about as many as can be sent within
+    # the timeout of an order, so that answers to earlier ones are read in time.
+    pending_starts_max: int = 512
+    # Limit on concurrent reports of workers that are new or silent, so that a holder
+    # that connects to thousands of them does not lose the cell.
     first_reports_max: int = 128
     # Maximum age of the list of workers at which tasks may start: operators allow 3 s
     # to react to a worker whose capacity shrank, of which an order may take 0.6 s.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
@@ -44,6 +44,7 @@
         cell.pacer.update_baseline_slack(worker, now_s)
     cell.dirty.add(state.job.job_id)
     decision.starts.append(run)
+    cell.orders.add_start(run)
     detail: dict[str, object] = {
         "task": task.key,
         "run": run.number,
--- a/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
@@ -46,6 +46,7 @@
     ROOM_RESERVED = "room_reserved"
     STRAY_RUN = "stray_run"
     APART = "apart"
+    STARTS_PENDING = "starts_pending"
 
 
 @dataclass(slots=True)
