Connect to silent and restarted workers in turn, as to new ones

Cause: the limit on concurrent first reports covered the first report to a new holder only. A worker that does not answer, or has started again, is asked over a new connection, too, and thousands of them at the same moment.

Change: a report of a silent worker takes one of the same slots, and does not wait at the worker.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -81,8 +81,8 @@
             deadline_s = cell.lease_deadline(self.worker_id, now_s)
             first = deadline_s is None
             acked_end = worker.acked_end
-            if first:
-                outcome = await self._first_report(acked_end)
+            if first or worker.silent:
+                outcome = await self._report_in_turn(acked_end, deadline_s)
             else:
                 outcome = await self.port.report(acked_end, deadline_s, wait_s)
             if isinstance(outcome, Report) and not outcome.connected_anew:
@@ -99,15 +99,18 @@
             wait_s = FIRST_REPORT_WAIT_S if first else poll.wait_s
             await self._pause_before_report(max(min_pause_s, poll.pause_s))
 
-    async def _first_report(self, last_seen: int) -> HoldOutcome:
+    async def _report_in_turn(
+        self, last_seen: int, deadline_s: float | None
+    ) -> HoldOutcome:
         """
-        Request a report that carries the worker's clock, once a slot is free.
+        Request a report over a new connection, once a slot is free.
 
-        Without the limit a new holder would connect to thousands of workers at once,
-        which blocks its appends to the store for seconds and makes it lose the cell.
+        Without the limit a holder would connect to thousands of workers at once, when
+        it begins or when they have started again. That blocks its appends to the store
+        for seconds and makes it lose the cell.
         """
         async with self.holder.first_report_slots:
-            return await self.port.report(last_seen, None, FIRST_REPORT_WAIT_S)
+            return await self.port.report(last_seen, deadline_s, FIRST_REPORT_WAIT_S)
 
     def _next_poll(self) -> Poll:
         """Return how to ask for the next report, with a pause if the cell is large."""
