Count the leases that late orders grant to a worker that started again

Cause: an order renews the lease, with a deadline on the worker's clock. One to the earlier incarnation that is carried out late by the new one, whose clock starts anew, grants it the longest lease from then on. The holder counted its own renewals alone.

Change: a worker that started again counts as lost only when all that its earlier incarnations were sent can't be carried out any more (15 s) and the longest lease from then on is over, and only while it has runs. Its price: tasks of a worker that falls silent for good within 16 s after such a restart wait until 25 s after it, instead of 9 s after the silence.

The specification has the renewal, and needs the new guard.

--- a/features/model.feature
+++ b/features/model.feature
@@ -53,3 +53,4 @@
       | restarts      | acknowledged_over_same_connection |
       | restarts      | unsettled_start_stopped_first |
       | restarts      | unreported_run_carried_over |
+      | restarts      | late_renewals_waited_out |
--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -153,18 +153,38 @@
     # Guards against a task that runs twice: the lease of a silent worker counts as over
     # before it is, for the new incarnation carries out what the earlier one was sent.
     Given a cell of 3 instances and 2 workers
-    And tasks take 12 s
+    And tasks take 40 s
     When 5 s pass in the cell
-    And reports are carried out 4 s late from now on
+    And reports are carried out 8 s late from now on
     And 1 s pass in the cell
     And every worker starts again under its id after 0 s
     And orders are carried out at once again
     And a job "ed17" of 1 steps of 1 tasks is handed in
     And 0.5 s pass in the cell
     And the busy worker is out of reach from now on
+    And 20 s pass in the cell
+    And the workers are reached again
+    Then the job "ed17" is shown as completed within 90 s
+    And no promise of the cell was broken
+
+  Scenario: Late renewals prolong a lease although the worker has started again twice
+    # As above, for the third incarnation: the second one was sent no renewal.
+    Given a cell of 3 instances and 2 workers
+    And tasks take 12 s
+    When 5 s pass in the cell
+    And reports are carried out 4 s late from now on
+    And 1 s pass in the cell
+    And reports are lost from now on
+    And every worker starts again under its id after 0 s
+    And 0.3 s pass in the cell
+    And the same workers start again
+    And orders are carried out at once again
+    And a job "ed18" of 1 steps of 1 tasks is handed in
+    And 1.5 s pass in the cell
+    And the busy worker is out of reach from now on
     And 14 s pass in the cell
     And the workers are reached again
-    Then the job "ed17" is shown as completed within 30 s
+    Then the job "ed18" is shown as completed within 30 s
     And no promise of the cell was broken
 
   Scenario: A task that the new incarnation has started goes on there
--- a/model/restarts.py
+++ b/model/restarts.py
@@ -4,9 +4,10 @@
 The holder, the worker that it selected and another worker take steps in any order. The
 start stays in transit for any length of time, and whichever incarnation is alive then
 carries it out. The worker's first incarnation has listed one end before, which was
-acknowledged; the second one numbers its ends anew. Left out are second copies of a
-start: no holder can prevent that a new incarnation carries one out before the holder
-has reached it.
+acknowledged; the second one numbers its ends anew. A renewal to the first incarnation
+stays in transit, too, and prolongs the lease of the second one. Left out are second
+copies of a start: no holder can prevent that a new incarnation carries one out before
+the holder has reached it.
 """
 
 from dataclasses import dataclass, replace
@@ -38,6 +39,8 @@
     "belief",  # what the holder believes of the run
     "running_there",  # the other worker runs the task
     "acknowledged",  # the end was acknowledged to the worker
+    "renewal",  # a renewal to the first incarnation is in transit
+    "prolonged",  # it has prolonged the lease of the second one
 )
 
 
@@ -49,6 +52,7 @@
     acknowledged_over_same_connection: bool = True
     unsettled_start_stopped_first: bool = True
     unreported_run_carried_over: bool = True
+    late_renewals_waited_out: bool = True
 
 
 @dataclass(frozen=True)
@@ -66,6 +70,8 @@
     belief: int = WAITS
     running_there: int = 0
     acknowledged: int = 0
+    renewal: int = 1
+    prolonged: int = 0
 
     def values(self) -> tuple[int, ...]:
         """Return the state as the tuple that the checker uses."""
@@ -88,6 +94,9 @@
     if s.incarnation == 1:
         again = replace(s, incarnation=2, running=0, barred=0, end=NOTHING)
         steps.append(("worker starts again", again))
+    if s.renewal:
+        late = replace(s, renewal=0, prolonged=int(s.incarnation == 2))
+        steps.append(("renewal arrives or is lost", late))
     return steps
 
 
@@ -101,6 +110,11 @@
     if s.belief == UNSETTLED:
         stopped = replace(s, belief=RELEASED, running=0, barred=1)
         steps.append(("holder stops the run", stopped))
+    # The lease of the second incarnation, as the holder renewed it, runs out.
+    uncertain = guards.late_renewals_waited_out and (s.renewal or s.prolonged)
+    if s.belief == BOOKED and s.known == 2 and s.running and not uncertain:
+        lapsed = replace(s, belief=RELEASED, running=s.prolonged)
+        steps.append(("holder counts the lease as over", lapsed))
     if s.belief == RELEASED and not s.running_there:
         steps.append(("holder starts elsewhere", replace(s, running_there=1)))
     return steps
--- a/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
@@ -13,6 +13,7 @@
 
 from .incarnations import WorkerId
 from .progress import Run, RunPhase
+from .settings import CellSettings
 from .workers import UnansweredStart, WorkerListing, WorkerState
 
 if TYPE_CHECKING:
@@ -63,6 +64,20 @@
     return listing
 
 
+def allow_for_late_renewals(
+    settings: CellSettings, old: WorkerState, new: WorkerState
+) -> None:
+    """
+    Count the leases that late orders to the earlier incarnation may grant the new one.
+
+    Guards against duplicate runs of a task: the deadline is one of the earlier clock,
+    which may show far more than the new one, so only the longest lease bounds it.
+    """
+    lease_s = settings.lease_max_s * (1 + settings.clock_error_ratio)
+    over_at_s = old.renewed_at_s + LATE_ORDER_MAX_S + lease_s
+    new.late_leases_over_at_s = max(old.late_leases_over_at_s, over_at_s)
+
+
 def carry_over(
     cell: "Scheduler", old: WorkerState, new: WorkerState, now_s: float
 ) -> None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -298,6 +298,7 @@
         if crashed and not worker.listing.draining:
             failing = crashes.count(self, worker, now_s)
         if successor is not None:
+            restarts.allow_for_late_renewals(self.settings, worker, successor)
             restarts.carry_over(self, worker, successor, now_s)
         for run in worker.all_runs():
             self.release(run, now_s, why)
@@ -360,7 +361,10 @@
     def expire(self, now_s: float) -> None:
         """Release the runs of workers whose lease has certainly expired."""
         for worker in list(self.workers.values()):
-            if now_s < worker.lease_over_at_s:
+            over_at_s = worker.lease_over_at_s
+            if worker.all_runs():
+                over_at_s = worker.runs_over_at_s()
+            if now_s < over_at_s:
                 continue
             if worker.runs:
                 self.log(LogEntry("lease_over", "", {"worker": worker.worker_id}))
@@ -381,6 +385,12 @@
         ``expire``.
         """
         worker = self.workers[worker_id]
+        deadline_s = self._lease_deadline(worker, now_s)
+        if deadline_s is not None:
+            worker.renewed_at_s = now_s
+        return deadline_s
+
+    def _lease_deadline(self, worker: WorkerState, now_s: float) -> float | None:
         if not worker.clock.known:
             return None
         if worker.silent and worker.granted_deadline_s is not None:
@@ -389,7 +399,7 @@
             # of the lease again and again. A silent worker is only sent the deadline
             # that it may already know.
             return worker.granted_deadline_s
-        if self.lapses.running_out(worker_id):
+        if self.lapses.running_out(worker.worker_id):
             return worker.granted_deadline_s
         over_at_s = now_s + self._lease_bound_s() + self.settings.answer_timeout_s
         worker.lease_over_at_s = max(worker.lease_over_at_s, over_at_s)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -15,6 +15,8 @@
     # enough to survive a network partition of a zone for 6.5 s; not longer, because the
     # tasks of a dead worker may start elsewhere only after the lease has expired.
     lease_s: float = 8.0
+    # The longest lease that a worker grants, whatever deadline it is sent.
+    lease_max_s: float = 10.0
     # How long a holder that cannot store records keeps renewing leases after it has
     # stopped giving orders. Running tasks survive a store outage of this time,
     # ``holder_lapse_s`` and ``lease_s`` together, 11.5 s.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -103,6 +103,10 @@
     # has certainly passed there.
     granted_deadline_s: float | None = None
     lease_over_at_s: float = float("-inf")
+    # When an order that renews its lease was last sent, and by when the leases have
+    # expired that such orders to its earlier incarnations may still grant to it.
+    renewed_at_s: float = float("-inf")
+    late_leases_over_at_s: float = float("-inf")
     silent: bool = False
     # When it first failed to answer since its last report.
     silent_since_s: float | None = None
@@ -291,6 +295,10 @@
         """Return whether nothing runs here and every end is acknowledged."""
         return not self.runs and not self.strays and self.acked_end >= self.seen_end
 
+    def runs_over_at_s(self) -> float:
+        """Return the local time by which its runs have ended if it stays silent."""
+        return max(self.lease_over_at_s, self.late_leases_over_at_s)
+
     def lost_at_s(self, now_s: float) -> float:
         """Return when a worker that is lost now stopped answering."""
         return now_s if self.silent_since_s is None else self.silent_since_s
