Take over for how long late orders may prolong a silent worker's lease

What callers saw: the same, with a change of the holder: the record of expiring leases stated the lease without late orders to an earlier incarnation, and the next holder took no more than its own bound from a record.

Change: the record states when the worker's runs have certainly ended, and the next holder takes it as stated.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -187,6 +187,25 @@
     Then the job "ed18" is shown as completed within 30 s
     And no promise of the cell was broken
 
+  Scenario: The next holder knows of a lease that late renewals may prolong
+    # As above, for a holder that knows from the records alone when the lease is over.
+    Given a cell of 3 instances and 2 workers
+    And tasks take 40 s
+    When 5 s pass in the cell
+    And reports are carried out 8 s late from now on
+    And 1 s pass in the cell
+    And every worker starts again under its id after 0 s
+    And orders are carried out at once again
+    And a job "ed19" of 1 steps of 1 tasks is handed in
+    And 0.5 s pass in the cell
+    And the busy worker is out of reach from now on
+    And 1.5 s pass in the cell
+    And the holder dies
+    And 20 s pass in the cell
+    And the workers are reached again
+    Then the job "ed19" is shown as completed within 90 s
+    And no promise of the cell was broken
+
   Scenario: A task that the new incarnation has started goes on there
     # Guards against a task that runs twice: the start was answered, by the incarnation
     # that the holder did not know yet.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/lapses.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/lapses.py
@@ -43,13 +43,18 @@
         self._newest_recorded_ids = set(over_at_s)
 
     def inherited_over_at_s(self, worker_id: WorkerId, bound_s: float) -> float:
-        """Return when an inherited lease expires, at most ``bound_s``."""
+        """
+        Return when an inherited lease expires, ``bound_s`` if no record states it.
+
+        It may be later than ``bound_s``: late renewals to an earlier incarnation
+        prolong the lease beyond what a holder grants.
+        """
         over_at_s = self._inherited_over_at_s.get(worker_id)
         if over_at_s is None:
             over_at_s = self._inherited_over_at_s.get(
                 worker_id.without_birth(), bound_s
             )
-        return min(bound_s, over_at_s)
+        return over_at_s
 
     def running_out(self, worker_id: WorkerId) -> bool:
         """
@@ -72,7 +77,7 @@
             return None
         self._newest_recorded_ids = worker_ids
         self._recorded_ids |= worker_ids
-        return {w.worker_id: max(0.0, w.lease_over_at_s - now_s) for w in workers}
+        return {w.worker_id: max(0.0, w.runs_over_at_s() - now_s) for w in workers}
 
     def _is_running_out(self, worker: "WorkerState") -> bool:
         if not worker.all_runs():
