--- a/features/platform_border.feature
+++ b/features/platform_border.feature
@@ -56,6 +56,8 @@
       | workers that shrink               | contactMs  | 5000     | list_recent_s        | 4.4         |
       | evacuations                       | evacuateMs | 4000     | evacuations_recent_s | 3.4         |
       | serving tasks over their target   | impactMs   | 4500     | silence_after_s      | 1.9         |
+      | leases that workers grant         | maxHoldMs  | 12000    | lease_max_s          | 12          |
+      | leases that the holder grants     | maxHoldMs  | 5000     | lease_s              | 5           |
 
   Scenario Outline: <what> in the store does not end an instance
     # Guards against a crash of all instances at once, and again at each restart: each
