Send the stop of an unsettled start again before it counts as unanswered

Cause: a start without an answer is sent again, the second copy is carried out, the run ends and its end is acknowledged. The worker starts again within 4 s, and the first copy is still under way. It is stopped at once on the new incarnation, but the stop is late itself; the next one is sent 0.8 s later.

Change: three copies of such a stop go out 0.2 s apart until one is answered. Ruled out: to hold back the acknowledgement of an end while a copy of its start is under way would close the rest of the gap, but workers answer at once while ends are unacknowledged, and up to 15 s of them would not be taken note of where starts get no answer.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -86,6 +86,37 @@
       | 6      |
       | 0.3    |
 
+  Scenario: A late copy is settled soon although the first stop of it is lost
+    # Guards against a task that runs again after its end: the copy arrives before the
+    # lost stop counts as unanswered.
+    Given a cell of 3 instances and 2 workers
+    And tasks take 0.3 s
+    When starts are carried out 3 s late from now on
+    And a job "ed20" of 1 steps of 4 tasks is handed in
+    And 0.2 s pass in the cell
+    And orders are carried out at once again
+    And 2.2 s pass in the cell
+    And no worker writes its entry from now on
+    And every worker starts again under its id after 0 s
+    And the first stops are lost
+    And 4 s pass in the cell
+    And the workers write their entries again
+    Then the job "ed20" is shown as completed within 20 s
+    And no promise of the cell was broken
+
+  Scenario: A stop that was answered has no further copies
+    # Guards against workers that are sent calls without need.
+    Given a cell of 3 instances and 2 workers
+    And tasks take 0.3 s
+    When starts are carried out 3 s late from now on
+    And a job "ed21" of 1 steps of 4 tasks is handed in
+    And 0.2 s pass in the cell
+    And orders are carried out at once again
+    And 1.4 s pass in the cell
+    And every worker starts again under its id after 0 s
+    And 4 s pass in the cell
+    Then the holder sent at most 4 stops
+
   Scenario: A task waits until the late copy of its start is settled
     # Guards against a task that runs twice: the worker can be asked, but not ordered.
     Given a cell of 3 instances and 4 workers
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -37,6 +37,7 @@
 )
 from hornbeampaddle_cell.ports import Keyed, Topic  # noqa: E402
 from hornbeampaddle_platform.workers import Worker  # noqa: E402
+from hornbeampaddle_standins.cell.access import OrderFate  # noqa: E402
 from hornbeampaddle_standins.cell.world import URGENT, World  # noqa: E402
 from hornbeampaddle_wire.http_messages import Response  # noqa: E402
 from hornbeampaddle_wire.http_server import HttpLimits, HttpServer  # noqa: E402
@@ -123,6 +124,23 @@
     restart_each(context, names, 0.0)
 
 
+@when("the first stops are lost")
+def lose_first_stops(context):
+    """Lose the stops that are sent within 0.1 s of the first one."""
+    world = context.world
+    stops = world.faults.fates
+    stops["stop"] = OrderFate.LOST
+    holder = holder_of(world)
+    send = holder._send_stops
+
+    def send_and_recover(orders):
+        send(orders)
+        if orders:
+            context.loop.call_later(0.1, stops.clear)
+
+    holder._send_stops = send_and_recover
+
+
 @when("the busy worker is out of reach from now on")
 def cut_off_busy(context):
     world = context.world
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -22,6 +22,7 @@
     Refused,
     Report,
 )
+from hornbeampaddle.cell.restarts import REASON as UNSETTLED
 from hornbeampaddle.cell.restarts import Answering, answering
 
 from .ports import WorkerPort
@@ -44,6 +45,9 @@
 # the timeout of an answer, stops go out 0.8 s apart at first and 1.6 s apart later.
 STOP_RETRY_BASE_S = 0.2
 STOP_RETRY_MAX_S = 1.0
+# Copies of the stop of an unsettled start, sent STOP_RETRY_BASE_S apart until one is
+# answered: that start may be carried out at any moment.
+UNSETTLED_STOP_COPIES = 3
 
 
 class Session:
@@ -277,9 +281,22 @@
             self._stops_in_progress.discard(name)
 
     async def _stop(self, order: StopOrder) -> None:
+        copies = UNSETTLED_STOP_COPIES if order.reason == UNSETTLED else 1
+        answered = asyncio.Event()
+        await asyncio.gather(
+            *[
+                self._repeat_stop(order, answered, copy * STOP_RETRY_BASE_S)
+                for copy in range(copies)
+            ]
+        )
+
+    async def _repeat_stop(
+        self, order: StopOrder, answered: asyncio.Event, after_s: float
+    ) -> None:
         cell = self.holder.cell
         pause_s = STOP_RETRY_BASE_S
-        while cell.booked(order.run):
+        await asyncio.sleep(after_s)
+        while cell.booked(order.run) and not answered.is_set():
             order.run.stop_sent_at_s = self.holder.clock.now_s()
             if not self.holder.may_send_orders():
                 await asyncio.sleep(RETRY_PAUSE_S)
@@ -287,6 +304,7 @@
             outcome = await self.port.stop(order.run)
             now_s = self.holder.clock.now_s()
             if not cell.orders.stop_answered(order, outcome, now_s):
+                answered.set()
                 return
             await asyncio.sleep(pause_s)
             pause_s = min(STOP_RETRY_MAX_S, 2 * pause_s)
