Test that records of runs are as small as without births

A record of 20 running tasks on workers with ids of 12 characters has 350 bytes, with and without births: 'behave features/restarted_workers.feature -n "as small"'.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -369,6 +369,11 @@
     When 2 s pass in the cell
     Then 8 births were stored, and 2 deleted
 
+  Scenario: Records of runs are as small as without births
+    # Guards against slow links that are filled by records, so that starts get no answer.
+    When a job's progress is stored with 20 runs on workers born within 300 ms
+    Then the record has 350 bytes, as without births
+
   Scenario: Records name the incarnation of each run and of each crash
     When a job's progress is stored with a run and a crash on two incarnations of "w1"
     Then the restored job names the same incarnations
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -43,6 +43,7 @@
 from hornbeampaddle_wire.http_server import HttpLimits, HttpServer  # noqa: E402
 
 LOOPBACK = "127.0.0.1"
+FIRST_BIRTH_MS = 1_780_251_652_342
 SERVER_LIMITS = HttpLimits(connections=20, body_bytes=4096)
 
 
@@ -300,6 +301,28 @@
     assert task.waiting and not task.crashed_runs
 
 
+def stored_bytes(births_ms):
+    """Return the size of a record with a run on a worker of each birth."""
+    step = plain(len(births_ms))
+    state = JobState(Job("job", URGENT, "", (step,), 0.0))
+    for task, born_ms in zip(state.open_occurrence(0)[0].tasks, births_ms, strict=True):
+        task.last_run = 1
+        worker_id = WorkerId("i-7bc664542c", born_ms)
+        task.run = Run(task.key, 1, worker_id, step, step.charge)
+    return len(encode(state))
+
+
+@when("a job's progress is stored with {runs:d} runs on workers born within {ms:d} ms")
+def store_runs(context, runs, ms):
+    births_ms = [FIRST_BIRTH_MS + (number * 37) % ms for number in range(runs)]
+    context.stored_bytes = stored_bytes(births_ms), stored_bytes([0] * runs)
+
+
+@then("the record has {count:d} bytes, as without births")
+def record_bytes(context, count):
+    assert context.stored_bytes == (count, count), context.stored_bytes
+
+
 @when('the worker "{name}" leaves')
 def worker_leaves(context, name):
     world = context.world
