--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -32,8 +32,9 @@
     sample = cell.sampler.next_sample(usable)
     sampled_candidates = Candidates(sample, cell.model) if sample is not None else None
     unplaceable = UnplaceableSteps()
+    cell.orders.update_pending_starts(now_s)
     for _, state, step in ready:
-        if not cell.orders.may_add_starts(now_s):
+        if not cell.orders.may_add_starts():
             cell.waits.record_unplaced(
                 state, step, usable, WaitReason.STARTS_PENDING, now_s
             )
--- a/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
@@ -38,11 +38,14 @@
         """Count a start as pending until its first copy is answered or timed out."""
         self._pending_starts.append(run)
 
-    def may_add_starts(self, now_s: float) -> bool:
-        """Return whether the number of pending starts is below its limit."""
+    def update_pending_starts(self, now_s: float) -> None:
+        """Stop counting the starts that are settled, or are pending for too long."""
         self._pending_starts = [
             run for run in self._pending_starts if self._is_pending(run, now_s)
         ]
+
+    def may_add_starts(self) -> bool:
+        """Return whether the number of pending starts is below its limit."""
         return len(self._pending_starts) < self.cell.settings.pending_starts_max
 
     def _is_pending(self, run: Run, now_s: float) -> bool:
