--- a/features/large_cell.feature
+++ b/features/large_cell.feature
@@ -121,3 +121,30 @@
     Given a cell of 60 workers with the costs of 3000
     When the case "takeovers-kill" is played
     Then the pending count was never under half
+
+  Scenario: A holder that shuts down costs no lease of a busy cell
+    # Guards against reports so far apart that the next holder renews leases too late.
+    Given a cell of 60 workers with the costs of 3000
+    When the case "takeover-stop" is played
+    Then no run ended because a lease expired
+
+  Scenario: Fillers beside the serving tasks of a busy cell cost no lease
+    # Guards against reports without a limit where fillers are paced.
+    Given a cell of 60 workers with the costs of 3000
+    When the case "busy-fillers" is played
+    Then no run ended because a lease expired
+    And the list of workers was at most 2.4 s old
+
+  Scenario: A step of thousands of tasks leaves time for records and reports
+    # Guards against a limit on starts that one wide step passes over.
+    Given a cell of 60 workers with the costs of 3000
+    When the case "wide-step" is played
+    Then the list of workers was at most 2.4 s old
+    And the holder stored within 1.5 s at all times
+
+  Scenario: Tasks over their target without fillers beside them cost no lease
+    # Guards against frequent reports of workers on which nothing can be paced.
+    Given a cell of 60 workers with the costs of 3000
+    When the case "over-target" is played
+    Then no run ended because a lease expired
+    And the holder stored within 1.5 s at all times
--- a/features/steps/large_cell_steps.py
+++ b/features/steps/large_cell_steps.py
@@ -293,3 +293,8 @@
 def pending_count_right(context):
     assert context.figures.counts, "no count was compared"
     assert context.figures.count_ratio >= 0.5, str(context.figures)
+
+
+@then("no run ended because a lease expired")
+def no_lapsed_run(context):
+    assert not context.figures.lapsed, str(context.figures)
--- a/features/support/holder_load.py
+++ b/features/support/holder_load.py
@@ -21,8 +21,9 @@
 from hornbeampaddle.cell.settings import CellSettings
 from hornbeampaddle.cell.waiting import WaitReason
 from hornbeampaddle_cell.holder import Holder
+from hornbeampaddle_standins.cell import workers as stand_in_workers
 from hornbeampaddle_standins.cell.processor import ProcessorCosts
-from hornbeampaddle_standins.cell.world import URGENT, World
+from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
 from support.cell_walk import build, plain
 from support.virtual_loop import VirtualLoop
 
@@ -43,6 +44,11 @@
 # Shorter than the time for which a holder keeps the cell without storing.
 SUSPENDED_S = 1.0
 RAMP_STEP_S = 1.0
+# Longer than a case takes.
+FILLER_WORK_S = 100.0
+# Slack of a serving task whose users load it too much, and for how long they do.
+OVER_TARGET_SLACK = 0.9
+OVER_TARGET_S = 6.0
 # A pending count is compared with the jobs that were accepted this long before.
 COUNTED_AFTER_S = 5.0
 
@@ -153,6 +159,8 @@
     # Largest share of the cell's processors that its tasks had reserved.
     reserved_ratio: float = 0.0
     decision_s: float = 0.0
+    # Runs that ended because their worker's lease expired.
+    lapsed: int = 0
 
     def __str__(self):
         return (
@@ -165,7 +173,8 @@
             f"count at {self.count_ratio:.2f} of the jobs that wait "
             f"({self.counts} compared), "
             f"processor {100 * self.used_ratio:.0f} %, "
-            f"reserved {100 * self.reserved_ratio:.0f} %"
+            f"reserved {100 * self.reserved_ratio:.0f} %, "
+            f"{self.lapsed} runs lapsed"
         )
 
 
@@ -184,12 +193,14 @@
         self.blocked = set()
         self.started_s = 0.0
         self.used_before_s = 0.0
+        self.lapsed_before = 0
 
     def clear(self):
         """Forget the figures so far."""
         self.figures = Figures()
         self.started_s = asyncio.get_running_loop().time()
         self.used_before_s = self._used_s()
+        self.lapsed_before = self.world.checker.lapsed
 
     def _used_s(self):
         return sum(p.used_s for p in self.world.processors.values())
@@ -203,6 +214,7 @@
             self._watch_counts(now_s)
             passed_s = max(PROBE_S, now_s - self.started_s)
             self.figures.used_ratio = (self._used_s() - self.used_before_s) / passed_s
+            self.figures.lapsed = self.world.checker.lapsed - self.lapsed_before
 
     def _watch_holder(self, now_s):
         figures = self.figures
@@ -380,6 +392,59 @@
     await asyncio.sleep(5.0)
 
 
+async def busy_fillers(loaded):
+    """Put a serving task and a filler that disturbs it little on each worker."""
+    world = loaded.world
+    world.slope_of = lambda serving, filling: 0.3
+    serving = plain(
+        loaded.workers,
+        lasting=True,
+        per_worker_max=1,
+        image="serving",
+        tail_target_s=0.1,
+    )
+    await loaded.submit(serving)
+    assert await world.until(lambda: all(w.runs for w in world.workers.values()), 20.0)
+    world.work_s = FILLER_WORK_S
+    filler = plain(loaded.workers, filler=True, per_worker_max=1, image="filling")
+    await world.submit("f" * 16, BATCH, filler)
+    assert await world.until(
+        lambda: all(len(w.runs) == 2 for w in world.workers.values()), 20.0
+    )
+    world.work_s = 1.0
+    await loaded.charge()
+    await loaded.load(20.0, 1.0)
+
+
+async def wide_step(loaded):
+    """Submit one lasting step with a task for each worker to an idle cell."""
+    await loaded.charge()
+    load = asyncio.create_task(loaded.load(20.0, 1.0))
+    await asyncio.sleep(2.0)
+    await loaded.submit(plain(loaded.workers, 1000, lasting=True, per_worker_max=1))
+    await load
+
+
+async def over_target(loaded):
+    """Let the users' load hold every serving task over its target for a time."""
+    world = loaded.world
+    serving = plain(
+        loaded.workers,
+        lasting=True,
+        per_worker_max=1,
+        image="serving",
+        tail_target_s=0.1,
+    )
+    await loaded.submit(serving)
+    assert await world.until(lambda: all(w.runs for w in world.workers.values()), 20.0)
+    await loaded.charge()
+    load = asyncio.create_task(loaded.load(20.0, 1.0))
+    await asyncio.sleep(4.0)
+    with patch.object(stand_in_workers, "UNDISTURBED_SLACK", OVER_TARGET_SLACK):
+        await asyncio.sleep(OVER_TARGET_S)
+    await load
+
+
 async def busy_suspended(loaded):
     assert await loaded.occupy()
     await loaded.charge()
@@ -498,6 +563,9 @@
 CASES = {
     "idle": idle,
     "busy-lasting": busy_lasting,
+    "busy-fillers": busy_fillers,
+    "wide-step": wide_step,
+    "over-target": over_target,
     "busy-suspended": busy_suspended,
     "busy-short-600": busy_short(600),
     "busy-short-3000": busy_short(3000),
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -79,6 +79,8 @@
     started_at_s: list[float] = field(default_factory=list)
     over_target_s: float = 0.0
     spans: list[RunSpan] = field(default_factory=list)
+    # Runs that ended because their worker's lease expired.
+    lapsed: int = 0
     # By task: the workers that it crashed, and its starts after CRASHES_MAX crashes.
     # Runs and dropped ends caused by late orders to an earlier incarnation of a worker,
     # which no holder can prevent; they are not checked.
@@ -268,6 +270,7 @@
     def advance(self, passed_s: float) -> None:
         """Advance all runs; end those that are finished or whose lease expired."""
         if self.clock_s() >= self.lease_until_s:
+            self.checker.lapsed += len(self.runs)
             for key in list(self.runs):
                 self._end(key, EndKind.LEASE_EXPIRED)
             # A task whose completion is not acknowledged when the lease expires may
