Ask for each task, not for each step, whether more may start

Change: asked before each start, also in the sample and on resting workers. 'A step of thousands of tasks leaves time for records and reports' failed before.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -124,6 +124,8 @@
         ranking.fill(_workers_to_rank(turn))
     reason = None
     for task in turn.step.waiting():
+        if not turn.cell.orders.may_add_starts():
+            return WaitReason.STARTS_PENDING
         destination = turn.cell.separator.reserved_worker(task.key)
         if destination is not None:
             if _start_on_reserved(turn, task, destination):
@@ -265,6 +267,8 @@
     ranking = turn.ranking()
     ranking.fill(resting)
     for task in turn.step.waiting():
+        if not turn.cell.orders.may_add_starts():
+            return
         worker = ranking.choose(task.key, task.last_worker_id)
         if worker is None:
             return
