Bound the reports of workers that are over target or have paced fillers

An interval is at most half a lease. A worker counts as unsettled while a run there is not confirmed, no longer for each start that ever had no answer.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/polling.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/polling.py
@@ -13,9 +13,15 @@
 from .settings import CellSettings
 from .workers import WorkerState
 
-# Longest pause between two reports, as a fraction of the lease: nothing would start on
-# a worker whose lease expires during the pause before its next report.
-PAUSE_LEASE_RATIO = 0.6
+# Longest pause between two reports of an idle worker, as a fraction of the lease:
+# nothing would start on a worker whose lease expires before its next report.
+IDLE_PAUSE_LEASE_RATIO = 0.6
+# Longest interval between two reports of a busy worker, as a fraction of the lease,
+# which must not expire because one report is lost.
+BUSY_INTERVAL_LEASE_RATIO = 0.5
+# Longest wait where fillers run beside serving tasks: older readings would let a
+# serving task miss its target for too long before the fillers are paced.
+PACED_WAIT_MAX_S = 1.2
 # Longest time for which a worker is asked to hold back its report; the rest of the
 # interval is a pause in which no request is under way.
 WAIT_MAX_S = 2.0
@@ -58,28 +64,30 @@
     def next_poll(self, worker: WorkerState) -> Poll:
         """Return how to ask a worker for its next report."""
         settings = self.settings
-        if worker.over_since_s is not None:
-            return Poll(0.0, settings.report_wait_over_s)
         if worker.idle():
             return self._idle_poll()
+        interval_s = self._busy_interval_s()
+        limited = interval_s > settings.report_wait_s
+        if worker.over_since_s is not None:
+            # Without fillers there is nothing to pace.
+            if worker.filler_cpu_millis or not limited:
+                return Poll(0.0, settings.report_wait_over_s)
         if worker.serving and worker.filler_cpu_millis:
-            # Older readings would let a serving task miss its target for too long
-            # before the fillers beside it are paced.
-            return Poll(0.0, settings.report_wait_s)
-        interval_s = max(
-            settings.report_wait_s, self._busy_count / settings.busy_reports_per_s
-        )
+            return Poll(0.0, min(PACED_WAIT_MAX_S, interval_s))
         wait_s = min(WAIT_MAX_S, interval_s)
         if worker.plain_cpu_millis or worker.awaits_report():
             # The next step of a job that callers wait for starts with this report.
             return Poll(0.0, wait_s)
-        return Poll(self._limit_pause_s(interval_s - wait_s), wait_s)
+        return Poll(interval_s - wait_s, wait_s)
+
+    def _busy_interval_s(self) -> float:
+        settings = self.settings
+        shared_s = self._busy_count / settings.busy_reports_per_s
+        longest_s = BUSY_INTERVAL_LEASE_RATIO * settings.lease_s
+        return max(settings.report_wait_s, min(longest_s, shared_s))
 
     def _idle_poll(self) -> Poll:
         wait_s = self.settings.report_wait_s
         interval_s = self._worker_count / self.settings.idle_reports_per_s
-        return Poll(self._limit_pause_s(interval_s - wait_s), wait_s)
-
-    def _limit_pause_s(self, pause_s: float) -> float:
-        longest_s = PAUSE_LEASE_RATIO * self.settings.lease_s
-        return min(longest_s, max(0.0, pause_s))
+        longest_s = IDLE_PAUSE_LEASE_RATIO * self.settings.lease_s
+        return Poll(min(longest_s, max(0.0, interval_s - wait_s)), wait_s)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -16,7 +16,7 @@
 from .incarnations import WorkerId
 from .interference import PRIOR_BASELINE_SLACK, Interference
 from .jobs import TaskKey
-from .progress import Run
+from .progress import Run, RunPhase
 from .reports import EndedRow
 
 # Number of recent ends kept per worker to judge its health.
@@ -297,10 +297,10 @@
 
     def awaits_report(self) -> bool:
         """Return whether the next report renews a doubtful lease or settles a run."""
-        if self.silent or self.granted_deadline_s is None:
+        if self.silent or self.granted_deadline_s is None or self.strays:
             return True
-        settling = self.unanswered_starts or self.strays
-        return self.isolated_run is not None or bool(settling)
+        unsettled = any(run.phase < RunPhase.RUNNING for run in self.runs.values())
+        return unsettled or self.isolated_run is not None
 
     def runs_over_at_s(self) -> float:
         """Return the local time by which its runs have ended if it stays silent."""
