--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -81,10 +81,10 @@
     spans: list[RunSpan] = field(default_factory=list)
     # Runs that ended because their worker's lease expired.
     lapsed: int = 0
-    # By task: the workers that it crashed, and its starts after CRASHES_MAX crashes.
     # Runs and dropped ends caused by late orders to an earlier incarnation of a worker,
     # which no holder can prevent; they are not checked.
     unpreventable: int = 0
+    # By task: the workers that it crashed, and its starts after CRASHES_MAX crashes.
     crashes: Counter[TaskKey] = field(default_factory=Counter)
     starts_after_crashes: Counter[TaskKey] = field(default_factory=Counter)
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -12,8 +12,9 @@
     """
 
     # Duration of a worker's lease: how long its runs continue without a renewal. Long
-    # enough to survive a network partition of a zone for 6.5 s; not longer, because the
-    # tasks of a dead worker may start elsewhere only after the lease has expired.
+    # enough to survive a network partition of a zone for 6.5 s, or for less where many
+    # busy workers are polled less often; not longer, because the tasks of a dead worker
+    # may start elsewhere only after the lease has expired.
     lease_s: float = 8.0
     # The longest lease that a worker grants, whatever deadline it is sent.
     lease_max_s: float = 10.0
@@ -70,8 +71,9 @@
     # Target rate of reports per second over all idle workers: the larger the cell, the
     # less often each of them is polled, which leaves the holder time for busy workers.
     idle_reports_per_s: float = 500.0
-    # The same over all busy workers, except those whose fillers must be paced.
-    busy_reports_per_s: float = 800.0
+    # The same over all busy workers, except those whose fillers must be paced. A lower
+    # rate leaves less of the leases for the time in which another holder takes over.
+    busy_reports_per_s: float = 1200.0
     # Limit on starts that are being stored or sent: about as many as can be sent within
     # the timeout of an order, so that answers to earlier ones are read in time.
     pending_starts_max: int = 512
