--- a/packages/hornbeampaddle/hornbeampaddle/cell/polling.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/polling.py
@@ -67,11 +67,10 @@
         if worker.idle():
             return self._idle_poll()
         interval_s = self._busy_interval_s()
-        limited = interval_s > settings.report_wait_s
-        if worker.over_since_s is not None:
-            # Without fillers there is nothing to pace.
-            if worker.filler_cpu_millis or not limited:
-                return Poll(0.0, settings.report_wait_over_s)
+        # Without fillers there is nothing to pace: not at the cost of a limited rate.
+        paceable = worker.filler_cpu_millis or interval_s <= settings.report_wait_s
+        if worker.over_since_s is not None and paceable:
+            return Poll(0.0, settings.report_wait_over_s)
         if worker.serving and worker.filler_cpu_millis:
             return Poll(0.0, min(PACED_WAIT_MAX_S, interval_s))
         wait_s = min(WAIT_MAX_S, interval_s)
