--- a/features/support/holder_load.py
+++ b/features/support/holder_load.py
@@ -176,9 +176,13 @@
         self.number += 1
         return await self.world.submit(f"{self.number:016x}", URGENT, *steps)
 
-    async def occupy(self, cpu_millis=2000):
+    async def serve(self):
+        """Put a lasting task with a target on each worker."""
+        return await self.occupy(image="serving", tail_target_s=0.1)
+
+    async def occupy(self, cpu_millis=2000, **more):
         """Put a lasting task on each worker."""
-        step = plain(self.workers, cpu_millis, lasting=True, per_worker_max=1)
+        step = plain(self.workers, cpu_millis, lasting=True, per_worker_max=1, **more)
         await self.submit(step)
         return await self.world.until(
             lambda: all(w.runs for w in self.world.workers.values()), 20.0
@@ -244,15 +248,7 @@
     """Put a serving task and a filler that disturbs it little on each worker."""
     world = loaded.world
     world.slope_of = lambda serving, filling: 0.3
-    serving = plain(
-        loaded.workers,
-        lasting=True,
-        per_worker_max=1,
-        image="serving",
-        tail_target_s=0.1,
-    )
-    await loaded.submit(serving)
-    assert await world.until(lambda: all(w.runs for w in world.workers.values()), 20.0)
+    assert await loaded.serve()
     world.work_s = FILLER_WORK_S
     filler = plain(loaded.workers, filler=True, per_worker_max=1, image="filling")
     await world.submit("f" * 16, BATCH, filler)
@@ -275,16 +271,7 @@
 
 async def over_target(loaded):
     """Let the users' load hold every serving task over its target for a time."""
-    world = loaded.world
-    serving = plain(
-        loaded.workers,
-        lasting=True,
-        per_worker_max=1,
-        image="serving",
-        tail_target_s=0.1,
-    )
-    await loaded.submit(serving)
-    assert await world.until(lambda: all(w.runs for w in world.workers.values()), 20.0)
+    assert await loaded.serve()
     await loaded.charge()
     load = asyncio.create_task(loaded.load(20.0, 1.0))
     await asyncio.sleep(4.0)
