--- a/features/support/holder_load.py
+++ b/features/support/holder_load.py
@@ -6,11 +6,12 @@
 support.holder_load`` prints the figures of all cases, and of those named after it.
 """
 
+import argparse
 import asyncio
 import logging
-import sys
 from contextlib import contextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
+from itertools import product
 from unittest.mock import patch
 
 import structlog
@@ -25,9 +26,11 @@
 from hornbeampaddle_standins.cell.processor import ProcessorCosts
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, World
 from support.cell_walk import build, plain
+from support.holder_probe import Probe
 from support.virtual_loop import VirtualLoop
 
 LARGE_CELL_WORKERS = 3000
+SEED = 7
 HOLDER_CORES = 1.07
 # Processor time of one core for one worker of a cell of 3,000.
 REPORT_S = 0.00043
@@ -39,7 +42,6 @@
 UNPLACED_S = 0.000001
 # Open jobs of a large cell that has started nothing for seconds.
 BACKLOG_JOBS = 112
-PROBE_S = 0.05
 RAMP_STEPS = 10
 # Shorter than the time for which a holder keeps the cell without storing.
 SUSPENDED_S = 1.0
@@ -49,8 +51,6 @@
 # Slack of a serving task whose users load it too much, and for how long they do.
 OVER_TARGET_SLACK = 0.9
 OVER_TARGET_S = 6.0
-# A pending count is compared with the jobs that were accepted this long before.
-COUNTED_AFTER_S = 5.0
 
 
 def scaled_costs(workers, report_s=REPORT_S):
@@ -140,159 +140,6 @@
     return None
 
 
-@dataclass
-class Figures:
-    """The worst moments of a cell since the figures were cleared, in seconds."""
-
-    list_age_s: float = 0.0
-    stored_age_s: float = 0.0
-    lag_s: float = 0.0
-    without_start_s: float = 0.0
-    without_run_s: float = 0.0
-    task_away_s: float = 0.0
-    # The epochs of the holders.
-    terms: set = field(default_factory=set)
-    usable_min: int = 10**9
-    count_ratio: float = 1.0
-    counts: int = 0
-    used_ratio: float = 0.0
-    # Largest share of the cell's processors that its tasks had reserved.
-    reserved_ratio: float = 0.0
-    decision_s: float = 0.0
-    # Runs that ended because their worker's lease expired.
-    lapsed: int = 0
-
-    def __str__(self):
-        return (
-            f"list {self.list_age_s:.2f} s old, stored {self.stored_age_s:.2f} s ago, "
-            f"lag {self.lag_s:.2f} s, a decision {self.decision_s:.2f} s, "
-            f"no start for {self.without_start_s:.2f} s, "
-            f"a job without a run for {self.without_run_s:.2f} s, a lasting task away "
-            f"for {self.task_away_s:.2f} s, cell lost {max(0, len(self.terms) - 1)} "
-            f"times, usable workers down to {self.usable_min}, "
-            f"count at {self.count_ratio:.2f} of the jobs that wait "
-            f"({self.counts} compared), "
-            f"processor {100 * self.used_ratio:.0f} %, "
-            f"reserved {100 * self.reserved_ratio:.0f} %, "
-            f"{self.lapsed} runs lapsed"
-        )
-
-
-class Probe:
-    """Watches a world and keeps the worst figures."""
-
-    def __init__(self, world):
-        self.world = world
-        self.figures = Figures()
-        self.accepted_at_s = {}
-        self.last_run_at_s = {}
-        self.begun = set()
-        self.finished = set()
-        self.away_since_s = {}
-        # Jobs for which there is no room.
-        self.blocked = set()
-        self.started_s = 0.0
-        self.used_before_s = 0.0
-        self.lapsed_before = 0
-
-    def clear(self):
-        """Forget the figures so far."""
-        self.figures = Figures()
-        self.started_s = asyncio.get_running_loop().time()
-        self.used_before_s = self._used_s()
-        self.lapsed_before = self.world.checker.lapsed
-
-    def _used_s(self):
-        return sum(p.used_s for p in self.world.processors.values())
-
-    async def watch(self):
-        while True:
-            await asyncio.sleep(PROBE_S)
-            now_s = asyncio.get_running_loop().time()
-            self._watch_holder(now_s)
-            self._watch_jobs(now_s)
-            self._watch_counts(now_s)
-            passed_s = max(PROBE_S, now_s - self.started_s)
-            self.figures.used_ratio = (self._used_s() - self.used_before_s) / passed_s
-            self.figures.lapsed = self.world.checker.lapsed - self.lapsed_before
-
-    def _watch_holder(self, now_s):
-        figures = self.figures
-        for name, instance in self.world.instances.items():
-            holder = instance.holder
-            if holder is None:
-                continue
-            figures.terms.add(holder.epoch)
-            if holder.lost.is_set():
-                continue
-            stored_age_s = now_s - holder.log.stored_at_s
-            figures.stored_age_s = max(figures.stored_age_s, stored_age_s)
-            list_age_s = now_s - holder.list_complete_at_s()
-            if list_age_s < float("inf"):
-                figures.list_age_s = max(figures.list_age_s, list_age_s)
-            lag_s = self.world.processors[name].lag_s()
-            figures.lag_s = max(figures.lag_s, lag_s)
-            usable = sum(w.usable(now_s) for w in holder.cell.workers.values())
-            figures.usable_min = min(figures.usable_min, usable)
-
-    def _watch_jobs(self, now_s):
-        figures, checker = self.figures, self.world.checker
-        running = {key for w in self.world.workers.values() for key in w.runs}
-        running_jobs = {key.job_id for key in running}
-        self.begun |= running_jobs | {span.key.job_id for span in checker.spans}
-        ended = {s.key for s in checker.spans if s.ended_at_s < float("inf")}
-        reserved = sum(
-            live.run.step.need.cpu_millis
-            for worker in self.world.workers.values()
-            for live in worker.runs.values()
-        )
-        capacity = sum(
-            w.listing.capacity.cpu_millis for w in self.world.workers.values()
-        )
-        figures.reserved_ratio = max(figures.reserved_ratio, reserved / capacity)
-        waiting = False
-        for job_id, job in self.world.accepted.items():
-            self.accepted_at_s.setdefault(job_id, now_s)
-            tasks = sum(step.count for step in job.steps)
-            if job.lasting:
-                at_work = sum(key.job_id == job_id for key in running)
-                if at_work == tasks:
-                    self.away_since_s[job_id] = now_s
-                away_s = now_s - self.away_since_s.get(job_id, now_s)
-                figures.task_away_s = max(figures.task_away_s, away_s)
-                waiting = waiting or away_s > 0
-                continue
-            if sum(key.job_id == job_id for key in ended) >= tasks:
-                self.finished.add(job_id)
-            if job_id in self.finished or job_id in self.blocked:
-                continue
-            if job_id in running_jobs:
-                self.last_run_at_s[job_id] = now_s
-            last_s = self.last_run_at_s.get(job_id, self.accepted_at_s[job_id])
-            without_s = now_s - last_s
-            figures.without_run_s = max(figures.without_run_s, without_s)
-            waiting = waiting or without_s > 0
-        last_start_s = max(checker.started_at_s, default=now_s)
-        if waiting:
-            without_start_s = now_s - max(last_start_s, self.started_s)
-            figures.without_start_s = max(figures.without_start_s, without_start_s)
-
-    def _watch_counts(self, now_s):
-        pending = sum(
-            1
-            for job_id, at_s in self.accepted_at_s.items()
-            if job_id not in self.begun and now_s - at_s > COUNTED_AFTER_S
-        )
-        if not pending:
-            return
-        for name, instance in self.world.instances.items():
-            count = instance.callers.pending(URGENT.name)
-            if count is not None and name != self.world.holder():
-                ratio = count / pending
-                self.figures.counts += 1
-                self.figures.count_ratio = min(self.figures.count_ratio, ratio)
-
-
 @dataclass
 class LoadedCell:
     """A cell of charged instances with a probe."""
@@ -301,10 +148,11 @@
     costs: ProcessorCosts
     instances: int = 3
     settings: CellSettings | None = None
+    seed: int = SEED
 
     async def begin(self):
         settings = self.settings or scaled_settings(self.workers)
-        self.world = World(7, cell_settings=settings, costs=ProcessorCosts())
+        self.world = World(self.seed, cell_settings=settings, costs=ProcessorCosts())
         self.probe = Probe(self.world)
         self.world.tasks["probe"] = asyncio.create_task(self.probe.watch())
         self.number = 0
@@ -328,9 +176,13 @@
         self.number += 1
         return await self.world.submit(f"{self.number:016x}", URGENT, *steps)
 
-    async def occupy(self, cpu_millis=2000):
+    async def serve(self):
+        """Put a lasting task with a target on each worker."""
+        return await self.occupy(image="serving", tail_target_s=0.1)
+
+    async def occupy(self, cpu_millis=2000, **more):
         """Put a lasting task on each worker."""
-        step = plain(self.workers, cpu_millis, lasting=True, per_worker_max=1)
+        step = plain(self.workers, cpu_millis, lasting=True, per_worker_max=1, **more)
         await self.submit(step)
         return await self.world.until(
             lambda: all(w.runs for w in self.world.workers.values()), 20.0
@@ -396,15 +248,7 @@
     """Put a serving task and a filler that disturbs it little on each worker."""
     world = loaded.world
     world.slope_of = lambda serving, filling: 0.3
-    serving = plain(
-        loaded.workers,
-        lasting=True,
-        per_worker_max=1,
-        image="serving",
-        tail_target_s=0.1,
-    )
-    await loaded.submit(serving)
-    assert await world.until(lambda: all(w.runs for w in world.workers.values()), 20.0)
+    assert await loaded.serve()
     world.work_s = FILLER_WORK_S
     filler = plain(loaded.workers, filler=True, per_worker_max=1, image="filling")
     await world.submit("f" * 16, BATCH, filler)
@@ -427,16 +271,7 @@
 
 async def over_target(loaded):
     """Let the users' load hold every serving task over its target for a time."""
-    world = loaded.world
-    serving = plain(
-        loaded.workers,
-        lasting=True,
-        per_worker_max=1,
-        image="serving",
-        tail_target_s=0.1,
-    )
-    await loaded.submit(serving)
-    assert await world.until(lambda: all(w.runs for w in world.workers.values()), 20.0)
+    assert await loaded.serve()
     await loaded.charge()
     load = asyncio.create_task(loaded.load(20.0, 1.0))
     await asyncio.sleep(4.0)
@@ -585,29 +420,41 @@
 WORKERS = 60
 
 
-def main(names):
-    """Print the figures of the named cases, by cost that is left out."""
+def parse_arguments():
+    parser = argparse.ArgumentParser(prog="support.holder_load", description=__doc__)
+    parser.add_argument("cases", nargs="*", help="all by default")
+    parser.add_argument("--vary", action="store_true", help="leave out each cost")
+    parser.add_argument("--report-ms", type=float, default=REPORT_S * 1000)
+    parser.add_argument("--reports-per-s", type=float, help="of 3,000 busy workers")
+    parser.add_argument("--workers", type=int, default=WORKERS)
+    parser.add_argument("--seeds", type=int, nargs="+", default=[SEED])
+    return parser.parse_args()
+
+
+def main():
+    """Print the figures of the named cases, by seed and by cost that is left out."""
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
     )
-    free_costs = ("", "all", *ProcessorCosts.__slots__)
-    given = [n.partition("=")[2] for n in sys.argv if n.startswith("--report-ms=")]
-    report_s = float(given[0]) / 1000 if given else REPORT_S
-    given = [n.partition("=")[2] for n in sys.argv if n.startswith("--workers=")]
-    workers = int(given[0]) if given else WORKERS
-    for name in names or CASES:
-        for free in free_costs if "--vary" in sys.argv else ("",):
-            costs = scaled_costs(workers, report_s)
-            if free == "all":
-                costs = ProcessorCosts()
-            elif free:
-                costs = replace(costs, **{free: 0.0})
-            try:
-                figures = play(LoadedCell(workers, costs), CASES[name])
-            except AssertionError as error:
-                figures = f"did not begin: {error!r}"
-            print(f"{name}, {free or 'nothing'} free: {figures}", flush=True)
+    chosen = parse_arguments()
+    settings = scaled_settings(chosen.workers)
+    if chosen.reports_per_s:
+        scaled = chosen.reports_per_s * chosen.workers / LARGE_CELL_WORKERS
+        settings = replace(settings, busy_reports_per_s=scaled)
+    free_costs = ("", "all", *ProcessorCosts.__slots__) if chosen.vary else ("",)
+    for name, seed, free in product(chosen.cases or CASES, chosen.seeds, free_costs):
+        costs = scaled_costs(chosen.workers, chosen.report_ms / 1000)
+        if free == "all":
+            costs = ProcessorCosts()
+        elif free:
+            costs = replace(costs, **{free: 0.0})
+        cell = LoadedCell(chosen.workers, costs, settings=settings, seed=seed)
+        try:
+            figures = play(cell, CASES[name])
+        except AssertionError as error:
+            figures = f"did not begin: {error!r}"
+        print(f"{name}, seed {seed}, {free or 'nothing'} free: {figures}", flush=True)
 
 
 if __name__ == "__main__":
-    main([name for name in sys.argv[1:] if not name.startswith("--")])
+    main()
