Give a silent worker as long to answer as any other

Behind a full link between regions it stays silent longer, its leases are not renewed, and each try opens a new connection.

Change: the wait, and with it the timeout, is that of any report; a new connection answers at once as before. The limit on such reports stays.

--- a/features/large_cell.feature
+++ b/features/large_cell.feature
@@ -148,3 +148,9 @@
     When the case "over-target" is played
     Then no run ended because a lease expired
     And the holder stored within 1.5 s at all times
+
+  Scenario: A silent worker has as long to answer as any other
+    # Guards against workers behind a slow link whose answers all count as too late.
+    Given a large cell of 4 workers with an idle report rate of 100 per second
+    When a worker is out of the holder's reach for 5 s
+    Then it was asked for reports with the usual wait all the time
--- a/features/steps/large_cell_steps.py
+++ b/features/steps/large_cell_steps.py
@@ -16,6 +16,7 @@
 from hornbeampaddle.cell.placing import Ranking
 from hornbeampaddle.cell.settings import CellSettings
 from hornbeampaddle.machines import Address
+from hornbeampaddle_standins.cell.access import WorkerAccess
 from hornbeampaddle_standins.cell.world import World
 from hornbeampaddle_wire.http_client import ConnectionBudget, HttpClient
 from hornbeampaddle_wire.http_messages import Request, Response
@@ -298,3 +299,27 @@
 @then("no run ended because a lease expired")
 def no_lapsed_run(context):
     assert not context.figures.lapsed, str(context.figures)
+
+
+@when("a worker is out of the holder's reach for {duration_s:d} s")
+def worker_out_of_reach(context, duration_s):
+    world = context.world
+    name = min(world.workers)
+    context.waits_s = []
+    original_report = WorkerAccess.report
+
+    async def recording_report(access, last_seen, deadline_s, wait_s):
+        if access.find() is world.workers[name]:
+            context.waits_s.append(wait_s)
+        return await original_report(access, last_seen, deadline_s, wait_s)
+
+    world.faults.partitioned.add((world.holder(), name))
+    with patch.object(WorkerAccess, "report", recording_report):
+        play(context, asyncio.sleep(duration_s))
+
+
+@then("it was asked for reports with the usual wait all the time")
+def usual_wait(context):
+    assert len(context.waits_s) > 1, context.waits_s
+    usual_s = context.world.cell_settings.report_wait_s
+    assert set(context.waits_s) == {usual_s}, context.waits_s
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -86,7 +86,8 @@
             first = deadline_s is None
             acked_end = worker.acked_end
             if first or worker.silent:
-                outcome = await self._report_in_turn(acked_end, deadline_s)
+                wait_s = FIRST_REPORT_WAIT_S if first else wait_s
+                outcome = await self._report_in_turn(acked_end, deadline_s, wait_s)
             else:
                 outcome = await self.port.report(acked_end, deadline_s, wait_s)
             if isinstance(outcome, Report) and not outcome.connected_anew:
@@ -104,7 +105,7 @@
             await self._pause_before_report(max(min_pause_s, poll.pause_s))
 
     async def _report_in_turn(
-        self, last_seen: int, deadline_s: float | None
+        self, last_seen: int, deadline_s: float | None, wait_s: float
     ) -> HoldOutcome:
         """
         Request a report over a new connection, once a slot is free.
@@ -114,7 +115,7 @@
         for seconds and makes it lose the cell.
         """
         async with self.holder.first_report_slots:
-            return await self.port.report(last_seen, deadline_s, FIRST_REPORT_WAIT_S)
+            return await self.port.report(last_seen, deadline_s, wait_s)
 
     def _next_poll(self) -> Poll:
         """Return how to ask for the next report, with a pause if the cell is large."""
