--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -113,6 +113,11 @@
     assert isinstance(context.settings.cell.failures_in_row, int)
 
 
+@then("slow tasks are not copied")
+def copies_off(context):
+    assert context.settings.cell.copies_slow_tasks is False
+
+
 @then('the file is refused for "{text}"')
 def file_refused(context, text):
     assert text in context.error, context.error
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -17,6 +17,7 @@
 from hornbeampaddle.cell.advice import Allowance
 from hornbeampaddle.cell.effects import AdviceQuestion, Decision, LogEntry, StopOrder
 from hornbeampaddle.cell.incarnations import WorkerId
+from hornbeampaddle.cell.learned import encode_all
 from hornbeampaddle.cell.progress import RunPhase
 from hornbeampaddle.cell.reports import Report
 from hornbeampaddle.cell.restarts import replace_incarnation
@@ -136,6 +137,7 @@
         self.cell.model.inherit(self.ledger.slopes)
         if self.ledger.period_s is not None:
             self.cell.model.forecaster.inherit(self.ledger.period_s)
+        self.cell.inherit_learned(self.ledger.learned)
         self.cell.incarnations.stored_births_ms = dict(self.ledger.births_ms)
         self.cell.lapses.inherit(self.ledger.lease_expiry_at_s)
         for job_id in self.ledger.jobs:
@@ -415,7 +417,7 @@
         return Keyed(HOLDER_KEY, encode_holder(record))
 
     def _model_records(self, now_s: float) -> list[Keyed]:
-        """Return the records of the interference model, for the next holder."""
+        """Return the records of all that was learned, for the next holder."""
         if now_s < self._next_model_save_s:
             return []
         self._next_model_save_s = now_s + MODEL_SAVE_INTERVAL_S
@@ -423,6 +425,7 @@
         period_s = self.cell.model.forecaster.period_s
         if period_s is not None:
             records.append(load_period_record(period_s))
+        records += [Keyed(*record) for record in encode_all(self.cell.learners)]
         return records
 
     def _log_summary(self, now_s: float) -> None:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -13,6 +13,7 @@
 
 from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Job
+from hornbeampaddle.cell.learned import LEARNED_PREFIX
 from hornbeampaddle.cell.progress import JobStatus, decode_status
 
 from .ports import Keyed
@@ -89,6 +90,8 @@
     # of the users' loads, if one was found.
     slopes: dict[str, dict[str, float]] = field(default_factory=dict)
     period_s: float | None = None
+    # The records of the holder's other learners, by key.
+    learned: dict[str, bytes] = field(default_factory=dict)
     # When the leases of silent workers expire, on this instance's clock. The remaining
     # time counts from when the record was read, which is after it was written, so the
     # leases end no later than that.
@@ -156,6 +159,8 @@
             self.slopes = _slopes_decoder.decode(value) if value else {}
         elif record.key == LOAD_PERIOD_KEY:
             self.period_s = _period_decoder.decode(value) if value else None
+        elif record.key.startswith(LEARNED_PREFIX):
+            self._apply_learned(record.key, value)
         elif record.key.startswith(BIRTH_PREFIX):
             self._apply_birth(record.key.removeprefix(BIRTH_PREFIX), value)
         elif record.key.startswith(NON_JOB_PREFIX):
@@ -166,6 +171,12 @@
             self.statuses[record.key] = decode_status(value)
             self.progress[record.key] = value
 
+    def _apply_learned(self, key: str, value: bytes | None) -> None:
+        if value is None:
+            self.learned.pop(key, None)
+        else:
+            self.learned[key] = value
+
     def _apply_birth(self, name: str, value: bytes | None) -> None:
         if value is None:
             self.births_ms.pop(name, None)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/overrides.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/overrides.py
@@ -1,7 +1,7 @@
 """
 Read the thresholds that an operator overrides, from a JSON file.
 
-    {"cell": {"lease_s": 6.0}, "instance": {"stale_s": 2.0}}
+    {"cell": {"lease_s": 6.0, "copies_slow_tasks": false}, "instance": {"stale_s": 2.0}}
 
 Every name is a field of ``CellSettings`` or ``InstanceSettings``. All errors in a file
 are reported at once.
@@ -38,10 +38,10 @@
 
 
 class Overrides(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Overridden thresholds by field name."""
+    """Overridden thresholds and switches by field name."""
 
-    cell: dict[str, float] = {}
-    instance: dict[str, float] = {}
+    cell: dict[str, float | bool] = {}
+    instance: dict[str, float | bool] = {}
 
 
 def read_overrides(path: Path) -> Overrides:
@@ -59,8 +59,8 @@
     return overrides
 
 
-def thresholds(kind: type) -> dict[str, float]:
-    """Return the defaults of the fields that may be overridden."""
+def thresholds(kind: type) -> dict[str, float | bool]:
+    """Return the defaults of the fields that may be overridden, switches included."""
     return {
         field.name: field.default
         for field in fields(kind)
@@ -68,12 +68,21 @@
     }
 
 
-def _errors(part: str, given: dict[str, float], known: dict[str, float]) -> list[str]:
+def _errors(
+    part: str, given: dict[str, float | bool], known: dict[str, float | bool]
+) -> list[str]:
     errors = []
     for name, value in given.items():
         if name not in known:
             errors.append(f"{part}.{name} is not known")
             continue
+        is_switch = isinstance(known[name], bool)
+        if is_switch != isinstance(value, bool):
+            kind = "true or false" if is_switch else "a number"
+            errors.append(f"{part}.{name} is {value}, not {kind}")
+            continue
+        if is_switch:
+            continue
         low, high = known[name] / RANGE_FACTOR, known[name] * RANGE_FACTOR
         if not low <= value <= high:
             errors.append(f"{part}.{name} is {value}, not between {low} and {high}")
@@ -86,9 +95,10 @@
     return _with_overrides(replace(settings, cell=cell), overrides.instance)
 
 
-def _with_overrides(settings: Settings, given: dict[str, float]) -> Settings:
+def _with_overrides(settings: Settings, given: dict[str, float | bool]) -> Settings:
     values: dict[str, Any] = {}
     for name, value in given.items():
-        whole = isinstance(getattr(settings, name), int)
+        default = getattr(settings, name)
+        whole = isinstance(default, int) and not isinstance(default, bool)
         values[name] = round(value) if whole else value
     return replace(settings, **values)
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/demand.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/demand.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from hornbeampaddle.cell.incarnations import WorkerId
-from hornbeampaddle.cell.jobs import Job, Queue, Step
+from hornbeampaddle.cell.jobs import Job, Queue, Step, TaskKey
 from hornbeampaddle.cell.progress import Run
 from hornbeampaddle.cell.workers import WorkerListing
 from hornbeampaddle.machines import Address
@@ -25,6 +25,9 @@
 BATCH = Queue("batch", "compute", 2, 3, 2.0, 1.0)
 # The fraction of each load swing for which a shrinking worker has half its CPU.
 SHRUNK_FRACTION = 0.4
+# When a burst of batch jobs begins after the start of the day, and how long it lasts.
+BURST_AT_S = 10.0
+BURST_S = 6.0
 DATA_CENTRES = 3
 SERVING = Queue("serving", "compute", 0, 2, 2.2, 2.5)
 
@@ -91,6 +94,27 @@
     shrink_ratio: float = 0.0
     # The fraction of each swing for which one of the three data centres is evacuated.
     evacuated_part: float = 0.0
+    # Lasting jobs that are submitted during the day, and how long each lasting job
+    # stays before its caller cancels it; 0 if it stays.
+    serving_per_s: float = 0.0
+    serving_stay_s: float = 0.0
+    # The swing of the rates of urgent and batch jobs, as a share of them, and its
+    # period.
+    wave: float = 0.0
+    wave_s: float = 17.0
+    # The factor on the rate of batch jobs in ``BURST_S`` from ``BURST_AT_S`` on.
+    burst: float = 1.0
+    # The share of the tasks that take ``tail_factor`` times as long as the others.
+    tail_ratio: float = 0.0
+    tail_factor: float = 7.0
+    # The largest deviation of a task's run time from its step's, as a share of it.
+    uneven: float = 0.3
+    # The share of the urgent steps that allow copies, and the failures of their runs;
+    # the latter is ``fail_ratio`` if 0.
+    copies_ratio: float = 0.0
+    urgent_fail_ratio: float = 0.0
+    # The time from a stop order to the reported end.
+    stop_s: float = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +127,8 @@
     worth: float
     # The actual run time of a task, by step.
     work_s: tuple[float, ...]
+    # When its caller cancels it, after the load began; infinite if never.
+    cancelled_at_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,15 +244,29 @@
         jobs = [self._serving(number) for number in range(settings.serving_jobs)]
         at_s = 2.0
         while at_s < seconds_s:
-            at_s += self._random.expovariate(settings.batch_per_s)
+            rate_per_s = settings.batch_per_s * self._wave(at_s) * self._burst(at_s)
+            at_s += self._random.expovariate(rate_per_s)
             jobs.append(self._batch(at_s, len(jobs)))
         at_s = 2.0
         while at_s < seconds_s:
-            at_s += self._random.expovariate(settings.urgent_per_s)
+            rate_per_s = settings.urgent_per_s * self._wave(at_s)
+            at_s += self._random.expovariate(rate_per_s)
             jobs.append(self._urgent(at_s, len(jobs)))
+        at_s = 2.0
+        while settings.serving_per_s and at_s < seconds_s:
+            at_s += self._random.expovariate(settings.serving_per_s)
+            jobs.append(self._serving(len(jobs), at_s))
         return sorted(jobs, key=lambda submission: submission.at_s)
 
-    def _serving(self, number: int) -> Submission:
+    def _wave(self, at_s: float) -> float:
+        settings = self.settings
+        return 1 + settings.wave * math.sin(2 * math.pi * at_s / settings.wave_s)
+
+    def _burst(self, at_s: float) -> float:
+        in_burst = BURST_AT_S <= at_s < BURST_AT_S + BURST_S
+        return self.settings.burst if in_burst else 1.0
+
+    def _serving(self, number: int, at_s: float = 0.0) -> Submission:
         settings = self.settings
         job_id = f"serving{number}"
         self._phases[job_id] = self._random.uniform(0, 2 * math.pi)
@@ -240,7 +280,15 @@
             tail_target_s=0.125,
         )
         job = Job(job_id, SERVING, "", (step,), 0.0)
-        return Submission(0.1 * number, job, "serving", settings.serving_worth, (0.0,))
+        at_s = at_s or 0.1 * number
+        until_s = math.inf
+        if settings.serving_stay_s:
+            stay_s = self._lognormal(
+                settings.serving_stay_s, 0.5, 3 * settings.serving_stay_s
+            )
+            until_s = at_s + stay_s
+        worth = settings.serving_worth
+        return Submission(at_s, job, "serving", worth, (0.0,), until_s)
 
     def _per_worker_max(self) -> int:
         settings = self.settings
@@ -315,6 +363,7 @@
                     saves_checkpoints=saves,
                     image=image,
                     filler=bool(image),
+                    allows_copies=not image and self._allows_copies(),
                 )
             )
             works_s.append(work_s)
@@ -329,17 +378,43 @@
 
     def work(self, submission: Submission, run: Run) -> Work:
         """Return the actual run time of a run and whether it fails."""
+        settings = self.settings
         chance = Random(f"{self.seed} {run.key} {run.number}").random()
-        task_factor = Random(f"{self.seed} {run.key}").uniform(0.7, 1.3)
-        fails = chance < self.settings.fail_ratio
-        return Work(max(0.1, task_factor * submission.work_s[run.key.step]), fails)
+        task_factor = Random(f"{self.seed} {run.key}").uniform(
+            1 - settings.uneven, 1 + settings.uneven
+        )
+        if self._in_tail(run.key):
+            task_factor *= settings.tail_factor
+        fail_ratio = settings.fail_ratio
+        if submission.kind == URGENT.name and settings.urgent_fail_ratio:
+            fail_ratio = settings.urgent_fail_ratio
+        work_s = task_factor * submission.work_s[run.key.step]
+        return Work(max(0.1, work_s), chance < fail_ratio)
+
+    def _in_tail(self, key: TaskKey) -> bool:
+        ratio = self.settings.tail_ratio
+        return bool(ratio) and Random(f"{self.seed} {key} tail").random() < ratio
 
     def objective_s(self, submission: Submission) -> float:
         """Return the completion time objective, based on the actual run times."""
         queue = submission.job.queue
-        chain_s = 1.15 * sum(submission.work_s)
+        chain_s = 0.0
+        for number, (step, work_s) in enumerate(
+            zip(submission.job.steps, submission.work_s, strict=True)
+        ):
+            keys = (
+                TaskKey(submission.job.job_id, 0, number, position)
+                for position in range(step.count)
+            )
+            in_tail = any(self._in_tail(key) for key in keys)
+            factor = self.settings.tail_factor if in_tail else 1.0
+            chain_s += 1.15 * work_s * factor
         return queue.stretch_ratio * chain_s + queue.latency_target_s
 
+    def _allows_copies(self) -> bool:
+        ratio = self.settings.copies_ratio
+        return bool(ratio) and self._random.random() < ratio
+
     def _pick(self, images: Iterable[str]) -> str:
         return self._random.choice(sorted(images))
 
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
@@ -27,9 +27,8 @@
 from .workers import RESTART_DELAY_S
 
 TICK_S = 0.1
-# The time from a stop order to the reported end, and the time that a task takes to
-# restore its checkpoint before it does new work; both are those of the users' workers.
-STOP_DURATION_S = 0.3
+# The time that a task takes to restore its checkpoint before it does new work, as on
+# the users' workers.
 RESTORE_DURATION_S = 0.4
 # A serving task handles requests after this start-up time.
 WARM_UP_S = 0.6
@@ -154,9 +153,19 @@
     def play(self, seconds_s: float) -> None:
         """Advance the time and submit the jobs of the demand."""
         end_s = self.now_s + seconds_s
-        for submission in self.demand.submissions(seconds_s):
-            self._play_until(self.begun_at_s + submission.at_s)
-            self._submit(submission)
+        submissions = self.demand.submissions(seconds_s)
+        events = [(s.at_s, False, s) for s in submissions]
+        events += [
+            (s.cancelled_at_s, True, s)
+            for s in submissions
+            if s.cancelled_at_s < seconds_s
+        ]
+        for at_s, cancelled, submission in sorted(events, key=lambda event: event[:2]):
+            self._play_until(self.begun_at_s + at_s)
+            if cancelled:
+                self.cell.cancel(submission.job.job_id, self.now_s)
+            else:
+                self._submit(submission)
         self._play_until(end_s)
 
     def settle(self, seconds_s: float) -> None:
@@ -245,7 +254,8 @@
             self.cell.orders.start_answered(run, Done(self.now_s), self.now_s)
         for order in decision.stops:
             self.cell.orders.stop_answered(order, Done(self.now_s), self.now_s)
-            self._pending_stops.append((self.now_s + STOP_DURATION_S, order))
+            ends_at_s = self.now_s + self.demand.settings.stop_s
+            self._pending_stops.append((ends_at_s, order))
             self.moves += order.reason == "moves_away"
         for pace in decision.paces:
             self.paces += 1
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/loads.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/loads.py
@@ -87,6 +87,59 @@
 # One of the three data centres is under evacuation for half of the time.
 EVACUATED = DemandSettings(evacuated_part=0.5, batch_per_s=2.5)
 
+# Room is short at times: lasting tasks reserve nearly all CPU and come and go, stops
+# take long, urgent jobs come in waves, and batch callers' estimates are far off.
+SHORT = DemandSettings(
+    workers=62,
+    worker_cpu_millis=16_000,
+    rack_size=12,
+    serving_jobs=32,
+    serving_width=14,
+    serving_cpu_millis=3_200,
+    serving_images=10,
+    filling_images=18,
+    resources=3,
+    two_resource_ratio=0.6,
+    slope=4.5,
+    swing_s=14.0,
+    serving_per_s=0.25,
+    serving_stay_s=100.0,
+    serving_worth=0.193,
+    batch_per_s=2.8,
+    batch_width=20,
+    batch_cpu_millis=1_800,
+    batch_work_s=1.4,
+    batch_worth=0.774,
+    urgent_per_s=1.2,
+    urgent_width=9.5,
+    urgent_cpu_millis=2_800,
+    urgent_work_s=0.85,
+    urgent_worth=0.366,
+    estimate_spread=0.9,
+    wave=0.55,
+    tail_ratio=0.03,
+    copies_ratio=0.3,
+    urgent_fail_ratio=0.05,
+    stop_s=0.9,
+)
+
+# Demand and workers are uneven: waves, bursts of longer batch jobs, run times with a
+# tail, and estimates that are far off everywhere.
+UNEVEN = replace(
+    SHORT,
+    wave=0.7,
+    burst=2.5,
+    batch_per_s=2.45,
+    batch_work_s=2.2,
+    batch_worth=0.993,
+    urgent_per_s=1.45,
+    urgent_cpu_millis=2_600,
+    urgent_work_s=1.0,
+    urgent_worth=0.337,
+    serving_worth=0.191,
+    stop_s=0.4,
+)
+
 LOADS = {
     "usual": DemandSettings(),
     "tight": DemandSettings(disturbing_ratio=0.8, batch_per_s=4.0, load=0.5),
@@ -97,4 +150,6 @@
     "breaking": BREAKING,
     "mixed": MIXED,
     "evacuated": EVACUATED,
+    "short": SHORT,
+    "uneven": UNEVEN,
 }
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -153,6 +153,8 @@
             "worker": worker.worker_id,
         }
         self.cell.log(LogEntry("run_done", task.key.job_id, detail))
+        if run is not None:
+            self.cell.run_times.observe_done(state.job, run, now_s)
         step = state.occurrences[task.key.occurrence][task.key.step]
         if step.step.gang:
             self._gang_done(state, task, now_s)
@@ -234,6 +236,8 @@
         else:
             run.used_cpu_millis = int(row.measure)
         state = self.cell.jobs.get(row.key.job_id)
+        if state is not None and not run.step.lasting:
+            self.cell.run_times.observe_progress(state.job, run, now_s)
         if state is None or state.status.final:
             self.cell.stop(run, "job_ended")
         self._resend_stop(run, now_s)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from ..clocks import RemoteClock
 from ..machines import Address
@@ -21,10 +21,12 @@
 from .interference import Interference
 from .jobs import Job, Queue, StepKey, TaskKey
 from .lapses import LeaseLapses
+from .learned import RUN_TIMES_KEY, Learner, UnusableRecordError
 from .orders import OrderTracker
 from .outlook import Outlook, waiting_shares
 from .polling import Polling
 from .progress import JobState, JobStatus, Run, RunPhase, Task, encode, restore
+from .run_times import RunTimes
 from .sampling import Sampler
 from .separating import Separator
 from .settings import CellSettings
@@ -86,6 +88,9 @@
         self.polling = Polling(settings)
         self.waits = WaitTracker()
         self.mean_work = MeanWork()
+        self.run_times = RunTimes(settings)
+        # What the next holder goes on with, by the key of its record.
+        self.learners: dict[str, Learner] = {RUN_TIMES_KEY: self.run_times}
         self.lapses = LeaseLapses()
         self._outlook: Outlook | None = None
         self._outlook_until_s = float("-inf")
@@ -96,6 +101,18 @@
         self.intake = ReportIntake(self)
         self.orders = OrderTracker(self)
 
+    def inherit_learned(self, records: Mapping[str, bytes]) -> None:
+        """Let each learner go on from its stored record, if it can be used."""
+        for key, learner in self.learners.items():
+            value = records.get(key)
+            if value is None:
+                continue
+            try:
+                learner.inherit(value)
+            except UnusableRecordError as error:
+                detail: dict[str, object] = {"record": key, "error": str(error)}
+                self.log(LogEntry("learned_record_unusable", "", detail))
+
     # Jobs
 
     def add_job(
@@ -552,6 +569,7 @@
             detail["objective_s"] = round(state.job.objective_s(), 3)
         self.log(LogEntry("job_finished", state.job.job_id, detail))
         self._close_advice(state)
+        self.run_times.forget_job(state.job)
         for run in state.runs():
             self.stop(run, why)
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -90,6 +90,17 @@
     early_s: float = 0.0
     # Retention time of finished jobs: callers query them for 120 s.
     keep_finished_s: float = 130.0
+    # Each of these parts acts only where it is called for; false turns it off for good:
+    # learned run times in place of the submitters' estimates,
+    learns_run_times: bool = True
+    # room kept ahead for the urgent queues of a full cell,
+    keeps_urgent_room: bool = True
+    # what each queue can still take, published for the instances that accept jobs,
+    publishes_backlog: bool = True
+    # second runs of slow tasks of steps that allow copies,
+    copies_slow_tasks: bool = True
+    # and fillers that move or stay by the time that they have left.
+    moves_by_remaining_time: bool = True
     # Maximum number of workers in one question for advice: few, since each costs time.
     # The next question names others.
     advice_workers: int = 24
