--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/demand.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/demand.py
@@ -29,6 +29,10 @@
 BURST_AT_S = 10.0
 BURST_S = 6.0
 DATA_CENTRES = 3
+# Longest run time of a step, over the mean of its queue.
+WORK_RATIO_MAX = 10.0
+# Run time of the longest task of a step, over the step's.
+USUAL_LONGEST_RATIO = 1.15
 SERVING = Queue("serving", "compute", 0, 2, 2.2, 2.5)
 
 
@@ -88,6 +92,8 @@
     fail_ratio: float = 0.04
     # The standard deviation of the logarithm of estimate / actual time.
     estimate_spread: float = 0.6
+    # The same for urgent jobs; ``estimate_spread`` if 0.
+    urgent_estimate_spread: float = 0.0
     # The share of the urgent and batch jobs that have a task that crashes its workers.
     crash_ratio: float = 0.0
     # The share of the workers that have half their CPU for a part of each swing.
@@ -104,11 +110,15 @@
     wave_s: float = 17.0
     # The factor on the rate of batch jobs in ``BURST_S`` from ``BURST_AT_S`` on.
     burst: float = 1.0
-    # The share of the tasks that take ``tail_factor`` times as long as the others.
+    # The share of the steps that take ``tail_factor`` times as long as the others.
     tail_ratio: float = 0.0
     tail_factor: float = 7.0
-    # The largest deviation of a task's run time from its step's, as a share of it.
+    # The largest deviation of a task's run time from its step's, as a share of it ...
     uneven: float = 0.3
+    # ... or, if not 0, the standard deviation of the logarithm of their ratio, for
+    # urgent and for batch jobs. Failing runs then fail at any point of their time.
+    urgent_task_spread: float = 0.0
+    batch_task_spread: float = 0.0
     # The share of the urgent steps that allow copies, and the failures of their runs;
     # the latter is ``fail_ratio`` if 0.
     copies_ratio: float = 0.0
@@ -350,9 +360,9 @@
         steps = []
         works_s = []
         for position in range(length):
-            work_s = self._lognormal(mean_work_s, 0.5, 2.5 * mean_work_s)
+            work_s = self._step_work_s(mean_work_s)
             estimate_s = self._lognormal(
-                work_s, self.settings.estimate_spread, 4 * work_s
+                work_s, self._estimate_spread(queue), 4 * work_s
             )
             steps.append(
                 Step(
@@ -376,41 +386,64 @@
         scaled = worth * (0.3 + 0.7 * volume / mean)
         return Submission(at_s, job, queue.name, min(4 * worth, scaled), tuple(works_s))
 
+    def _step_work_s(self, mean_s: float) -> float:
+        settings = self.settings
+        work_s = self._lognormal(mean_s, 0.5, 2.5 * mean_s)
+        if settings.tail_ratio and self._random.random() < settings.tail_ratio:
+            work_s = min(WORK_RATIO_MAX * mean_s, settings.tail_factor * work_s)
+        return work_s
+
+    def _estimate_spread(self, queue: Queue) -> float:
+        settings = self.settings
+        if queue is URGENT and settings.urgent_estimate_spread:
+            return settings.urgent_estimate_spread
+        return settings.estimate_spread
+
     def work(self, submission: Submission, run: Run) -> Work:
         """Return the actual run time of a run and whether it fails."""
         settings = self.settings
         chance = Random(f"{self.seed} {run.key} {run.number}").random()
-        task_factor = Random(f"{self.seed} {run.key}").uniform(
-            1 - settings.uneven, 1 + settings.uneven
-        )
-        if self._in_tail(run.key):
-            task_factor *= settings.tail_factor
         fail_ratio = settings.fail_ratio
         if submission.kind == URGENT.name and settings.urgent_fail_ratio:
             fail_ratio = settings.urgent_fail_ratio
-        work_s = task_factor * submission.work_s[run.key.step]
-        return Work(max(0.1, work_s), chance < fail_ratio)
-
-    def _in_tail(self, key: TaskKey) -> bool:
-        ratio = self.settings.tail_ratio
-        return bool(ratio) and Random(f"{self.seed} {key} tail").random() < ratio
+        fails = chance < fail_ratio
+        work_s = self._task_factor(submission, run.key)
+        work_s *= submission.work_s[run.key.step]
+        if fails and self._task_spread(submission):
+            work_s *= chance / fail_ratio
+        return Work(max(0.1, work_s), fails)
+
+    def _task_factor(self, submission: Submission, key: TaskKey) -> float:
+        """Return the ratio of a task's run time to its step's."""
+        random = Random(f"{self.seed} {key}")
+        spread = self._task_spread(submission)
+        if spread:
+            return math.exp(random.gauss(0.0, spread))
+        return random.uniform(1 - self.settings.uneven, 1 + self.settings.uneven)
+
+    def _task_spread(self, submission: Submission) -> float:
+        if submission.kind == URGENT.name:
+            return self.settings.urgent_task_spread
+        return self.settings.batch_task_spread
 
     def objective_s(self, submission: Submission) -> float:
         """Return the completion time objective, based on the actual run times."""
         queue = submission.job.queue
-        chain_s = 0.0
-        for number, (step, work_s) in enumerate(
-            zip(submission.job.steps, submission.work_s, strict=True)
-        ):
-            keys = (
-                TaskKey(submission.job.job_id, 0, number, position)
-                for position in range(step.count)
-            )
-            in_tail = any(self._in_tail(key) for key in keys)
-            factor = self.settings.tail_factor if in_tail else 1.0
-            chain_s += 1.15 * work_s * factor
+        chain_s = sum(
+            self._longest_ratio(submission, number) * work_s
+            for number, work_s in enumerate(submission.work_s)
+        )
         return queue.stretch_ratio * chain_s + queue.latency_target_s
 
+    def _longest_ratio(self, submission: Submission, number: int) -> float:
+        if not self._task_spread(submission):
+            return USUAL_LONGEST_RATIO
+        job = submission.job
+        return max(
+            self._task_factor(submission, TaskKey(job.job_id, 0, number, position))
+            for position in range(job.steps[number].count)
+        )
+
     def _allows_copies(self) -> bool:
         ratio = self.settings.copies_ratio
         return bool(ratio) and self._random.random() < ratio
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/loads.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/loads.py
@@ -116,6 +116,9 @@
     urgent_work_s=0.85,
     urgent_worth=0.366,
     estimate_spread=0.9,
+    urgent_estimate_spread=0.2,
+    urgent_task_spread=0.15,
+    batch_task_spread=0.3,
     wave=0.55,
     tail_ratio=0.03,
     copies_ratio=0.3,
@@ -123,10 +126,12 @@
     stop_s=0.9,
 )
 
-# Demand and workers are uneven: waves, bursts of longer batch jobs, run times with a
-# tail, and estimates that are far off everywhere.
+# Demand is uneven: waves, bursts of longer batch jobs, and estimates that are far off
+# everywhere.
 UNEVEN = replace(
     SHORT,
+    urgent_estimate_spread=0.9,
+    tail_ratio=0.0,
     wave=0.7,
     burst=2.5,
     batch_per_s=2.45,
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -110,6 +110,8 @@
             self._count_failure(state, task, row.number, now_s)
         if not ours or run is None:
             return
+        if row.how is EndKind.FAILED and not state.status.final:
+            self.cell.run_times.observe_failed(state.job, run, now_s)
         detail: dict[str, object] = {
             "task": row.key,
             "run": row.number,
@@ -153,7 +155,7 @@
             "worker": worker.worker_id,
         }
         self.cell.log(LogEntry("run_done", task.key.job_id, detail))
-        if run is not None:
+        if run is not None and not state.status.final:
             self.cell.run_times.observe_done(state.job, run, now_s)
         step = state.occurrences[task.key.occurrence][task.key.step]
         if step.step.gang:
@@ -236,7 +238,7 @@
         else:
             run.used_cpu_millis = int(row.measure)
         state = self.cell.jobs.get(row.key.job_id)
-        if state is not None and not run.step.lasting:
+        if state is not None and not state.status.final:
             self.cell.run_times.observe_progress(state.job, run, now_s)
         if state is None or state.status.final:
             self.cell.stop(run, "job_ended")
--- a/packages/hornbeampaddle/hornbeampaddle/cell/jobs.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/jobs.py
@@ -148,7 +148,12 @@
             ends.append(begin_s + step.estimate_s)
         return max(ends, default=0.0)
 
-    def objective_s(self) -> float:
-        """Return the time after acceptance by which the job should be done."""
-        stretched_s = self.queue.stretch_ratio * self.chain_s()
-        return stretched_s + self.queue.latency_target_s
+    def objective_s(self, chain_s: float | None = None) -> float:
+        """
+        Return the time after acceptance by which the job should be done.
+
+        ``chain_s`` is the duration of its longest chain, as estimated if None.
+        """
+        if chain_s is None:
+            chain_s = self.chain_s()
+        return self.queue.stretch_ratio * chain_s + self.queue.latency_target_s
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -15,6 +15,7 @@
 from ..resources import Resources
 from .incarnations import NO_WORKER, UNKNOWN_BIRTH_MS, WorkerId
 from .jobs import Job, Step, StepKey, TaskKey
+from .task_times import ESTIMATES, TaskTimes
 
 
 class JobStatus(IntEnum):
@@ -86,6 +87,8 @@
     # Whether it was placed on a worker whose CPU is fully used by other runs, which a
     # higher pace would slow down.
     shares_processors: bool = False
+    # Whether it began from a checkpoint.
+    resumed: bool = False
 
     @property
     def reported(self) -> bool:
@@ -178,17 +181,23 @@
     accepted_at_s: float = 0.0
     # How long its steps have waited under this holder, by reason, in seconds.
     waited_s: dict[str, float] = field(default_factory=dict)
+    # What is known of its tasks' run times.
+    times: TaskTimes = ESTIMATES
 
     def open_occurrence(self, number: int) -> list[StepState]:
         """Return the steps of one occurrence, creating them if necessary."""
         if number not in self.occurrences:
-            job_id = self.job.job_id
-            self.occurrences[number] = [
-                _new_step(StepKey(job_id, number, position), step)
-                for position, step in enumerate(self.job.steps)
-            ]
+            self.occurrences[number] = self.new_occurrence(number)
         return self.occurrences[number]
 
+    def new_occurrence(self, number: int) -> list[StepState]:
+        """Return the steps of an occurrence of which nothing has begun."""
+        job_id = self.job.job_id
+        return [
+            _new_step(StepKey(job_id, number, position), step)
+            for position, step in enumerate(self.job.steps)
+        ]
+
     def task(self, key: TaskKey) -> Task | None:
         """Return a task, or None if the job has no such task."""
         steps = self.occurrences.get(key.occurrence)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -128,11 +128,12 @@
             return
         births_ms = self.incarnations.stored_births_ms
         state = restore(job, progress, accepted_at_s, births_ms)
+        state.times = self.run_times
         self.jobs[job.job_id] = state
         if not job.lasting:
             newest = [*self._recent_acceptances, (accepted_at_s, job.job_id)]
             self._recent_acceptances = sorted(newest, reverse=True)[:2]
-            self.mean_work.add(job)
+            self.mean_work.add(state)
         for run in state.runs():
             self._inherit(run, now_s)
             if state.status.final:
@@ -566,7 +567,9 @@
             "waited_s": {k: round(v, 3) for k, v in state.waited_s.items() if v},
         }
         if not state.job.lasting and not state.job.repeat_count:
-            detail["objective_s"] = round(state.job.objective_s(), 3)
+            chain_s = self.run_times.taken_chain_s(state.job)
+            detail["objective_s"] = round(state.job.objective_s(chain_s), 3)
+            detail["estimated_s"] = round(state.job.objective_s(), 3)
         self.log(LogEntry("job_finished", state.job.job_id, detail))
         self._close_advice(state)
         self.run_times.forget_job(state.job)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/starting.py
@@ -30,6 +30,7 @@
     task.last_run += 1
     run = Run(task.key, task.last_run, worker.worker_id, step.step, step.step.charge)
     run.checkpoint = task.checkpoint
+    run.resumed = bool(task.checkpoint)
     run.ticket = granted.get(worker.worker_id, "")
     run.placed_at_s = now_s
     task.run = run
--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
@@ -12,8 +12,8 @@
 
 from dataclasses import dataclass, field
 
-from .jobs import Job
 from .progress import JobState, StepState
+from .prospects import prospect, remaining_work_millis_s, work_millis_s
 
 # Multiple of its objective after which a job has no value; it has little value between
 # the objective and this.
@@ -36,27 +36,36 @@
 @dataclass(slots=True)
 class MeanWork:
     """
-    Mean estimated work of the jobs of each queue.
+    Mean expected work of the jobs of each queue, by the estimates and as learned.
 
     Work is in thousandths of a core x s.
     """
 
     _sums: dict[str, float] = field(default_factory=dict)
+    _expected_sums: dict[str, float] = field(default_factory=dict)
     _counts: dict[str, int] = field(default_factory=dict)
 
-    def add(self, job: Job) -> None:
+    def add(self, state: JobState) -> None:
         """Add a job to the mean of its queue."""
+        job = state.job
         name = job.queue.name
-        self._sums[name] = self._sums.get(name, 0.0) + job.work_millis_s()
+        work = job.work_millis_s()
+        expected = work_millis_s(job, state.times)
+        self._sums[name] = self._sums.get(name, 0.0) + work
+        self._expected_sums[name] = self._expected_sums.get(name, 0.0) + expected
         self._counts[name] = self._counts.get(name, 0) + 1
 
-    def relative_value(self, job: Job) -> float:
+    def relative_value(self, state: JobState) -> float:
         """Return the value of a job relative to one of its queue's mean work."""
-        count = self._counts.get(job.queue.name, 0)
-        mean = self._sums[job.queue.name] / count if count else 0.0
+        name = state.job.queue.name
+        off = state.times.off(state.job.queue)
+        sums = self._expected_sums if off else self._sums
+        count = self._counts.get(name, 0)
+        mean = sums[name] / count if count else 0.0
         if not mean:
             return 1.0
-        scaled = FIXED_VALUE + (1 - FIXED_VALUE) * job.work_millis_s() / mean
+        work = work_millis_s(state.job, state.times)
+        scaled = FIXED_VALUE + (1 - FIXED_VALUE) * work / mean
         return min(RELATIVE_VALUE_MAX, scaled)
 
 
@@ -67,7 +76,7 @@
     chance = 0
     if not job.lasting and not job.repeat_count:
         chance = chance_of(state, now_s)
-        order = remaining_work_millis_s(state) / usual.relative_value(job)
+        order = remaining_work_millis_s(state) / usual.relative_value(state)
     # Prevents starvation of a lasting task that was preempted for an urgent job: while
     # urgent jobs arrive, each of them would be placed before it, including those from
     # queues of higher priority.
@@ -84,31 +93,8 @@
     In a long queue ordered by due time, the first jobs are those that are just too
     late. Serving them first would make every job behind them late as well.
     """
-    objective_s = state.job.objective_s()
-    end_s = now_s + remaining_critical_path_s(state) - state.accepted_at_s
+    objective_s, path_s = prospect(state, now_s)
+    end_s = now_s + path_s - state.accepted_at_s
     if end_s <= objective_s:
         return 0
     return 1 if end_s <= NO_VALUE_AFTER_RATIO * objective_s else 2
-
-
-def remaining_work_millis_s(state: JobState) -> float:
-    """Return the estimated work of a job's unfinished tasks."""
-    steps = state.occurrences.get(0)
-    if steps is None:
-        return state.job.work_millis_s()
-    return sum(
-        step.step.task_millis_s * sum(not task.done for task in step.tasks)
-        for step in steps
-    )
-
-
-def remaining_critical_path_s(state: JobState) -> float:
-    """Return the estimated time of the critical path through unfinished steps."""
-    steps = state.occurrences.get(0)
-    if steps is None:
-        return state.job.chain_s()
-    ends: list[float] = []
-    for step in steps:
-        begin_s = max((ends[number] for number in step.step.after), default=0.0)
-        ends.append(begin_s if step.done else begin_s + step.step.estimate_s)
-    return max(ends, default=0.0)
