--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -67,6 +67,8 @@
 JOB_CLEANUP_BATCH_SIZE = 100
 # How often the interference model is stored; its records are about 1 KB.
 MODEL_SAVE_INTERVAL_S = 2.0
+# How often the errors of estimates and predictions are logged.
+RUN_TIMES_LOG_INTERVAL_S = 5.0
 # How often the state of the cell is logged; a summary takes about 1 ms.
 SUMMARY_INTERVAL_S = 1.0
 
@@ -111,6 +113,7 @@
         self._woken = asyncio.Event()
         self._next_job_cleanup_s = fenced_at_s + JOB_CLEANUP_INTERVAL_S
         self._next_summary_s = fenced_at_s
+        self._next_run_times_log_s = fenced_at_s + RUN_TIMES_LOG_INTERVAL_S
         self.load = HolderLoad()
         self._next_model_save_s = fenced_at_s + MODEL_SAVE_INTERVAL_S
         # Jobs deleted from the log of jobs whose progress records are still stored.
@@ -325,6 +328,7 @@
         if decision.lapses is not None:
             records.append(lease_expiry_record(decision.lapses))
         self._log_summary(now_s)
+        self._log_run_times(now_s)
         unacked = any(worker.acked_end < end for worker, end in ends)
         if records or unacked or self._heartbeat_due(now_s):
             active = self.cell.take_newly_active()
@@ -447,6 +451,14 @@
         )
         self.load = HolderLoad.since(now_s)
 
+    def _log_run_times(self, now_s: float) -> None:
+        if now_s < self._next_run_times_log_s:
+            return
+        self._next_run_times_log_s = now_s + RUN_TIMES_LOG_INTERVAL_S
+        for errors in self.cell.run_times.errors():
+            self.metrics.update_run_time_errors(errors)
+            log.info("cell: run times", epoch=self.epoch, **asdict(errors))
+
     def _delete_finished_jobs(self, now_s: float) -> None:
         if now_s < self._next_job_cleanup_s:
             return
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
@@ -22,6 +22,7 @@
 from hornbeampaddle.cell.effects import LogEntry
 from hornbeampaddle.cell.progress import Run
 from hornbeampaddle.cell.reports import HoldOutcome, OrderOutcome, Refused
+from hornbeampaddle.cell.run_times import QueueErrors
 from hornbeampaddle.cell.summary import Summary
 
 from .ports import (
@@ -103,6 +104,11 @@
         self.workers = self._gauge(
             "hornbeampaddle_workers", "Workers of the cell", ("state",)
         )
+        self.run_time_error_ratio = self._gauge(
+            "hornbeampaddle_run_time_error_ratio",
+            "Typical error of submitters' estimates and of predictions, as a factor",
+            ("queue", "of"),
+        )
         self.configuration_age_seconds = self._gauge(
             "hornbeampaddle_configuration_age_seconds",
             "How long ago the configuration in force was certainly the newest",
@@ -163,6 +169,12 @@
         self.workers.labels("over_target").set(summary.over_target_workers)
         self.workers.labels("evacuated").set(summary.evacuated_workers)
 
+    def update_run_time_errors(self, errors: QueueErrors) -> None:
+        """Set the gauges of a queue's errors of estimates and predictions."""
+        gauge = self.run_time_error_ratio
+        gauge.labels(errors.queue, "estimates").set(errors.estimates)
+        gauge.labels(errors.queue, "predictions").set(errors.predictions)
+
     def watch_configuration(self, routing: "Routing") -> None:
         """Compute the configuration's age and version whenever metrics are read."""
         self.configuration_age_seconds.set_function(routing.operator.age_s)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/run_times.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/run_times.py
@@ -126,19 +126,13 @@
         if longest_s is not None:
             self._taken_s[job.job_id][key] = longest_s
         del self._steps[job.job_id][key]
-        sound = {
-            position: work_s
-            for position, (work_s, worker) in seen.ended.items()
-            if not self.speeds.slow(worker)
-        }
-        median_s = seen.median_s
-        if median_s:
-            for work_s, worker in seen.ended.values():
-                self.speeds.observe(worker, work_s / median_s, len(seen.ended))
+        works = list(seen.ended.values())
+        self.speeds.observe_step(works)
+        sound = [work_s for work_s, worker in works if not self.speeds.slow(worker)]
         if not sound:
             return
         fit = self._fit(job.queue)
-        fit.add_step(job.steps[key.step].estimate_s, list(sound.values()), now_s)
+        fit.add_step(job.steps[key.step].estimate_s, sound, now_s)
 
     def _fit(self, queue: Queue) -> QueueFit:
         fit = self.fits.get(queue.name)
