--- a/features/run_times.feature
+++ b/features/run_times.feature
@@ -59,6 +59,12 @@
     When every other report on them is lost
     Then each run is expected to end when it does
 
+  Scenario: The objective of a job that ended is by what its work took
+    # Guards against jobs called late because their submitter estimated too little.
+    Given a cell with room for a job that is estimated at 0.5 s and takes 2.0 s
+    When the job has ended
+    Then its line says an objective of about 5.0 s and an estimated one of 2.0 s
+
   Scenario: A new holder goes on with what was learned
     # Guards against estimates that are believed again after each takeover.
     Given a queue whose steps take 3.0 times their estimates
--- a/features/steps/run_time_steps.py
+++ b/features/steps/run_time_steps.py
@@ -5,7 +5,7 @@
 
 import msgspec
 from behave import given, then, when
-from support.cell_player import BATCH, step
+from support.cell_player import BATCH, Player, step
 
 from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Job, TaskKey
@@ -261,3 +261,32 @@
 @then("estimates are trusted")
 def all_trusted(context):
     assert not context.times.fits
+
+
+@given(
+    "a cell with room for a job that is estimated at {estimate_s:f} s and takes "
+    "{work_s:f} s"
+)
+def cell_with_job(context, estimate_s, work_s):
+    context.player = Player()
+    context.player.add_workers(4, 16_000)
+    context.player.submit("job", BATCH, step(4, 1000, estimate_s), work_s)
+
+
+@when("the job has ended")
+def job_ended(context):
+    context.player.play(4)
+
+
+@then(
+    "its line says an objective of about {objective_s:f} s and an estimated one of "
+    "{estimated_s:f} s"
+)
+def finished_line(context, objective_s, estimated_s):
+    (detail,) = [
+        entry.detail
+        for _, entry in context.player.notes
+        if entry.event == "job_finished"
+    ]
+    assert abs(detail["objective_s"] - objective_s) < 0.3, detail
+    assert detail["estimated_s"] == estimated_s
