--- a/packages/hornbeampaddle/hornbeampaddle/cell/run_times.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/run_times.py
@@ -76,6 +76,8 @@
         """Start with the submitters' estimates only."""
         self.settings = settings
         self.fits: dict[str, QueueFit] = {}
+        # Names of the queues whose estimates are off: asked for each waiting step.
+        self._off: frozenset[str] = frozenset()
         self.speeds = WorkerSpeeds()
         self._now_s = 0.0
         # Steps at work, and what the longest task of each step that is done took.
@@ -133,6 +135,8 @@
             return
         fit = self._fit(job.queue)
         fit.add_step(job.steps[key.step].estimate_s, sound, now_s)
+        if fit.off is not (job.queue.name in self._off):
+            self._update_off()
 
     def _fit(self, queue: Queue) -> QueueFit:
         fit = self.fits.get(queue.name)
@@ -140,6 +144,7 @@
             if len(self.fits) >= QUEUES_MAX:
                 oldest = min(self.fits, key=lambda name: self.fits[name].read_at_s)
                 del self.fits[oldest]
+                self._update_off()
             fit = self.fits[queue.name] = QueueFit()
         return fit
 
@@ -147,8 +152,10 @@
 
     def off(self, queue: Queue) -> bool:
         """Return whether the estimates of a queue were seen to be off."""
-        fit = self.fits.get(queue.name)
-        return fit is not None and fit.off and self.settings.learns_run_times
+        return queue.name in self._off
+
+    def _update_off(self) -> None:
+        self._off = frozenset(name for name, fit in self.fits.items() if fit.off)
 
     def task_s(self, queue: Queue, step: Step) -> float:
         """Return the expected run time of a task of a step that has not begun."""
@@ -284,3 +291,4 @@
         except (msgspec.DecodeError, ValueError, IndexError) as error:
             raise UnusableRecordError(str(error)) from error
         self.fits = dict(list(fits.items())[:QUEUES_MAX])
+        self._update_off()
