--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -16,7 +16,7 @@
 from .slow_starts import left_idle, may_share_processors, place_slow, set_first_pace
 from .turns import Turn
 from .unplaceable import UnplaceableSteps
-from .urgency import Urgency, chance_of, urgency
+from .urgency import Urgency, chance_of, owed, urgency
 from .waiting import WaitReason
 from .workers import WorkerState
 
@@ -32,6 +32,9 @@
     sample = cell.sampler.next_sample(usable)
     sampled_candidates = Candidates(sample, cell.model) if sample is not None else None
     unplaceable = UnplaceableSteps()
+    # What found no room beside the kept workers may still find it on them.
+    unplaceable_beside = UnplaceableSteps()
+    kept_out: list[tuple[Turn, list[WorkerState]]] = []
     cell.orders.update_pending_starts(now_s)
     for _, state, step in ready:
         if not cell.orders.may_add_starts():
@@ -42,6 +45,7 @@
         service = cell.service_of(state.job)
         if sampled_candidates is not None:
             suited = sampled_candidates.suited(service, step.step)
+            suited = _beside_kept(cell, suited, state, step)
             turn = Turn(
                 cell,
                 decision,
@@ -55,11 +59,23 @@
             place_in_sample(turn, _workers_to_rank(turn))
             if not step.waiting():
                 continue
-        suited = candidates.suited(service, step.step)
-        turn = Turn(cell, decision, candidates, unplaceable, state, step, suited, now_s)
+        all_suited = candidates.suited(service, step.step)
+        suited = _beside_kept(cell, all_suited, state, step)
+        known = unplaceable if suited is all_suited else unplaceable_beside
+        turn = Turn(cell, decision, candidates, known, state, step, suited, now_s)
         reason = _place_step(turn)
-        if reason is not None:
+        _note_if_full(cell, state, step, reason, now_s)
+        if suited is not all_suited and reason is WaitReason.NO_ROOM:
+            kept_out.append((turn, all_suited))
+        elif reason is not None:
             cell.waits.record_unplaced(state, step, suited, reason, now_s)
+    # Urgent steps come first on the workers kept for them.
+    for turn, all_suited in kept_out:
+        reason = _place_owed(turn, all_suited)
+        if reason is not None:
+            cell.waits.record_unplaced(
+                turn.state, turn.step, all_suited, reason, now_s
+            )
     cell.waits.end_decision(cell, now_s)
 
 
@@ -76,7 +92,9 @@
                     continue
                 if step.ready_at_s is None:
                     step.ready_at_s = now_s
-                yield urgency(state, step, cell.mean_work, now_s), state, step
+                by_wait = cell.kept_room.full(cell.service_of(state.job), now_s)
+                key = urgency(state, step, cell.mean_work, now_s, by_wait)
+                yield key, state, step
 
 
 def _open_due_occurrences(cell: "Scheduler", state: JobState, wall_s: float) -> None:
@@ -95,6 +113,58 @@
     return all(steps[number].done for number in step.step.after)
 
 
+def _beside_kept(
+    cell: "Scheduler", workers: list[WorkerState], state: JobState, step: StepState
+) -> list[WorkerState]:
+    """Return the workers that a step may use: a lasting one, none that is kept."""
+    if not step.step.lasting or step.step.filler or step.step.gang:
+        return workers
+    if cell.advised(state.job):
+        return workers
+    beside = [worker for worker in workers if not cell.kept_room.keeps(worker)]
+    return workers if len(beside) == len(workers) else beside
+
+
+def _place_owed(turn: Turn, workers: list[WorkerState]) -> WaitReason | None:
+    """
+    Place the lasting tasks that have waited for long on kept workers.
+
+    Operators allow a lasting task to wait beside free room for a few seconds only.
+    Return why tasks of the step still wait, or None.
+    """
+    step = turn.step
+    kept = [worker for worker in workers if turn.cell.kept_room.keeps(worker)]
+    ranking = turn.ranking()
+    ranking.fill(kept)
+    for task in step.waiting():
+        if not owed(step, task, turn.now_s) or suspected(task):
+            continue
+        if not turn.cell.orders.may_add_starts():
+            return WaitReason.STARTS_PENDING
+        worker = ranking.choose(task.key, task.last_worker_id)
+        if worker is None:
+            return WaitReason.NO_ROOM
+        turn.start(task, worker)
+        ranking.booked(worker)
+    return WaitReason.KEPT if step.waiting() else None
+
+
+def _note_if_full(
+    cell: "Scheduler",
+    state: JobState,
+    step: StepState,
+    reason: WaitReason | None,
+    now_s: float,
+) -> None:
+    """Note that the cell is full if a lasting or an urgent step finds no room."""
+    if reason not in (WaitReason.NO_ROOM, WaitReason.KEPT) or step.step.filler:
+        return
+    if not cell.settings.keeps_urgent_room:
+        return
+    if step.step.lasting or cell.urgent_demand.urgent(state.job):
+        cell.kept_room.note_no_room(cell.service_of(state.job), now_s)
+
+
 def _place_step(turn: Turn) -> WaitReason | None:
     """Place the tasks that fit and return why the others wait, or None."""
     step = turn.step
--- a/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
@@ -4,24 +4,39 @@
 A latency-critical job needs a few cores for about a second, while a long-running task
 holds several times as many for minutes. Preempting one makes a single task unavailable
 to its users for a second or two. Without preemption, the whole urgent job is late.
+
+In a full cell, room is also made ahead: on the workers that are kept for urgent tasks,
+and, by rotation, for lasting tasks that soon have waited for as long as they may.
 """
 
+from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
+from .effects import LogEntry
+from .incarnations import WorkerId
 from .progress import JobState, Run, RunPhase, StepState
+from .urgency import OWED_AFTER_S, waits_since_s
+from .victims import JUST_STARTED_S, choose_set, may_stop
 from .workers import WorkerState
 
 if TYPE_CHECKING:
     from .scheduler import Scheduler
 
 REASON = "makes_room"
+AHEAD_REASON = "makes_room_ahead"
+ROTATION_REASON = "rotates"
 # Maximum share of the running long-running tasks that may be stopping for preemption at
 # the same time. Preempted tasks that have ended and wait for a worker are not counted:
 # under heavy load there are so many that urgent jobs would find no room.
 STOPPING_RATIO_MAX = 0.08
+# The same for room that is made ahead, and for rotation: neither is worth an outage.
+AHEAD_RATIO_MAX = 0.02
+ROTATING_RATIO_MAX = 0.02
 # Minimum time that a task runs before it may be preempted, since it must finish
 # starting up before it serves any user.
 PREEMPTION_COOLDOWN_S = 2.0
+# Time between a stop's end and the start that uses its room: a report and a decision.
+HAND_OVER_S = 0.3
 
 
 def make_room(
@@ -30,6 +45,9 @@
     """Preempt as many long-running tasks as the waiting tasks of a step need."""
     missing = len(step.waiting()) - _expected_slots(cell, step)
     budget = _budget(cell)
+    if cell.kept_room.full(cell.service_of(state.job), now_s):
+        _stop_cheapest_sets(cell, state, step, missing, budget, now_s)
+        return
     while missing > 0 and budget > 0:
         victim = _victim(cell, state, step, now_s)
         if victim is None:
@@ -40,6 +58,127 @@
         cell.stop(victim, REASON)
 
 
+def _stop_cheapest_sets(
+    cell: "Scheduler",
+    state: JobState,
+    step: StepState,
+    missing: int,
+    budget: int,
+    now_s: float,
+) -> None:
+    """Stop sets of tasks, each on one worker, by what their callers lose."""
+    service = cell.service_of(state.job)
+    place_millis = max(1, step.step.need.cpu_millis)
+    workers = [
+        worker
+        for worker in cell.workers.values()
+        if worker.listing.service == service
+        and worker.usable(now_s)
+        and not any(run.stop_reason for run in worker.runs.values())
+    ]
+    while missing > 0 and budget > 0:
+        found = choose_set(
+            workers,
+            place_millis,
+            missing,
+            lambda run: _may_preempt(cell, run, state, now_s),
+            cell.settings.stop_s,
+            now_s,
+        )
+        if found is None or len(found.runs) > budget:
+            return
+        for run in found.runs:
+            cell.stop(run, REASON)
+        missing -= found.places
+        budget -= len(found.runs)
+        workers.remove(found.worker)
+
+
+def make_room_ahead(cell: "Scheduler", now_s: float) -> None:
+    """Empty the workers that are kept for urgent tasks, and rotate lasting ones."""
+    if not _all_reported(cell):
+        # A new holder does not know yet what runs where.
+        return
+    lasting = _lasting_runs(cell)
+    _empty_kept_workers(cell, lasting, now_s)
+    for service in cell.kept_room.services:
+        if cell.kept_room.kept_workers(service):
+            _rotate(cell, service, lasting, now_s)
+
+
+def _all_reported(cell: "Scheduler") -> bool:
+    return all(w.reported for w in cell.workers.values() if w.listed and not w.silent)
+
+
+def _empty_kept_workers(cell: "Scheduler", lasting: list[Run], now_s: float) -> None:
+    leaving = sum(run.stop_reason == AHEAD_REASON for run in lasting)
+    budget = max(1, int(AHEAD_RATIO_MAX * len(lasting))) - leaving
+    for run in _on_kept_workers(cell):
+        if budget < 1:
+            return
+        if may_stop(run, now_s, JUST_STARTED_S):
+            cell.stop(run, AHEAD_REASON)
+            budget -= 1
+
+
+def _on_kept_workers(cell: "Scheduler") -> Iterator[Run]:
+    for service in cell.kept_room.services:
+        for worker_id in cell.kept_room.kept_workers(service):
+            yield from cell.workers[worker_id].runs.values()
+
+
+def _rotate(
+    cell: "Scheduler", service: str, lasting: list[Run], now_s: float
+) -> None:
+    """Make places for the lasting tasks that are owed one when the stops have ended."""
+    notice_s = cell.settings.stop_s + HAND_OVER_S
+    owed_from_s = now_s - (OWED_AFTER_S - notice_s)
+    needs = sorted(_needs_waiting_since(cell, service, owed_from_s), reverse=True)
+    leaving = [run for run in lasting if run.stop_reason == ROTATION_REASON]
+    needs = needs[: max(0, len(needs) - len(leaving))]
+    budget = max(1, int(ROTATING_RATIO_MAX * len(lasting))) - len(leaving)
+    if not needs or budget < 1:
+        return
+    longest_first = sorted(lasting, key=lambda run: run.confirmed_at_s)
+    used: set[WorkerId] = set()
+    for run in longest_first:
+        if not needs or budget < 1:
+            return
+        if not may_stop(run, now_s, 2 * JUST_STARTED_S):
+            continue
+        worker = cell.workers[run.worker_id]
+        if worker.listing.service != service or not worker.usable(now_s):
+            continue
+        if cell.kept_room.keeps(worker) or worker.worker_id in used:
+            continue
+        room_millis = worker.free().cpu_millis + run.charge.cpu_millis
+        fitting = next((need for need in needs if need <= room_millis), None)
+        if fitting is None:
+            continue
+        needs.remove(fitting)
+        used.add(worker.worker_id)
+        budget -= 1
+        cell.stop(run, ROTATION_REASON)
+
+
+def _needs_waiting_since(
+    cell: "Scheduler", service: str, since_s: float
+) -> Iterator[int]:
+    """Return the CPU need of each lasting task that has waited since a time."""
+    for state in cell.open_jobs.values():
+        if not state.job.lasting or state.status.final:
+            continue
+        if cell.service_of(state.job) != service:
+            continue
+        for steps in state.occurrences.values():
+            for step in steps:
+                if not step.step.lasting or step.step.filler:
+                    continue
+                for task in step.waiting():
+                    if waits_since_s(step, task, since_s + 1) <= since_s:
+                        yield step.step.need.cpu_millis
+
+
 def _lasting_runs(cell: "Scheduler") -> list[Run]:
     return [
         run
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -13,15 +13,21 @@
 from ..clocks import RemoteClock
 from ..machines import Address
 from ..resources import NOTHING
-from . import crashes, dispatch, moving, pacing, restarts
+from . import crashes, dispatch, moving, pacing, preempting, restarts
 from .advice import AdviceCache, Allowance
 from .effects import Decision, LogEntry, PaceOrder, StopOrder
 from .incarnations import Incarnations, WorkerId
 from .intake import ReportIntake
 from .interference import Interference
 from .jobs import Job, Queue, StepKey, TaskKey
+from .kept_room import KeptRoom
 from .lapses import LeaseLapses
-from .learned import RUN_TIMES_KEY, Learner, UnusableRecordError
+from .learned import (
+    RUN_TIMES_KEY,
+    URGENT_DEMAND_KEY,
+    Learner,
+    UnusableRecordError,
+)
 from .orders import OrderTracker
 from .outlook import Outlook, waiting_shares
 from .polling import Polling
@@ -31,6 +37,7 @@
 from .separating import Separator
 from .settings import CellSettings
 from .urgency import MeanWork
+from .urgent_demand import UrgentDemand
 from .waiting import WaitTracker
 from .workers import WorkerListing, WorkerState
 
@@ -91,6 +98,10 @@
         self.run_times = RunTimes(settings)
         # What the next holder goes on with, by the key of its record.
         self.learners: dict[str, Learner] = {RUN_TIMES_KEY: self.run_times}
+        self.urgent_demand = UrgentDemand()
+        self.kept_room = KeptRoom()
+        if settings.keeps_urgent_room:
+            self.learners[URGENT_DEMAND_KEY] = self.urgent_demand
         self.lapses = LeaseLapses()
         self._outlook: Outlook | None = None
         self._outlook_until_s = float("-inf")
@@ -601,11 +612,15 @@
         self.polling.count(self.workers.values(), now_s)
         self.model.solve(now_s)
         decision = Decision()
+        if self.settings.keeps_urgent_room:
+            self._keep_room(now_s)
         if self.may_displace(now_s):
             moving.move_slow_fillers(self, now_s)
             self.separator.separate(now_s)
         if self.may_start(now_s):
             dispatch.place(self, decision, now_s, wall_s)
+        if self.may_displace(now_s):
+            preempting.make_room_ahead(self, now_s)
         decision.stops = self.take_stops(now_s)
         decision.paces = self.pacer.take_orders()
         for order in decision.paces:
@@ -621,6 +636,20 @@
         decision.lapses = self.lapses.due(self, now_s)
         return decision
 
+    def _keep_room(self, now_s: float) -> None:
+        """Forecast what urgent jobs need, and choose the workers kept for them."""
+        self.urgent_demand.observe(self.open_jobs.values(), self.service_of, now_s)
+        for service in self.kept_room.services:
+            workers = [
+                worker
+                for worker in self.workers.values()
+                if worker.listing.service == service and worker.may_be_kept()
+            ]
+            forecast = self.urgent_demand.forecast(service, now_s)
+            self.kept_room.plan(
+                service, workers, forecast, self.settings.stop_s, now_s
+            )
+
     def _log_pace(self, order: PaceOrder) -> None:
         worker = self.workers.get(order.worker_id)
         over = worker is not None and worker.over_since_s is not None
--- a/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/separating.py
@@ -216,7 +216,9 @@
         workers = [
             worker
             for worker in self.cell.workers.values()
-            if worker.usable(now_s) and worker.reserved_room == NOTHING
+            if worker.usable(now_s)
+            and worker.reserved_room == NOTHING
+            and not self.cell.kept_room.keeps(worker)
         ]
         return [
             _place_of(w, outlook) for w in self._sample(workers, SAMPLED_WORKERS_MAX)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from .jobs import Job
-from .progress import JobState, StepState
+from .progress import JobState, StepState, Task
 
 # Multiple of its objective after which a job has no value; it has little value between
 # the objective and this.
@@ -23,6 +23,10 @@
 # With a much shorter time it would be placed before the urgent jobs that it was stopped
 # for.
 LASTING_AWAY_MAX_S = 5.0
+# Time that a lasting task waits until it takes room that is kept for urgent ones. The
+# callers' bound on its wait beside free room is 9 s, of which a start and a lost answer
+# may take 2 s.
+OWED_AFTER_S = 6.5
 
 # Part of a job's relative value that does not depend on its size, and upper bound of
 # that value. The other part is proportional to the job's work, relative to its queue's
@@ -60,8 +64,18 @@
         return min(RELATIVE_VALUE_MAX, scaled)
 
 
-def urgency(state: JobState, step: StepState, usual: MeanWork, now_s: float) -> Urgency:
-    """Return the sort key of a step; the smallest is placed first."""
+def urgency(
+    state: JobState,
+    step: StepState,
+    usual: MeanWork,
+    now_s: float,
+    by_wait: bool = False,
+) -> Urgency:
+    """
+    Return the sort key of a step; the smallest is placed first.
+
+    With ``by_wait``, lasting steps are ordered by the longest wait of their tasks.
+    """
     job = state.job
     order = state.accepted_at_s + job.objective_s()
     chance = 0
@@ -72,9 +86,22 @@
     # urgent jobs arrive, each of them would be placed before it, including those from
     # queues of higher priority.
     overdue = step.step.lasting and step.interrupted_s(now_s) > LASTING_AWAY_MAX_S
+    if by_wait and step.step.lasting:
+        order = min(waits_since_s(step, task, now_s) for task in step.waiting())
     return (not overdue, job.queue.priority, job.lasting, chance, order)
 
 
+def waits_since_s(step: StepState, task: Task, now_s: float) -> float:
+    """Return since when a waiting task of a step has needed a worker."""
+    ready_at_s = now_s if step.ready_at_s is None else step.ready_at_s
+    return max(ready_at_s, task.ended_at_s)
+
+
+def owed(step: StepState, task: Task, now_s: float) -> bool:
+    """Return whether a lasting task has waited for so long that it takes any room."""
+    return now_s - waits_since_s(step, task, now_s) > OWED_AFTER_S
+
+
 def chance_of(state: JobState, now_s: float) -> int:
     """
     Return 0 if a job can still meet its objective, 1 if it is late, 2 if too late.
--- /dev/null
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgent_demand.py
@@ -0,0 +1,217 @@
+"""
+Forecast how much CPU the urgent jobs of each service need at a time.
+
+Urgent jobs come in waves and leave about a second for waiting, less than it takes to
+stop a lasting task. Room for them must therefore exist before they arrive. The forecast
+is the amount that sufficed for four in five moments of the last wave: a moment without
+room costs callers about five times as much as room that is kept and not used.
+
+Urgent are jobs that end, reserve CPU and come from a queue with a latency target that
+precedes the queues of fillers (best-effort tasks).
+"""
+
+import math
+from collections import Counter, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from .jobs import Job
+from .learned import UnusableRecordError
+from .progress import JobState
+
+RECORD_VERSION = 1
+SAMPLE_INTERVAL_S = 0.2
+# Span of the samples: the users' waves last up to about this long.
+WAVE_S = 20.0
+# Share of the moments for which the forecast suffices.
+SUFFICES_RATIO = 0.8
+# Share of the urgent tasks that fit a place; the others need room of several.
+PLACE_FITS_RATIO = 0.8
+# Time of observation without which there is no forecast, and the time from which a
+# holder goes by its own observation alone: before, it may have seen only a calm part.
+OBSERVED_MIN_S = 5.0
+OBSERVED_ENOUGH_S = WAVE_S / 2
+# Interval at which a forecast is computed anew.
+FORECAST_INTERVAL_S = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """
+    CPU that a service's urgent tasks need at a time, and the size of one place.
+
+    Both are in thousandths of a core.
+    """
+
+    need_millis: int
+    place_millis: int
+
+    @property
+    def places(self) -> int:
+        """Return the number of places needed."""
+        return math.ceil(self.need_millis / self.place_millis)
+
+
+class UrgentDemandRecord(msgspec.Struct, array_like=True, frozen=True):
+    """The stored forecasts: per service, its name, need and place in millicores."""
+
+    version: int
+    forecasts: list[tuple[str, int, int]]
+
+
+_decoder = msgspec.msgpack.Decoder(UrgentDemandRecord)
+_encoder = msgspec.msgpack.Encoder()
+
+
+@dataclass(slots=True)
+class _Sample:
+    """What the urgent jobs of a service hold and wait for at one moment."""
+
+    cpu_millis: int = 0
+    # Number of tasks by the CPU that each needs.
+    sizes: Counter[int] = field(default_factory=Counter)
+
+
+@dataclass(slots=True)
+class _Observed:
+    """The samples of one service over the last wave, and its forecasts."""
+
+    samples: deque[tuple[float, int]] = field(default_factory=deque)
+    sizes: deque[tuple[float, Counter[int]]] = field(default_factory=deque)
+    begun_at_s: float = math.inf
+    inherited: Forecast | None = None
+    computed: Forecast | None = None
+    computed_at_s: float = -math.inf
+
+    def add(self, sample: _Sample, now_s: float) -> None:
+        self.begun_at_s = min(self.begun_at_s, now_s)
+        self.samples.append((now_s, sample.cpu_millis))
+        if sample.sizes:
+            self.sizes.append((now_s, sample.sizes))
+        while self.samples[0][0] < now_s - WAVE_S:
+            self.samples.popleft()
+        while self.sizes and self.sizes[0][0] < now_s - WAVE_S:
+            self.sizes.popleft()
+
+    def forecast(self, now_s: float) -> Forecast | None:
+        observed_s = now_s - self.begun_at_s
+        if self.inherited is not None and observed_s < OBSERVED_ENOUGH_S:
+            return self.inherited
+        if observed_s < OBSERVED_MIN_S:
+            return None
+        if now_s >= self.computed_at_s + FORECAST_INTERVAL_S:
+            self.computed_at_s = now_s
+            self.computed = self._compute()
+        return self.computed
+
+    def _compute(self) -> Forecast | None:
+        sizes: Counter[int] = Counter()
+        for _, seen in self.sizes:
+            sizes.update(seen)
+        need_millis = _quantile([millis for _, millis in self.samples])
+        if not sizes or not need_millis:
+            return None
+        return Forecast(need_millis, _size_that_fits(sizes))
+
+
+class UrgentDemand:
+    """What the urgent queues of a cell need, as seen in its decisions."""
+
+    def __init__(self) -> None:
+        """Start without any observation."""
+        self._observed: dict[str, _Observed] = {}
+        self._filler_queues: dict[str, int] = {}
+        self._sampled_at_s = -math.inf
+
+    def observe(
+        self,
+        jobs: Iterable[JobState],
+        service_of: Callable[[Job], str],
+        now_s: float,
+    ) -> None:
+        """Sample what the urgent ones of the open jobs hold and wait for."""
+        if now_s < self._sampled_at_s + SAMPLE_INTERVAL_S:
+            return
+        self._sampled_at_s = now_s
+        found: dict[str, _Sample] = {}
+        for state in jobs:
+            if state.status.final or state.job.lasting:
+                continue
+            if self.urgent(state.job):
+                _add_job(found.setdefault(service_of(state.job), _Sample()), state)
+            else:
+                self._note_fillers(state.job)
+        for service in found.keys() | self._observed.keys():
+            observed = self._observed.setdefault(service, _Observed())
+            observed.add(found.get(service, _Sample()), now_s)
+
+    def urgent(self, job: Job) -> bool:
+        """Return whether a job is urgent, as far as the queues of fillers are known."""
+        queue = job.queue
+        if job.lasting or queue.name in self._filler_queues:
+            return False
+        if not queue.latency_target_s or not self._filler_queues:
+            return False
+        return queue.priority < min(self._filler_queues.values())
+
+    def forecast(self, service: str, now_s: float) -> Forecast | None:
+        """Return a service's forecast, or None if none of its jobs is urgent."""
+        observed = self._observed.get(service)
+        return observed.forecast(now_s) if observed is not None else None
+
+    def _note_fillers(self, job: Job) -> None:
+        if any(step.filler for step in job.steps):
+            self._filler_queues[job.queue.name] = job.queue.priority
+
+    def encode(self) -> bytes | None:
+        """Return the record for the next holder, or None if nothing is known."""
+        rows = [
+            (service, known.need_millis, known.place_millis)
+            for service, observed in sorted(self._observed.items())
+            if (known := observed.computed or observed.inherited) is not None
+        ]
+        if not rows:
+            return None
+        return _encoder.encode(UrgentDemandRecord(RECORD_VERSION, rows))
+
+    def inherit(self, value: bytes) -> None:
+        """Go on from a record of an earlier holder; raises ``UnusableRecordError``."""
+        try:
+            record = _decoder.decode(value)
+        except msgspec.MsgspecError as error:
+            raise UnusableRecordError(str(error)) from error
+        if record.version != RECORD_VERSION:
+            raise UnusableRecordError(f"version {record.version}")
+        if any(need <= 0 or place <= 0 for _, need, place in record.forecasts):
+            raise UnusableRecordError("a need or a place is not positive")
+        for service, need_millis, place_millis in record.forecasts:
+            observed = self._observed.setdefault(service, _Observed())
+            observed.inherited = Forecast(need_millis, place_millis)
+
+
+def _add_job(sample: _Sample, state: JobState) -> None:
+    for steps in state.occurrences.values():
+        for step in steps:
+            if step.step.filler or step.ready_at_s is None:
+                continue
+            count = sum(not task.done for task in step.tasks)
+            if count:
+                sample.cpu_millis += count * step.step.need.cpu_millis
+                sample.sizes[step.step.need.cpu_millis] += count
+
+
+def _quantile(values: list[int]) -> int:
+    """Return the smallest value that suffices for ``SUFFICES_RATIO`` of all."""
+    return sorted(values)[math.ceil(SUFFICES_RATIO * len(values)) - 1]
+
+
+def _size_that_fits(sizes: Counter[int]) -> int:
+    """Return the smallest size that ``PLACE_FITS_RATIO`` of the tasks fit in."""
+    wanted = PLACE_FITS_RATIO * sizes.total()
+    for size in sorted(sizes):
+        wanted -= sizes[size]
+        if wanted <= 0:
+            return max(1, size)
+    return max(1, *sizes)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
@@ -39,6 +39,7 @@
     EVACUATED = "evacuated"
     NO_ADVICE = "no_advice"
     NO_ROOM = "no_room"
+    KEPT = "kept"
     NO_SPARE = "no_spare"
     DISTURBS = "disturbs"
     GANG_NO_ROOM = "gang_no_room"
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -316,6 +316,12 @@
             return False
         return not self.silent and not self.listing.draining
 
+    def may_be_kept(self) -> bool:
+        """Return whether room here is worth keeping, even if it is silent for now."""
+        if not self.listed or not self.reported or self.gone or self.evacuated:
+            return False
+        return not self.listing.draining
+
     def resting(self, now_s: float) -> bool:
         """Return whether the worker is temporarily excluded from new attempts."""
         return now_s < self.rest_until_s
