--- a/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
@@ -31,7 +31,7 @@
 STOPPING_RATIO_MAX = 0.08
 # The same for room that is made ahead, and for rotation: neither is worth an outage.
 AHEAD_RATIO_MAX = 0.02
-ROTATING_RATIO_MAX = 0.02
+ROTATING_RATIO_MAX = 0.0
 # Minimum time that a task runs before it may be preempted, since it must finish
 # starting up before it serves any user.
 PREEMPTION_COOLDOWN_S = 2.0
@@ -144,7 +144,7 @@
     for run in longest_first:
         if not needs or budget < 1:
             return
-        if not may_stop(run, now_s, 2 * JUST_STARTED_S):
+        if not may_stop(run, now_s, JUST_STARTED_S):
             continue
         worker = cell.workers[run.worker_id]
         if worker.listing.service != service or not worker.usable(now_s):
--- a/packages/hornbeampaddle/hornbeampaddle/cell/victims.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/victims.py
@@ -14,9 +14,9 @@
 
 # Time that a lasting task takes to serve its users again once it has a place.
 START_UP_S = 1.0
-# Time at work up to which a task counts as just started: as long as it may have waited
-# for its place, so that it is at work for at least half of the time.
-JUST_STARTED_S = 6.0
+# Time at work up to which a task counts as just started: twice as long as it may have
+# waited for its place, so that it is at work for most of the time.
+JUST_STARTED_S = 12.0
 
 
 @dataclass(frozen=True, slots=True)
