--- a/features/steps/compared_days_steps.py
+++ b/features/steps/compared_days_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from hornbeampaddle.cell import crashes, dispatch, separating, slow_starts, urgency
+from hornbeampaddle.cell.kept_room import KeptRoom
 from hornbeampaddle.cell.progress import JobStatus
 from hornbeampaddle.cell.scheduler import Scheduler
 from hornbeampaddle_standins.cell.demand import Demand, DemandSettings
@@ -16,6 +17,7 @@
     EVACUATED,
     FILLER_OVERLOAD,
     HOSTILE,
+    SHORT,
 )
 
 DAYS = {
@@ -26,6 +28,7 @@
     "fillers that disturb most images": HOSTILE,
     "tasks that crash and workers that shrink": BREAKING,
     "data centres that are evacuated": EVACUATED,
+    "room that is short at times": SHORT,
 }
 
 
@@ -60,6 +63,9 @@
     "with lasting tasks moved out": lambda: patch.object(
         Scheduler, "_take_evacuation", move_out
     ),
+    "without kept room": lambda: patch.object(
+        KeptRoom, "active", lambda self, service, now_s: False
+    ),
     "with slow starts": lambda: patch.object(slow_starts, "waits_enough", waited_long),
 }
 
@@ -74,10 +80,14 @@
     return emulators
 
 
-def batch_share(emulators):
-    """Return the share of the value of all batch jobs that callers received."""
-    batch = [emulator.earnings()["batch"] for emulator in emulators]
-    return sum(day.earned for day in batch) / sum(day.owed for day in batch)
+# The emulator's name of each kind of callers.
+KINDS = {"urgent": "urgent", "lasting": "serving", "batch": "batch"}
+
+
+def share_of(kind, emulators):
+    """Return the share of the value of all jobs of a kind that callers received."""
+    days = [emulator.earnings()[KINDS[kind]] for emulator in emulators]
+    return sum(day.earned for day in days) / sum(day.owed for day in days)
 
 
 def crashing_jobs(emulator):
@@ -118,12 +128,18 @@
     assert got >= 1.2 * other, (got, other)
 
 
-@then("batch callers receive {more:g} more of the value of their jobs than {change}")
-def more_for_batch(context, more, change):
-    got, other = (batch_share(context.days(name)) for name in ("as it is", change))
+@then("{kind} callers receive {more:g} more of the value of their jobs than {change}")
+def more_for_kind(context, kind, more, change):
+    got, other = (share_of(kind, context.days(name)) for name in ("as it is", change))
     assert got >= other + more, (got, other)
 
 
+@then("{kind} callers receive no more than {most:g} less than {change}")
+def little_less(context, kind, most, change):
+    got, other = (share_of(kind, context.days(name)) for name in ("as it is", change))
+    assert got >= other - most, (got, other)
+
+
 @then("the largest tenth of the batch jobs is served no less than {change}")
 def largest_no_less(context, change):
     got, other = (largest_served(context.days(name)) for name in ("as it is", change))
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
@@ -103,6 +103,11 @@
         self.workers = self._gauge(
             "hornbeampaddle_workers", "Workers of the cell", ("state",)
         )
+        self.kept_places = self._gauge(
+            "hornbeampaddle_kept_places",
+            "Places for urgent tasks on the workers kept for them",
+            ("state",),
+        )
         self.configuration_age_seconds = self._gauge(
             "hornbeampaddle_configuration_age_seconds",
             "How long ago the configuration in force was certainly the newest",
@@ -162,6 +167,9 @@
         self.workers.labels("resting").set(summary.resting_workers)
         self.workers.labels("over_target").set(summary.over_target_workers)
         self.workers.labels("evacuated").set(summary.evacuated_workers)
+        self.workers.labels("kept").set(summary.kept_workers)
+        self.kept_places.labels("kept").set(summary.kept_places)
+        self.kept_places.labels("wanted").set(summary.kept_places_wanted)
 
     def watch_configuration(self, routing: "Routing") -> None:
         """Compute the configuration's age and version whenever metrics are read."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -32,9 +32,11 @@
     sample = cell.sampler.next_sample(usable)
     sampled_candidates = Candidates(sample, cell.model) if sample is not None else None
     unplaceable = UnplaceableSteps()
-    # What found no room beside the kept workers may still find it on them.
+    beside = [w for w in usable if not cell.kept_room.keeps(w)]
+    candidates_beside = Candidates(beside, cell.model)
+    # What finds no room beside the kept workers may still find it on them.
     unplaceable_beside = UnplaceableSteps()
-    kept_out: list[tuple[Turn, list[WorkerState]]] = []
+    kept_out: list[Turn] = []
     cell.orders.update_pending_starts(now_s)
     for _, state, step in ready:
         if not cell.orders.may_add_starts():
@@ -43,9 +45,9 @@
             )
             continue
         service = cell.service_of(state.job)
-        if sampled_candidates is not None:
+        stays_beside = _stays_beside_kept(cell, state, step)
+        if sampled_candidates is not None and not stays_beside:
             suited = sampled_candidates.suited(service, step.step)
-            suited = _beside_kept(cell, suited, state, step)
             turn = Turn(
                 cell,
                 decision,
@@ -59,23 +61,22 @@
             place_in_sample(turn, _workers_to_rank(turn))
             if not step.waiting():
                 continue
-        all_suited = candidates.suited(service, step.step)
-        suited = _beside_kept(cell, all_suited, state, step)
-        known = unplaceable if suited is all_suited else unplaceable_beside
-        turn = Turn(cell, decision, candidates, known, state, step, suited, now_s)
+        known, found_none = candidates, unplaceable
+        if stays_beside:
+            known, found_none = candidates_beside, unplaceable_beside
+        suited = known.suited(service, step.step)
+        turn = Turn(cell, decision, known, found_none, state, step, suited, now_s)
         reason = _place_step(turn)
-        _note_if_full(cell, state, step, reason, now_s)
-        if suited is not all_suited and reason is WaitReason.NO_ROOM:
-            kept_out.append((turn, all_suited))
+        if stays_beside and reason is WaitReason.NO_ROOM:
+            kept_out.append(turn)
         elif reason is not None:
             cell.waits.record_unplaced(state, step, suited, reason, now_s)
     # Urgent steps come first on the workers kept for them.
-    for turn, all_suited in kept_out:
-        reason = _place_owed(turn, all_suited)
+    for turn in kept_out:
+        suited = candidates.suited(turn.service, turn.step.step)
+        reason = _place_owed(turn, suited)
         if reason is not None:
-            cell.waits.record_unplaced(
-                turn.state, turn.step, all_suited, reason, now_s
-            )
+            cell.waits.record_unplaced(turn.state, turn.step, suited, reason, now_s)
     cell.waits.end_decision(cell, now_s)
 
 
@@ -92,7 +93,7 @@
                     continue
                 if step.ready_at_s is None:
                     step.ready_at_s = now_s
-                by_wait = cell.kept_room.full(cell.service_of(state.job), now_s)
+                by_wait = cell.kept_room.active(cell.service_of(state.job), now_s)
                 key = urgency(state, step, cell.mean_work, now_s, by_wait)
                 yield key, state, step
 
@@ -113,16 +114,11 @@
     return all(steps[number].done for number in step.step.after)
 
 
-def _beside_kept(
-    cell: "Scheduler", workers: list[WorkerState], state: JobState, step: StepState
-) -> list[WorkerState]:
-    """Return the workers that a step may use: a lasting one, none that is kept."""
+def _stays_beside_kept(cell: "Scheduler", state: JobState, step: StepState) -> bool:
+    """Return whether a step leaves the kept workers to urgent ones."""
     if not step.step.lasting or step.step.filler or step.step.gang:
-        return workers
-    if cell.advised(state.job):
-        return workers
-    beside = [worker for worker in workers if not cell.kept_room.keeps(worker)]
-    return workers if len(beside) == len(workers) else beside
+        return False
+    return cell.kept_room.keeps_any() and not cell.advised(state.job)
 
 
 def _place_owed(turn: Turn, workers: list[WorkerState]) -> WaitReason | None:
@@ -133,12 +129,16 @@
     Return why tasks of the step still wait, or None.
     """
     step = turn.step
-    kept = [worker for worker in workers if turn.cell.kept_room.keeps(worker)]
+    waiting = [
+        task
+        for task in step.waiting()
+        if owed(step, task, turn.now_s) and not suspected(task)
+    ]
+    if not waiting:
+        return WaitReason.KEPT
     ranking = turn.ranking()
-    ranking.fill(kept)
-    for task in step.waiting():
-        if not owed(step, task, turn.now_s) or suspected(task):
-            continue
+    ranking.fill(worker for worker in workers if turn.cell.kept_room.keeps(worker))
+    for task in waiting:
         if not turn.cell.orders.may_add_starts():
             return WaitReason.STARTS_PENDING
         worker = ranking.choose(task.key, task.last_worker_id)
@@ -149,22 +149,6 @@
     return WaitReason.KEPT if step.waiting() else None
 
 
-def _note_if_full(
-    cell: "Scheduler",
-    state: JobState,
-    step: StepState,
-    reason: WaitReason | None,
-    now_s: float,
-) -> None:
-    """Note that the cell is full if a lasting or an urgent step finds no room."""
-    if reason not in (WaitReason.NO_ROOM, WaitReason.KEPT) or step.step.filler:
-        return
-    if not cell.settings.keeps_urgent_room:
-        return
-    if step.step.lasting or cell.urgent_demand.urgent(state.job):
-        cell.kept_room.note_no_room(cell.service_of(state.job), now_s)
-
-
 def _place_step(turn: Turn) -> WaitReason | None:
     """Place the tasks that fit and return why the others wait, or None."""
     step = turn.step
--- a/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
@@ -5,18 +5,18 @@
 holds several times as many for minutes. Preempting one makes a single task unavailable
 to its users for a second or two. Without preemption, the whole urgent job is late.
 
-In a full cell, room is also made ahead: on the workers that are kept for urgent tasks,
-and, by rotation, for lasting tasks that soon have waited for as long as they may.
+In a full cell, the workers that are kept for urgent tasks are emptied ahead. Lasting
+tasks then take turns: shortly before one has waited for as long as it may, the one that
+was at work for longest makes room for it on another worker.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from .effects import LogEntry
 from .incarnations import WorkerId
 from .progress import JobState, Run, RunPhase, StepState
 from .urgency import OWED_AFTER_S, waits_since_s
-from .victims import JUST_STARTED_S, choose_set, may_stop
+from .victims import JUST_STARTED_S, may_stop, ranked_sets
 from .workers import WorkerState
 
 if TYPE_CHECKING:
@@ -29,9 +29,9 @@
 # the same time. Preempted tasks that have ended and wait for a worker are not counted:
 # under heavy load there are so many that urgent jobs would find no room.
 STOPPING_RATIO_MAX = 0.08
-# The same for room that is made ahead, and for rotation: neither is worth an outage.
+# The same for room that is made ahead, for which nobody waits yet, and for rotation.
 AHEAD_RATIO_MAX = 0.02
-ROTATING_RATIO_MAX = 0.0
+ROTATING_RATIO_MAX = 0.005
 # Minimum time that a task runs before it may be preempted, since it must finish
 # starting up before it serves any user.
 PREEMPTION_COOLDOWN_S = 2.0
@@ -45,7 +45,7 @@
     """Preempt as many long-running tasks as the waiting tasks of a step need."""
     missing = len(step.waiting()) - _expected_slots(cell, step)
     budget = _budget(cell)
-    if cell.kept_room.full(cell.service_of(state.job), now_s):
+    if cell.kept_room.active(cell.service_of(state.job), now_s):
         _stop_cheapest_sets(cell, state, step, missing, budget, now_s)
         return
     while missing > 0 and budget > 0:
@@ -67,6 +67,8 @@
     now_s: float,
 ) -> None:
     """Stop sets of tasks, each on one worker, by what their callers lose."""
+    if missing < 1 or budget < 1:
+        return
     service = cell.service_of(state.job)
     place_millis = max(1, step.step.need.cpu_millis)
     workers = [
@@ -76,44 +78,40 @@
         and worker.usable(now_s)
         and not any(run.stop_reason for run in worker.runs.values())
     ]
-    while missing > 0 and budget > 0:
-        found = choose_set(
-            workers,
-            place_millis,
-            missing,
-            lambda run: _may_preempt(cell, run, state, now_s),
-            cell.settings.stop_s,
-            now_s,
-        )
-        if found is None or len(found.runs) > budget:
+    sets = ranked_sets(
+        workers,
+        place_millis,
+        missing,
+        lambda run: _may_preempt(cell, run, state, now_s),
+        cell.settings.stop_s,
+        now_s,
+    )
+    for found in sets:
+        if missing < 1 or len(found.runs) > budget:
             return
         for run in found.runs:
             cell.stop(run, REASON)
         missing -= found.places
         budget -= len(found.runs)
-        workers.remove(found.worker)
 
 
 def make_room_ahead(cell: "Scheduler", now_s: float) -> None:
-    """Empty the workers that are kept for urgent tasks, and rotate lasting ones."""
-    if not _all_reported(cell):
+    """Stop lasting tasks on the workers that are kept, and rotate the others."""
+    kept_runs = [
+        run
+        for service in cell.kept_room.services
+        for worker_id in cell.kept_room.kept_workers(service)
+        for run in cell.workers[worker_id].runs.values()
+    ]
+    if not cell.kept_room.keeps_any() or not _all_reported(cell):
         # A new holder does not know yet what runs where.
         return
     lasting = _lasting_runs(cell)
-    _empty_kept_workers(cell, lasting, now_s)
-    for service in cell.kept_room.services:
-        if cell.kept_room.kept_workers(service):
-            _rotate(cell, service, lasting, now_s)
-
-
-def _all_reported(cell: "Scheduler") -> bool:
-    return all(w.reported for w in cell.workers.values() if w.listed and not w.silent)
-
-
-def _empty_kept_workers(cell: "Scheduler", lasting: list[Run], now_s: float) -> None:
+    for service in cell.kept_room.kept_services():
+        _rotate(cell, service, lasting, now_s)
     leaving = sum(run.stop_reason == AHEAD_REASON for run in lasting)
     budget = max(1, int(AHEAD_RATIO_MAX * len(lasting))) - leaving
-    for run in _on_kept_workers(cell):
+    for run in kept_runs:
         if budget < 1:
             return
         if may_stop(run, now_s, JUST_STARTED_S):
@@ -121,15 +119,11 @@
             budget -= 1
 
 
-def _on_kept_workers(cell: "Scheduler") -> Iterator[Run]:
-    for service in cell.kept_room.services:
-        for worker_id in cell.kept_room.kept_workers(service):
-            yield from cell.workers[worker_id].runs.values()
+def _all_reported(cell: "Scheduler") -> bool:
+    return all(w.reported or w.silent for w in cell.workers.values() if w.listed)
 
 
-def _rotate(
-    cell: "Scheduler", service: str, lasting: list[Run], now_s: float
-) -> None:
+def _rotate(cell: "Scheduler", service: str, lasting: list[Run], now_s: float) -> None:
     """Make places for the lasting tasks that are owed one when the stops have ended."""
     notice_s = cell.settings.stop_s + HAND_OVER_S
     owed_from_s = now_s - (OWED_AFTER_S - notice_s)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -38,7 +38,7 @@
 from .settings import CellSettings
 from .urgency import MeanWork
 from .urgent_demand import UrgentDemand
-from .waiting import WaitTracker
+from .waiting import WaitReason, WaitTracker
 from .workers import WorkerListing, WorkerState
 
 # Added to the bound on a lease's end: orders have a network delay, and deadlines are
@@ -98,7 +98,7 @@
         self.run_times = RunTimes(settings)
         # What the next holder goes on with, by the key of its record.
         self.learners: dict[str, Learner] = {RUN_TIMES_KEY: self.run_times}
-        self.urgent_demand = UrgentDemand()
+        self.urgent_demand = UrgentDemand(WaitReason.NO_ROOM.value)
         self.kept_room = KeptRoom()
         if settings.keeps_urgent_room:
             self.learners[URGENT_DEMAND_KEY] = self.urgent_demand
@@ -639,16 +639,23 @@
     def _keep_room(self, now_s: float) -> None:
         """Forecast what urgent jobs need, and choose the workers kept for them."""
         self.urgent_demand.observe(self.open_jobs.values(), self.service_of, now_s)
-        for service in self.kept_room.services:
+        for service in self.urgent_demand.services():
             workers = [
                 worker
                 for worker in self.workers.values()
                 if worker.listing.service == service and worker.may_be_kept()
             ]
-            forecast = self.urgent_demand.forecast(service, now_s)
-            self.kept_room.plan(
-                service, workers, forecast, self.settings.stop_s, now_s
+            entry = self.kept_room.plan(
+                service,
+                workers,
+                self.urgent_demand.forecast(service, now_s),
+                self.urgent_demand.short_ratio(service, now_s),
+                self.settings.stop_s,
+                now_s,
             )
+            if entry is not None:
+                self.log(entry)
+        self.urgent_demand.keep(self.kept_room.kept_services())
 
     def _log_pace(self, order: PaceOrder) -> None:
         worker = self.workers.get(order.worker_id)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/summary.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/summary.py
@@ -23,7 +23,8 @@
     ``plain``. Free and spare CPU are thousandths of a core; they are totals over all
     usable workers, except for ``widest_free_cpu_millis``, the largest of one worker.
     ``overdue_stops`` counts the runs that were ordered to stop over ``OVERDUE_STOP_S``
-    ago and whose end is still unknown.
+    ago and whose end is still unknown. ``kept_places`` are those for urgent tasks on
+    the kept workers, ``kept_places_wanted`` those that the forecast asks for.
     """
 
     open_jobs: int
@@ -39,6 +40,9 @@
     over_target_workers: int
     evacuated_workers: int
     overdue_stops: int
+    kept_workers: int
+    kept_places: int
+    kept_places_wanted: int
 
 
 def kind_of(step: Step) -> str:
@@ -61,6 +65,7 @@
     workers = list(cell.workers.values())
     runs = [run for worker in workers for run in worker.runs.values()]
     usable = [worker for worker in workers if worker.usable(now_s)]
+    kept_rooms = cell.kept_room.services.values()
     return Summary(
         open_jobs=len(cell.open_jobs),
         waiting=dict(waiting),
@@ -77,4 +82,7 @@
         overdue_stops=sum(
             now_s - run.stop_first_sent_at_s > OVERDUE_STOP_S for run in runs
         ),
+        kept_workers=sum(len(room.kept) for room in kept_rooms),
+        kept_places=sum(room.places for room in kept_rooms),
+        kept_places_wanted=sum(room.places_wanted for room in kept_rooms),
     )
--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgent_demand.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgent_demand.py
@@ -33,6 +33,8 @@
 # holder goes by its own observation alone: before, it may have seen only a calm part.
 OBSERVED_MIN_S = 5.0
 OBSERVED_ENOUGH_S = WAVE_S / 2
+# Number of jobs of the last wave without which no share of them counts.
+JOBS_MIN = 5
 # Interval at which a forecast is computed anew.
 FORECAST_INTERVAL_S = 0.4
 
@@ -81,6 +83,9 @@
     samples: deque[tuple[float, int]] = field(default_factory=deque)
     sizes: deque[tuple[float, Counter[int]]] = field(default_factory=deque)
     begun_at_s: float = math.inf
+    # The jobs by the time at which they were last seen, and whether each waited for
+    # room for longer than its objective leaves.
+    jobs: dict[str, tuple[float, bool]] = field(default_factory=dict)
     inherited: Forecast | None = None
     computed: Forecast | None = None
     computed_at_s: float = -math.inf
@@ -95,6 +100,26 @@
         while self.sizes and self.sizes[0][0] < now_s - WAVE_S:
             self.sizes.popleft()
 
+    def note_job(self, state: JobState, room_wait: str, now_s: float) -> None:
+        slack_s = state.job.objective_s() - state.job.chain_s()
+        waited_s = state.waited_s.get(room_wait, 0.0)
+        # A job moves to the end of the map, which is thus sorted by time.
+        self.jobs.pop(state.job.job_id, None)
+        self.jobs[state.job.job_id] = (now_s, waited_s > slack_s)
+
+    def short_ratio(self, now_s: float) -> float:
+        if self.inherited is not None and now_s - self.begun_at_s < OBSERVED_ENOUGH_S:
+            # Only a holder that kept room has stored a forecast.
+            return 1.0
+        while self.jobs:
+            job_id, (seen_at_s, _) = next(iter(self.jobs.items()))
+            if seen_at_s >= now_s - WAVE_S:
+                break
+            del self.jobs[job_id]
+        if len(self.jobs) < JOBS_MIN:
+            return 0.0
+        return sum(short for _, short in self.jobs.values()) / len(self.jobs)
+
     def forecast(self, now_s: float) -> Forecast | None:
         observed_s = now_s - self.begun_at_s
         if self.inherited is not None and observed_s < OBSERVED_ENOUGH_S:
@@ -119,11 +144,17 @@
 class UrgentDemand:
     """What the urgent queues of a cell need, as seen in its decisions."""
 
-    def __init__(self) -> None:
-        """Start without any observation."""
+    def __init__(self, room_wait: str) -> None:
+        """
+        Start without any observation.
+
+        ``room_wait`` is the reason in ``JobState.waited_s`` of waits for room.
+        """
+        self._room_wait = room_wait
         self._observed: dict[str, _Observed] = {}
         self._filler_queues: dict[str, int] = {}
         self._sampled_at_s = -math.inf
+        self._kept_services: set[str] = set()
 
     def observe(
         self,
@@ -140,7 +171,10 @@
             if state.status.final or state.job.lasting:
                 continue
             if self.urgent(state.job):
-                _add_job(found.setdefault(service_of(state.job), _Sample()), state)
+                service = service_of(state.job)
+                _add_job(found.setdefault(service, _Sample()), state)
+                observed = self._observed.setdefault(service, _Observed())
+                observed.note_job(state, self._room_wait, now_s)
             else:
                 self._note_fillers(state.job)
         for service in found.keys() | self._observed.keys():
@@ -157,10 +191,27 @@
         return queue.priority < min(self._filler_queues.values())
 
     def forecast(self, service: str, now_s: float) -> Forecast | None:
-        """Return a service's forecast, or None if none of its jobs is urgent."""
+        """Return a service's forecast, or None if no job of it is urgent."""
         observed = self._observed.get(service)
         return observed.forecast(now_s) if observed is not None else None
 
+    def services(self) -> list[str]:
+        """Return the services that urgent jobs were seen of."""
+        return list(self._observed)
+
+    def short_ratio(self, service: str, now_s: float) -> float:
+        """
+        Return the share of a service's urgent jobs that were late for want of room.
+
+        It counts the jobs of the last wave.
+        """
+        observed = self._observed.get(service)
+        return observed.short_ratio(now_s) if observed is not None else 0.0
+
+    def keep(self, services: Iterable[str]) -> None:
+        """Note the services for which room is kept: their forecasts are stored."""
+        self._kept_services = set(services)
+
     def _note_fillers(self, job: Job) -> None:
         if any(step.filler for step in job.steps):
             self._filler_queues[job.queue.name] = job.queue.priority
@@ -170,7 +221,8 @@
         rows = [
             (service, known.need_millis, known.place_millis)
             for service, observed in sorted(self._observed.items())
-            if (known := observed.computed or observed.inherited) is not None
+            if service in self._kept_services
+            and (known := observed.computed or observed.inherited) is not None
         ]
         if not rows:
             return None
--- a/packages/hornbeampaddle/hornbeampaddle/cell/victims.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/victims.py
@@ -91,21 +91,19 @@
     return best
 
 
-def choose_set(
+def ranked_sets(
     workers: Iterable[WorkerState],
     place_millis: int,
     wanted: int,
     may_leave: Callable[[Run], bool],
     stop_s: float,
     now_s: float,
-) -> VictimSet | None:
-    """Return the set with the lowest loss for each place over all workers, or None."""
-    best: VictimSet | None = None
+) -> list[VictimSet]:
+    """Return the best set of each worker, the lowest loss for each place first."""
+    found: list[VictimSet] = []
     for worker in workers:
         stoppable = [run for run in worker.runs.values() if may_leave(run)]
-        found = cheapest_set(worker, place_millis, wanted, stoppable, stop_s, now_s)
-        if found is None:
-            continue
-        if best is None or found.loss_per_place_s < best.loss_per_place_s:
-            best = found
-    return best
+        best = cheapest_set(worker, place_millis, wanted, stoppable, stop_s, now_s)
+        if best is not None:
+            found.append(best)
+    return sorted(found, key=lambda item: item.loss_per_place_s)
