--- a/features/steps/urgent_room_steps.py
+++ b/features/steps/urgent_room_steps.py
@@ -253,7 +253,7 @@
 
 @then("it cannot be used, and nothing is forecast")
 def unusable(context):
-    demand = UrgentDemand(WaitReason.NO_ROOM.value)
+    demand = UrgentDemand(0.4, WaitReason.NO_ROOM.value)
     try:
         demand.inherit(context.record)
     except UnusableRecordError:
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
@@ -119,7 +119,9 @@
         self.demand = demand
         self.now_s = 100.0
         self.begun_at_s = self.now_s
-        self.cell = Scheduler(settings or CellSettings())
+        settings = settings or CellSettings()
+        stop_s = max(settings.stop_s, demand.settings.stop_s)
+        self.cell = Scheduler(replace(settings, stop_s=stop_s))
         self.workers: dict[WorkerId, EmulatedWorker] = {}
         self.submitted: dict[str, Submission] = {}
         self.done_at_s: dict[str, float] = {}
--- a/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
@@ -16,6 +16,7 @@
 from .incarnations import WorkerId
 from .progress import JobState, Run, RunPhase, StepState
 from .urgency import OWED_AFTER_S, waits_since_s
+from .urgent_demand import HAND_OVER_S
 from .victims import JUST_STARTED_S, may_stop, ranked_sets
 from .workers import WorkerState
 
@@ -35,8 +36,6 @@
 # Minimum time that a task runs before it may be preempted, since it must finish
 # starting up before it serves any user.
 PREEMPTION_COOLDOWN_S = 2.0
-# Time between a stop's end and the start that uses its room: a report and a decision.
-HAND_OVER_S = 0.3
 
 
 def make_room(
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -98,7 +98,7 @@
         self.run_times = RunTimes(settings)
         # What the next holder goes on with, by the key of its record.
         self.learners: dict[str, Learner] = {RUN_TIMES_KEY: self.run_times}
-        self.urgent_demand = UrgentDemand(WaitReason.NO_ROOM.value)
+        self.urgent_demand = UrgentDemand(settings.stop_s, WaitReason.NO_ROOM.value)
         self.kept_room = KeptRoom()
         if settings.keeps_urgent_room:
             self.learners[URGENT_DEMAND_KEY] = self.urgent_demand
--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgent_demand.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgent_demand.py
@@ -3,8 +3,10 @@
 
 Urgent jobs come in waves and leave about a second for waiting, less than it takes to
 stop a lasting task. Room for them must therefore exist before they arrive. The forecast
-is the amount that sufficed for four in five moments of the last wave: a moment without
-room costs callers about five times as much as room that is kept and not used.
+is the amount that sufficed for a share of the moments of the last wave. The share
+follows from what callers lose (as a newsvendor's does): an urgent job is worth several
+times as much for the CPU that it needs as a lasting one, but without room it is late
+only if its objective leaves too little time for a stop.
 
 Urgent are jobs that end, reserve CPU and come from a queue with a latency target that
 precedes the queues of fillers (best-effort tasks).
@@ -14,6 +16,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from statistics import median
 
 import msgspec
 
@@ -25,8 +28,15 @@
 SAMPLE_INTERVAL_S = 0.2
 # Span of the samples: the users' waves last up to about this long.
 WAVE_S = 20.0
-# Share of the moments for which the forecast suffices.
-SUFFICES_RATIO = 0.8
+# Value of an urgent job's CPU relative to a lasting one's, and the lowest share of the
+# moments for which a forecast suffices.
+VALUE_RATIO = 5.0
+SUFFICES_RATIO_MIN = 0.5
+# A job is late for certain if it waits for this multiple of what its objective leaves;
+# for less, the chance is proportional.
+LATE_WAIT_RATIO = 2.0
+# Time between a stop's end and the start that uses its room: a report and a decision.
+HAND_OVER_S = 0.3
 # Share of the urgent tasks that fit a place; the others need room of several.
 PLACE_FITS_RATIO = 0.8
 # Time of observation without which there is no forecast, and the time from which a
@@ -76,6 +86,15 @@
     sizes: Counter[int] = field(default_factory=Counter)
 
 
+@dataclass(frozen=True, slots=True)
+class _SeenJob:
+    """When a job was seen, what its objective leaves, and whether it lacked room."""
+
+    seen_at_s: float
+    slack_s: float
+    short: bool
+
+
 @dataclass(slots=True)
 class _Observed:
     """The samples of one service over the last wave, and its forecasts."""
@@ -83,9 +102,8 @@
     samples: deque[tuple[float, int]] = field(default_factory=deque)
     sizes: deque[tuple[float, Counter[int]]] = field(default_factory=deque)
     begun_at_s: float = math.inf
-    # The jobs by the time at which they were last seen, and whether each waited for
-    # room for longer than its objective leaves.
-    jobs: dict[str, tuple[float, bool]] = field(default_factory=dict)
+    # The jobs by id, the one that was seen last at the end.
+    jobs: dict[str, _SeenJob] = field(default_factory=dict)
     inherited: Forecast | None = None
     computed: Forecast | None = None
     computed_at_s: float = -math.inf
@@ -103,24 +121,23 @@
     def note_job(self, state: JobState, room_wait: str, now_s: float) -> None:
         slack_s = state.job.objective_s() - state.job.chain_s()
         waited_s = state.waited_s.get(room_wait, 0.0)
-        # A job moves to the end of the map, which is thus sorted by time.
         self.jobs.pop(state.job.job_id, None)
-        self.jobs[state.job.job_id] = (now_s, waited_s > slack_s)
+        self.jobs[state.job.job_id] = _SeenJob(now_s, slack_s, waited_s > slack_s)
 
     def short_ratio(self, now_s: float) -> float:
         if self.inherited is not None and now_s - self.begun_at_s < OBSERVED_ENOUGH_S:
             # Only a holder that kept room has stored a forecast.
             return 1.0
         while self.jobs:
-            job_id, (seen_at_s, _) = next(iter(self.jobs.items()))
-            if seen_at_s >= now_s - WAVE_S:
+            job_id, job = next(iter(self.jobs.items()))
+            if job.seen_at_s >= now_s - WAVE_S:
                 break
             del self.jobs[job_id]
         if len(self.jobs) < JOBS_MIN:
             return 0.0
-        return sum(short for _, short in self.jobs.values()) / len(self.jobs)
+        return sum(job.short for job in self.jobs.values()) / len(self.jobs)
 
-    def forecast(self, now_s: float) -> Forecast | None:
+    def forecast(self, stop_s: float, now_s: float) -> Forecast | None:
         observed_s = now_s - self.begun_at_s
         if self.inherited is not None and observed_s < OBSERVED_ENOUGH_S:
             return self.inherited
@@ -128,15 +145,19 @@
             return None
         if now_s >= self.computed_at_s + FORECAST_INTERVAL_S:
             self.computed_at_s = now_s
-            self.computed = self._compute()
+            self.computed = self._compute(stop_s)
         return self.computed
 
-    def _compute(self) -> Forecast | None:
+    def _compute(self, stop_s: float) -> Forecast | None:
         sizes: Counter[int] = Counter()
         for _, seen in self.sizes:
             sizes.update(seen)
-        need_millis = _quantile([millis for _, millis in self.samples])
-        if not sizes or not need_millis:
+        if not sizes or not self.jobs:
+            return None
+        slack_s = median(job.slack_s for job in self.jobs.values())
+        ratio = _share_that_pays(stop_s, slack_s)
+        need_millis = _quantile([millis for _, millis in self.samples], ratio)
+        if not need_millis:
             return None
         return Forecast(need_millis, _size_that_fits(sizes))
 
@@ -144,12 +165,14 @@
 class UrgentDemand:
     """What the urgent queues of a cell need, as seen in its decisions."""
 
-    def __init__(self, room_wait: str) -> None:
+    def __init__(self, stop_s: float, room_wait: str) -> None:
         """
         Start without any observation.
 
-        ``room_wait`` is the reason in ``JobState.waited_s`` of waits for room.
+        ``stop_s`` is the time that a stop takes, ``room_wait`` the reason in
+        ``JobState.waited_s`` of waits for room.
         """
+        self._stop_s = stop_s
         self._room_wait = room_wait
         self._observed: dict[str, _Observed] = {}
         self._filler_queues: dict[str, int] = {}
@@ -193,7 +216,9 @@
     def forecast(self, service: str, now_s: float) -> Forecast | None:
         """Return a service's forecast, or None if no job of it is urgent."""
         observed = self._observed.get(service)
-        return observed.forecast(now_s) if observed is not None else None
+        if observed is None:
+            return None
+        return observed.forecast(self._stop_s, now_s)
 
     def services(self) -> list[str]:
         """Return the services that urgent jobs were seen of."""
@@ -254,9 +279,16 @@
                 sample.sizes[step.step.need.cpu_millis] += count
 
 
-def _quantile(values: list[int]) -> int:
-    """Return the smallest value that suffices for ``SUFFICES_RATIO`` of all."""
-    return sorted(values)[math.ceil(SUFFICES_RATIO * len(values)) - 1]
+def _share_that_pays(stop_s: float, slack_s: float) -> float:
+    """Return the share of the moments for which kept room should suffice."""
+    wait_s = stop_s + HAND_OVER_S
+    late_chance = min(1.0, wait_s / max(wait_s, LATE_WAIT_RATIO * slack_s))
+    return max(SUFFICES_RATIO_MIN, 1 - 1 / (VALUE_RATIO * late_chance))
+
+
+def _quantile(values: list[int], ratio: float) -> int:
+    """Return the smallest value that suffices for a share of all."""
+    return sorted(values)[math.ceil(ratio * len(values)) - 1]
 
 
 def _size_that_fits(sizes: Counter[int]) -> int:
