--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -16,7 +16,7 @@
 from .slow_starts import left_idle, may_share_processors, place_slow, set_first_pace
 from .turns import Turn
 from .unplaceable import UnplaceableSteps
-from .urgency import Urgency, chance_of, owed, urgency
+from .urgency import Urgency, by_wait, chance_of, owed, urgency
 from .waiting import WaitReason
 from .workers import WorkerState
 
@@ -93,8 +93,11 @@
                     continue
                 if step.ready_at_s is None:
                     step.ready_at_s = now_s
-                by_wait = cell.kept_room.active(cell.service_of(state.job), now_s)
-                key = urgency(state, step, cell.mean_work, now_s, by_wait)
+                key = urgency(state, step, cell.mean_work, now_s)
+                if state.job.lasting and cell.kept_room.active(
+                    cell.service_of(state.job), now_s
+                ):
+                    key = by_wait(key, step, now_s)
                 yield key, state, step
 
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
@@ -64,18 +64,8 @@
         return min(RELATIVE_VALUE_MAX, scaled)
 
 
-def urgency(
-    state: JobState,
-    step: StepState,
-    usual: MeanWork,
-    now_s: float,
-    by_wait: bool = False,
-) -> Urgency:
-    """
-    Return the sort key of a step; the smallest is placed first.
-
-    With ``by_wait``, lasting steps are ordered by the longest wait of their tasks.
-    """
+def urgency(state: JobState, step: StepState, usual: MeanWork, now_s: float) -> Urgency:
+    """Return the sort key of a step; the smallest is placed first."""
     job = state.job
     order = state.accepted_at_s + job.objective_s()
     chance = 0
@@ -86,11 +76,15 @@
     # urgent jobs arrive, each of them would be placed before it, including those from
     # queues of higher priority.
     overdue = step.step.lasting and step.interrupted_s(now_s) > LASTING_AWAY_MAX_S
-    if by_wait and step.step.lasting:
-        order = min(waits_since_s(step, task, now_s) for task in step.waiting())
     return (not overdue, job.queue.priority, job.lasting, chance, order)
 
 
+def by_wait(key: Urgency, step: StepState, now_s: float) -> Urgency:
+    """Return the key of a lasting step, ordered by the longest wait of its tasks."""
+    since_s = min(waits_since_s(step, task, now_s) for task in step.waiting())
+    return (*key[:-1], since_s)
+
+
 def waits_since_s(step: StepState, task: Task, now_s: float) -> float:
     """Return since when a waiting task of a step has needed a worker."""
     ready_at_s = now_s if step.ready_at_s is None else step.ready_at_s
