--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -32,8 +32,10 @@
     sample = cell.sampler.next_sample(usable)
     sampled_candidates = Candidates(sample, cell.model) if sample is not None else None
     unplaceable = UnplaceableSteps()
-    beside = [w for w in usable if not cell.kept_room.keeps(w)]
-    candidates_beside = Candidates(beside, cell.model)
+    candidates_beside = candidates
+    if cell.kept_room.keeps_any():
+        beside = [w for w in usable if not cell.kept_room.keeps(w)]
+        candidates_beside = Candidates(beside, cell.model)
     # What finds no room beside the kept workers may still find it on them.
     unplaceable_beside = UnplaceableSteps()
     kept_out: list[Turn] = []
--- a/packages/hornbeampaddle/hornbeampaddle/cell/kept_room.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/kept_room.py
@@ -64,6 +64,12 @@
         room = self.services.get(service)
         return room is not None and now_s < room.needed_until_s
 
+    def to_plan(self, service: str, short_ratio: float, now_s: float) -> bool:
+        """Return whether ``plan`` may have anything to do."""
+        if short_ratio >= SHORT_RATIO_MIN or self.active(service, now_s):
+            return True
+        return bool(self.kept_workers(service))
+
     def keeps(self, worker: WorkerState) -> bool:
         """Return whether a worker is kept for urgent tasks."""
         return worker.worker_id in self._kept
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -640,6 +640,9 @@
         """Forecast what urgent jobs need, and choose the workers kept for them."""
         self.urgent_demand.observe(self.open_jobs.values(), self.service_of, now_s)
         for service in self.urgent_demand.services():
+            short_ratio = self.urgent_demand.short_ratio(service, now_s)
+            if not self.kept_room.to_plan(service, short_ratio, now_s):
+                continue
             workers = [
                 worker
                 for worker in self.workers.values()
@@ -649,7 +652,7 @@
                 service,
                 workers,
                 self.urgent_demand.forecast(service, now_s),
-                self.urgent_demand.short_ratio(service, now_s),
+                short_ratio,
                 self.settings.stop_s,
                 now_s,
             )
