--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
@@ -109,6 +109,11 @@
             "Typical error of submitters' estimates and of predictions, as a factor",
             ("queue", "of"),
         )
+        self.kept_places = self._gauge(
+            "hornbeampaddle_kept_places",
+            "Places for urgent tasks on the workers kept for them",
+            ("state",),
+        )
         self.configuration_age_seconds = self._gauge(
             "hornbeampaddle_configuration_age_seconds",
             "How long ago the configuration in force was certainly the newest",
@@ -168,6 +173,9 @@
         self.workers.labels("resting").set(summary.resting_workers)
         self.workers.labels("over_target").set(summary.over_target_workers)
         self.workers.labels("evacuated").set(summary.evacuated_workers)
+        self.workers.labels("kept").set(summary.kept_workers)
+        self.kept_places.labels("kept").set(summary.kept_places)
+        self.kept_places.labels("wanted").set(summary.kept_places_wanted)
 
     def update_run_time_errors(self, errors: QueueErrors) -> None:
         """Set the gauges of a queue's errors of estimates and predictions."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -16,7 +16,7 @@
 from .slow_starts import left_idle, may_share_processors, place_slow, set_first_pace
 from .turns import Turn
 from .unplaceable import UnplaceableSteps
-from .urgency import Urgency, chance_of, urgency
+from .urgency import Urgency, by_wait, chance_of, owed, urgency
 from .waiting import WaitReason
 from .workers import WorkerState
 
@@ -32,6 +32,13 @@
     sample = cell.sampler.next_sample(usable)
     sampled_candidates = Candidates(sample, cell.model) if sample is not None else None
     unplaceable = UnplaceableSteps()
+    candidates_beside = candidates
+    if cell.kept_room.keeps_any():
+        beside = [w for w in usable if not cell.kept_room.keeps(w)]
+        candidates_beside = Candidates(beside, cell.model)
+    # What finds no room beside the kept workers may still find it on them.
+    unplaceable_beside = UnplaceableSteps()
+    kept_out: list[Turn] = []
     cell.orders.update_pending_starts(now_s)
     for _, state, step in ready:
         if not cell.orders.may_add_starts():
@@ -40,7 +47,8 @@
             )
             continue
         service = cell.service_of(state.job)
-        if sampled_candidates is not None:
+        stays_beside = _stays_beside_kept(cell, state, step)
+        if sampled_candidates is not None and not stays_beside:
             suited = sampled_candidates.suited(service, step.step)
             turn = Turn(
                 cell,
@@ -55,11 +63,22 @@
             place_in_sample(turn, _workers_to_rank(turn))
             if not step.waiting():
                 continue
-        suited = candidates.suited(service, step.step)
-        turn = Turn(cell, decision, candidates, unplaceable, state, step, suited, now_s)
+        known, found_none = candidates, unplaceable
+        if stays_beside:
+            known, found_none = candidates_beside, unplaceable_beside
+        suited = known.suited(service, step.step)
+        turn = Turn(cell, decision, known, found_none, state, step, suited, now_s)
         reason = _place_step(turn)
-        if reason is not None:
+        if stays_beside and reason is WaitReason.NO_ROOM:
+            kept_out.append(turn)
+        elif reason is not None:
             cell.waits.record_unplaced(state, step, suited, reason, now_s)
+    # Urgent steps come first on the workers kept for them.
+    for turn in kept_out:
+        suited = candidates.suited(turn.service, turn.step.step)
+        reason = _place_owed(turn, suited)
+        if reason is not None:
+            cell.waits.record_unplaced(turn.state, turn.step, suited, reason, now_s)
     cell.waits.end_decision(cell, now_s)
 
 
@@ -76,7 +95,12 @@
                     continue
                 if step.ready_at_s is None:
                     step.ready_at_s = now_s
-                yield urgency(state, step, cell.mean_work, now_s), state, step
+                key = urgency(state, step, cell.mean_work, now_s)
+                if state.job.lasting and cell.kept_room.active(
+                    cell.service_of(state.job), now_s
+                ):
+                    key = by_wait(key, step, now_s)
+                yield key, state, step
 
 
 def _open_due_occurrences(cell: "Scheduler", state: JobState, wall_s: float) -> None:
@@ -95,6 +119,41 @@
     return all(steps[number].done for number in step.step.after)
 
 
+def _stays_beside_kept(cell: "Scheduler", state: JobState, step: StepState) -> bool:
+    """Return whether a step leaves the kept workers to urgent ones."""
+    if not step.step.lasting or step.step.filler or step.step.gang:
+        return False
+    return cell.kept_room.keeps_any() and not cell.advised(state.job)
+
+
+def _place_owed(turn: Turn, workers: list[WorkerState]) -> WaitReason | None:
+    """
+    Place the lasting tasks that have waited for long on kept workers.
+
+    Operators allow a lasting task to wait beside free room for a few seconds only.
+    Return why tasks of the step still wait, or None.
+    """
+    step = turn.step
+    waiting = [
+        task
+        for task in step.waiting()
+        if owed(step, task, turn.now_s) and not suspected(task)
+    ]
+    if not waiting:
+        return WaitReason.KEPT
+    ranking = turn.ranking()
+    ranking.fill(worker for worker in workers if turn.cell.kept_room.keeps(worker))
+    for task in waiting:
+        if not turn.cell.orders.may_add_starts():
+            return WaitReason.STARTS_PENDING
+        worker = ranking.choose(task.key, task.last_worker_id)
+        if worker is None:
+            return WaitReason.NO_ROOM
+        turn.start(task, worker)
+        ranking.booked(worker)
+    return WaitReason.KEPT if step.waiting() else None
+
+
 def _place_step(turn: Turn) -> WaitReason | None:
     """Place the tasks that fit and return why the others wait, or None."""
     step = turn.step
