--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
@@ -66,6 +66,8 @@
         self.clock = clock
         self.settings = settings
         self._queue: list[_QueuedRecord] = []
+        # The records of the append in flight.
+        self._in_flight: list[_QueuedRecord] = []
         self._wake = asyncio.Event()
         self._sequence = 0
         self.unanswered_since_s: float | None = None
@@ -91,6 +93,10 @@
                 return Stored.NO
             return Stored.UNKNOWN
 
+    def has(self, key: str) -> bool:
+        """Return whether a record of this key may still be stored from here."""
+        return any(w.record.key == key for w in (*self._queue, *self._in_flight))
+
     def stuck(self) -> bool:
         """Return whether an append is unanswered beyond ``append_patience_s``."""
         if self.unanswered_since_s is None:
@@ -104,7 +110,9 @@
             await self._wake.wait()
             self._wake.clear()
             while self._queue:
-                await self._append(self._take_batch())
+                self._in_flight = self._take_batch()
+                await self._append(self._in_flight)
+                self._in_flight = []
 
     def _take_batch(self) -> list[_QueuedRecord]:
         taken: list[_QueuedRecord] = []
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
@@ -5,6 +5,7 @@
 answer. A refused submission means that the job is certain not to run from it.
 """
 
+import math
 from dataclasses import dataclass, replace
 
 import structlog
@@ -12,9 +13,11 @@
 from hornbeampaddle.cell.jobs import Job
 from hornbeampaddle.cell.progress import JobStatus
 
+from .admission import Refuse
 from .appender import Appender, Stored
 from .follower import Follower
 from .ledger import Ledger, cancel_record, job_record
+from .load_gate import LoadGate
 from .metrics import Metrics
 from .ports import Clock
 from .retries import retry_after_s
@@ -70,6 +73,7 @@
         operator: Follower,
         appender: Appender,
         metrics: Metrics,
+        load_gate: LoadGate,
     ) -> None:
         """Store the components that answers are computed from."""
         self.settings = settings
@@ -80,6 +84,7 @@
         self.operator = operator
         self.appender = appender
         self.metrics = metrics
+        self.load_gate = load_gate
 
     def fresh(self) -> bool:
         """Return whether the views of jobs and progress are recent."""
@@ -106,6 +111,9 @@
             outcome: Submitted = self._refused("configuration_too_old")
             self._record_answer("submit", outcome, started_s)
             return outcome
+        if refused := await self._refuse_for_load(job):
+            self._record_answer("submit", refused, started_s)
+            return refused
         job = replace(job, accepted_at_s=self.clock.wall_s())
         stored = await self.appender.put(job_record(job), deadline_s)
         took_s = round(self.clock.now_s() - started_s, 4)
@@ -120,6 +128,45 @@
         self._record_answer("submit", outcome, started_s)
         return outcome
 
+    async def _refuse_for_load(self, job: Job) -> Submitted | None:
+        """
+        Return the answer to a job without a chance, None if it is to be stored.
+
+        Guards against a refusal of a job that is stored: an earlier request with its id
+        may have got no answer from another instance, whose record this one has not read
+        yet, or from this one, which may still be storing it. If that cannot be ruled
+        out now, the job is stored, for which a repeat makes no difference.
+        """
+        age_s = self.load_gate.age_s()
+        if math.isfinite(age_s):
+            self.metrics.backlog_age_seconds.observe(age_s)
+        if not isinstance(self.load_gate.decide(job), Refuse):
+            return None
+        if self.appender.has(job.job_id):
+            return None
+        if not await self.jobs.catch_up(FRESH_READ_TIMEOUT_S):
+            return None
+        if job.job_id in self.ledger.jobs:
+            log.info("submit: repeated", job=job.job_id)
+            return Accepted()
+        # Decided anew: the read took its time.
+        decision = self.load_gate.decide(job)
+        if not isinstance(decision, Refuse):
+            return None
+        retry_after_s = self.load_gate.retry_after_s(job, decision)
+        log.info(
+            "submit: refused for load",
+            job=job.job_id,
+            queue=job.queue.name,
+            reason=decision.reason,
+            wait_s=round(decision.wait_s, 3),
+            limit_s=round(decision.limit_s, 3),
+            retry_after_s=retry_after_s,
+            age_s=round(age_s, 3),
+        )
+        self.metrics.refusals.labels(decision.reason, job.queue.name).inc()
+        return NotAccepted(decision.reason, retry_after_s)
+
     async def _job_exists(self, job_id: str) -> bool | None:
         """Return whether a job exists; ``None`` if that cannot be known now."""
         if job_id in self.ledger.jobs:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -25,6 +25,7 @@
 from hornbeampaddle.cell.summary import summary
 from hornbeampaddle.cell.workers import WorkerListing
 
+from .backlog_record import backlog_record
 from .leadership import HOLDER_KEY, HolderRecord, encode_holder
 from .ledger import (
     CANCEL_PREFIX,
@@ -324,6 +325,9 @@
         records += [birth_record(*change) for change in decision.births_ms.items()]
         if decision.lapses is not None:
             records.append(lease_expiry_record(decision.lapses))
+        if decision.backlog is not None:
+            wall_s = self.clock.wall_s()
+            records.append(backlog_record(decision.backlog, self.epoch, wall_s))
         self._log_summary(now_s)
         unacked = any(worker.acked_end < end for worker, end in ends)
         if records or unacked or self._heartbeat_due(now_s):
@@ -434,6 +438,7 @@
         self._next_summary_s = now_s + SUMMARY_INTERVAL_S
         state = summary(self.cell, now_s)
         self.metrics.update_cell_gauges(state)
+        self._log_backlog()
         lag_s = round(self.metrics.loop_lag_s, 3)
         log.info(
             "cell: state",
@@ -447,6 +452,19 @@
         )
         self.load = HolderLoad.since(now_s)
 
+    def _log_backlog(self) -> None:
+        backlog = self.cell.backlog.backlog
+        self.metrics.update_backlog(backlog)
+        for name, queue in backlog.items():
+            log.info(
+                "backlog: measured",
+                epoch=self.epoch,
+                queue=name,
+                drained_s=round(queue.drained_s, 3),
+                rate_cpu_millis=round(queue.rate_millis),
+                jobs_per_s=round(queue.jobs_per_s, 3),
+            )
+
     def _delete_finished_jobs(self, now_s: float) -> None:
         if now_s < self._next_job_cleanup_s:
             return
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -22,6 +22,7 @@
 from .holder import Holder
 from .leadership import HOLDER_KEY, HolderRecord, Leadership, encode_holder
 from .ledger import Ledger
+from .load_gate import LoadGate
 from .metrics import MeteredStore, Metrics
 from .peers import (
     PEERS_READ_INTERVAL_S,
@@ -117,6 +118,9 @@
             self.operator,
             self.appender,
             self.metrics,
+            LoadGate(
+                settings, clock, self.ledger, self.leadership, self.peer_directory
+            ),
         )
 
     def _follow(self, topic: Topic, handler: Handler) -> Follower:
@@ -168,7 +172,8 @@
         assert address is not None
         while True:
             wall_s = self.clock.wall_s()
-            records = [peer_record(self.settings.name, address, wall_s)]
+            name, data_centre = self.settings.name, self.settings.data_centre
+            records = [peer_record(name, address, wall_s, data_centre)]
             if self.holder is not None:
                 records += [
                     Keyed(name, None) for name in self.peer_directory.outdated(wall_s)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -16,6 +16,7 @@
 from hornbeampaddle.cell.learned import LEARNED_PREFIX
 from hornbeampaddle.cell.progress import JobStatus, decode_status
 
+from .backlog_record import BACKLOG_KEY, PublishedBacklog, decode_backlog
 from .ports import Keyed
 from .unreadable import UnreadableRecords
 
@@ -90,6 +91,8 @@
     # of the users' loads, if one was found.
     slopes: dict[str, dict[str, float]] = field(default_factory=dict)
     period_s: float | None = None
+    # What waits in the queues, as the holder last published it; None if nothing is.
+    backlog: PublishedBacklog | None = None
     # The records of the holder's other learners, by key.
     learned: dict[str, bytes] = field(default_factory=dict)
     # When the leases of silent workers expire, on this instance's clock. The remaining
@@ -159,6 +162,10 @@
             self.slopes = _slopes_decoder.decode(value) if value else {}
         elif record.key == LOAD_PERIOD_KEY:
             self.period_s = _period_decoder.decode(value) if value else None
+        elif record.key == BACKLOG_KEY:
+            # One that cannot be read leaves none: the one before it is outdated.
+            self.backlog = None
+            self.backlog = decode_backlog(value, read_at_s) if value else None
         elif record.key.startswith(LEARNED_PREFIX):
             self._apply_learned(record.key, value)
         elif record.key.startswith(BIRTH_PREFIX):
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
@@ -19,6 +19,7 @@
     generate_latest,
 )
 
+from hornbeampaddle.cell.backlog import Backlog
 from hornbeampaddle.cell.effects import LogEntry
 from hornbeampaddle.cell.progress import Run
 from hornbeampaddle.cell.reports import HoldOutcome, OrderOutcome, Refused
@@ -60,6 +61,21 @@
         self.request_seconds = self._histogram(
             "hornbeampaddle_request_seconds", "Time to answer a caller", ("call",)
         )
+        self.refusals = self._counter(
+            "hornbeampaddle_refusals_total",
+            "Jobs that were refused, by reason and queue",
+            ("reason", "queue"),
+        )
+        self.backlog_seconds = self._gauge(
+            "hornbeampaddle_backlog_seconds",
+            "Time until all that waits has had its turn, where callers may be refused",
+            ("queue",),
+        )
+        self.backlog_age_seconds = self._histogram(
+            "hornbeampaddle_backlog_age_seconds",
+            "Age of the published backlog when a job was decided on",
+            (),
+        )
         self.store_calls = self._counter(
             "hornbeampaddle_store_calls_total",
             "Calls to the store",
@@ -163,6 +179,12 @@
         self.workers.labels("over_target").set(summary.over_target_workers)
         self.workers.labels("evacuated").set(summary.evacuated_workers)
 
+    def update_backlog(self, backlog: Backlog) -> None:
+        """Set the gauges of the queues' backlogs."""
+        self.backlog_seconds.clear()
+        for name, queue in backlog.items():
+            self.backlog_seconds.labels(name).set(queue.drained_s)
+
     def watch_configuration(self, routing: "Routing") -> None:
         """Compute the configuration's age and version whenever metrics are read."""
         self.configuration_age_seconds.set_function(routing.operator.age_s)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
@@ -13,6 +13,7 @@
 
 from hornbeampaddle.machines import Address
 
+from .admission import Competitors
 from .ports import Keyed
 from .unreadable import UnreadableRecords
 
@@ -26,19 +27,26 @@
 
 
 class PeerRecord(msgspec.Struct, array_like=True, frozen=True):
-    """Where an instance listens for its peers; ``renewed_at_s`` is Unix time."""
+    """
+    Where an instance listens for its peers; ``renewed_at_s`` is Unix time.
+
+    ``data_centre`` is empty in records of earlier versions.
+    """
 
     host: str
     port: int
     renewed_at_s: float
+    data_centre: str = ""
 
 
 _decoder = msgspec.msgpack.Decoder(PeerRecord)
 
 
-def peer_record(name: str, address: Address, renewed_at_s: float) -> Keyed:
+def peer_record(
+    name: str, address: Address, renewed_at_s: float, data_centre: str
+) -> Keyed:
     """Return the record of an instance's own address."""
-    value = PeerRecord(address.host, address.port, renewed_at_s)
+    value = PeerRecord(address.host, address.port, renewed_at_s, data_centre)
     return Keyed(name, msgspec.msgpack.encode(value))
 
 
@@ -76,6 +84,11 @@
         """Return the number of known peers."""
         return len(self._records)
 
+    def competitors(self, data_centre: str) -> Competitors:
+        """Return who takes jobs beside an instance of this data centre."""
+        others = [record.data_centre for record in self._records.values()]
+        return Competitors(len({data_centre, *others}), 1 + others.count(data_centre))
+
     def shuffled(self) -> list[Address]:
         """Return all addresses in random order, to spread calls over the peers."""
         addresses = [Address(r.host, r.port) for r in self._records.values()]
--- a/packages/hornbeampaddle/hornbeampaddle/cell/effects.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/effects.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from .backlog import Backlog
 from .incarnations import WorkerId
 from .jobs import StepKey
 from .progress import Run
@@ -42,7 +43,8 @@
     ``starts`` are sent only after that append has been acknowledged. Stops, paces and
     questions need no record. ``births_ms`` are changed births of workers by name, None
     to delete one, stored with the records. So is ``lapses``, if given: the
-    seconds left of the lease of each silent worker.
+    seconds left of the lease of each silent worker. ``backlog`` replaces what was
+    published of the queues' backlogs, if given; nothing depends on it.
     """
 
     records: dict[str, bytes | None] = field(default_factory=dict)
@@ -52,6 +54,7 @@
     questions: list[AdviceQuestion] = field(default_factory=list)
     lapses: dict[WorkerId, float] | None = None
     births_ms: dict[str, int | None] = field(default_factory=dict)
+    backlog: Backlog | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -155,6 +155,8 @@
         self.cell.log(LogEntry("run_done", task.key.job_id, detail))
         if run is not None:
             self.cell.run_times.observe_done(state.job, run, now_s)
+            task_s = self.cell.run_times.task_s(state.job.queue, run.step)
+            self.cell.backlog.observe_done(state.job, run.step, task_s, now_s)
         step = state.occurrences[task.key.occurrence][task.key.step]
         if step.step.gang:
             self._gang_done(state, task, now_s)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -15,6 +15,7 @@
 from ..resources import NOTHING
 from . import crashes, dispatch, moving, pacing, restarts
 from .advice import AdviceCache, Allowance
+from .backlog import BacklogMeter
 from .effects import Decision, LogEntry, PaceOrder, StopOrder
 from .incarnations import Incarnations, WorkerId
 from .intake import ReportIntake
@@ -91,6 +92,7 @@
         self.run_times = RunTimes(settings)
         # What the next holder goes on with, by the key of its record.
         self.learners: dict[str, Learner] = {RUN_TIMES_KEY: self.run_times}
+        self.backlog = BacklogMeter(settings)
         self.lapses = LeaseLapses()
         self._outlook: Outlook | None = None
         self._outlook_until_s = float("-inf")
@@ -619,6 +621,9 @@
         self._close_finished(now_s)
         decision.births_ms = self.incarnations.take_birth_changes()
         decision.lapses = self.lapses.due(self, now_s)
+        decision.backlog = self.backlog.due(
+            self.open_jobs.values(), self.mean_work, self.run_times, now_s
+        )
         return decision
 
     def _log_pace(self, order: PaceOrder) -> None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
@@ -52,12 +52,20 @@
 
     def relative_value(self, job: Job) -> float:
         """Return the value of a job relative to one of its queue's mean work."""
-        count = self._counts.get(job.queue.name, 0)
-        mean = self._sums[job.queue.name] / count if count else 0.0
-        if not mean:
-            return 1.0
-        scaled = FIXED_VALUE + (1 - FIXED_VALUE) * job.work_millis_s() / mean
-        return min(RELATIVE_VALUE_MAX, scaled)
+        return relative_value(job, self.mean_millis_s(job.queue.name))
+
+    def mean_millis_s(self, queue_name: str) -> float:
+        """Return the mean of a queue, 0 if it had no job."""
+        count = self._counts.get(queue_name, 0)
+        return self._sums[queue_name] / count if count else 0.0
+
+
+def relative_value(job: Job, mean_millis_s: float) -> float:
+    """Return the value of a job relative to one of the mean work of its queue."""
+    if not mean_millis_s:
+        return 1.0
+    scaled = FIXED_VALUE + (1 - FIXED_VALUE) * job.work_millis_s() / mean_millis_s
+    return min(RELATIVE_VALUE_MAX, scaled)
 
 
 def urgency(state: JobState, step: StepState, usual: MeanWork, now_s: float) -> Urgency:
