--- a/features/admission.feature
+++ b/features/admission.feature
@@ -67,6 +67,7 @@
   Scenario Outline: A record that <is> refuses nobody
     # Guards against refusals by a backlog that is over.
     Given a cell of 3 instances and 4 workers
+    And callers of the urgent queue hand in a job every 0.1 s
     And the log has a backlog of the batch queue of 500 s that <is>
     When a batch job "ba02" is handed in through a follower
     Then the job "ba02" is shown as completed within 10 s
@@ -116,6 +117,7 @@
     # Guards against "not run" for a job whose record this instance goes on storing: the
     # caller gave up waiting and asks again.
     Given a cell of 3 instances and 4 workers
+    And callers of the urgent queue hand in a job every 0.1 s
     And the holder has published that the batch queue has work for 500 s
     When the store acts late for a follower, through which "ba06" is handed in
     And a batch job "ba06" is handed in through a follower
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -318,6 +318,22 @@
     play(context, asyncio.sleep(2.1 if kind == "was read 2.1 s ago" else 0.5))
 
 
+@given("callers of the urgent queue hand in a job every {every_s:g} s")
+def urgent_callers(context, every_s):
+    world = context.world
+
+    async def ask():
+        for number in range(1000):
+            via = world.holder()
+            await world.submit(job_id(f"0a{number:04}"), URGENT, plain(1, 50), via=via)
+            await asyncio.sleep(every_s)
+
+    async def begin():
+        world.tasks["urgent callers"] = asyncio.create_task(ask())
+
+    play(context, begin())
+
+
 def hand_in(context, name, via):
     context.outcome = play(
         context, context.world.submit(job_id(name), BATCH, USUAL, via=via)
