Let a repeat join the append of its job that is under way

A caller that got no answer and asked the same instance again was told 503 "not run" (store_unavailable) while that instance went on storing the record of its first try. Both tries now wait for the one append, and the answer is 504 as long as its outcome is not known. Found by the scenario "A job that this instance is still storing is not refused", which failed before.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -121,7 +121,7 @@
     When the store acts late for a follower, through which "ba06" is handed in
     And the holder publishes that the batch queue has work for 500 s
     And a batch job "ba06" is handed in through a follower
-    Then the follower has not refused it for load
+    Then the follower says that it cannot know yet
 
   Scenario: A record that is stored after another instance's refusal runs once
     # An append without an answer may be carried out seconds later. No read can tell. The
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -16,7 +16,7 @@
 from hornbeampaddle.cell.settings import CellSettings
 from hornbeampaddle_cell.admission import Admission, Admit, Competitors, Refuse
 from hornbeampaddle_cell.backlog_record import BACKLOG_KEY, backlog_record
-from hornbeampaddle_cell.callers import Accepted, Gone, NotAccepted
+from hornbeampaddle_cell.callers import Accepted, Gone, NotAccepted, Unknown
 from hornbeampaddle_cell.ports import Keyed, Topic
 from hornbeampaddle_standins.cell.demand import Demand
 from hornbeampaddle_standins.cell.emulator import Emulator
@@ -406,9 +406,9 @@
     assert context.outcome == Accepted(), context.outcome
 
 
-@then("the follower has not refused it for load")
-def not_refused_for_load(context):
-    assert not isinstance(context.outcome, NotAccepted), context.outcome
+@then("the follower says that it cannot know yet")
+def cannot_know(context):
+    assert isinstance(context.outcome, Unknown), context.outcome
 
 
 @then('the job "{name}" is not known')
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
@@ -77,13 +77,16 @@
         Store one record; return what is certain by ``deadline_s``.
 
         ``deadline_s`` is on this instance's clock. An append that was sent without an
-        answer is still repeated after that time, until its outcome is known.
+        answer is still repeated after that time, until its outcome is known. A record
+        of the same key that is being stored stands for this one.
         """
-        if self.stuck():
-            return Stored.NO
-        waiting = _QueuedRecord(record, self.clock.now_s())
-        self._queue.append(waiting)
-        self._wake.set()
+        waiting = self._find(record.key)
+        if waiting is None:
+            if self.stuck():
+                return Stored.NO
+            waiting = _QueuedRecord(record, self.clock.now_s())
+            self._queue.append(waiting)
+            self._wake.set()
         try:
             async with asyncio.timeout(deadline_s - self.clock.now_s()):
                 return await asyncio.shield(waiting.done)
@@ -95,7 +98,11 @@
 
     def has(self, key: str) -> bool:
         """Return whether a record of this key may still be stored from here."""
-        return any(w.record.key == key for w in (*self._queue, *self._in_flight))
+        return self._find(key) is not None
+
+    def _find(self, key: str) -> _QueuedRecord | None:
+        queued = (*self._in_flight, *self._queue)
+        return next((w for w in queued if w.record.key == key), None)
 
     def stuck(self) -> bool:
         """Return whether an append is unanswered beyond ``append_patience_s``."""
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
@@ -43,7 +43,7 @@
 
 
 def peer_record(
-    name: str, address: Address, renewed_at_s: float, data_centre: str
+    name: str, address: Address, renewed_at_s: float, data_centre: str = ""
 ) -> Keyed:
     """Return the record of an instance's own address."""
     value = PeerRecord(address.host, address.port, renewed_at_s, data_centre)
