Refuse only what has no chance, and tell who is refused when there is room

A crowd's jobs were all accepted; callers of those without a chance learned nothing.

Not begun: shares by client account, whose engine is separate from the cell.

--- a/features/trace.feature
+++ b/features/trace.feature
@@ -11,6 +11,14 @@
     And a job "ba01" of 1 steps of 2 tasks is handed in
     Then the history of "ba01" says "refused, not run: the store did not take it"
 
+  Scenario: A request that was refused for load
+    # A caller got a 503 with a long Retry-After: the job had no chance.
+    Given a cell of 3 instances and 4 workers
+    And its log is kept
+    And the holder has published that the batch queue has work for 500 s
+    When a batch job "ba08" is handed in through a follower
+    Then the history of "ba08" says "refused, not run: it had no chance"
+
   Scenario: A request that came late because the holder died
     # A caller waited seconds longer than usual: the holder died before it had started
     # the second step, and another instance took over the cell.
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/story.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/story.py
@@ -103,6 +103,12 @@
             "nobody can say: the store gave no answer to the append; "
             "the caller was told to repeat the request"
         )
+    if for_load := _events(own, "submit: refused for load"):
+        line = for_load[-1]
+        return (
+            f"refused, not run: it had no chance; its wait was at least "
+            f"{line['wait_s']} s, and over {line['limit_s']} s is too long"
+        )
     if answers:
         line = answers[-1]
         return (
