--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
@@ -66,6 +66,8 @@
         self.clock = clock
         self.settings = settings
         self._queue: list[_QueuedRecord] = []
+        # The records of the append in flight.
+        self._in_flight: list[_QueuedRecord] = []
         self._wake = asyncio.Event()
         self._sequence = 0
         self.unanswered_since_s: float | None = None
@@ -75,13 +77,16 @@
         Store one record; return what is certain by ``deadline_s``.
 
         ``deadline_s`` is on this instance's clock. An append that was sent without an
-        answer is still repeated after that time, until its outcome is known.
+        answer is still repeated after that time, until its outcome is known. A record
+        of the same key that is being stored stands for this one.
         """
-        if self.stuck():
-            return Stored.NO
-        waiting = _QueuedRecord(record, self.clock.now_s())
-        self._queue.append(waiting)
-        self._wake.set()
+        waiting = self._find(record.key)
+        if waiting is None:
+            if self.stuck():
+                return Stored.NO
+            waiting = _QueuedRecord(record, self.clock.now_s())
+            self._queue.append(waiting)
+            self._wake.set()
         try:
             async with asyncio.timeout(deadline_s - self.clock.now_s()):
                 return await asyncio.shield(waiting.done)
@@ -91,6 +96,14 @@
                 return Stored.NO
             return Stored.UNKNOWN
 
+    def has(self, key: str) -> bool:
+        """Return whether a record of this key may still be stored from here."""
+        return self._find(key) is not None
+
+    def _find(self, key: str) -> _QueuedRecord | None:
+        queued = (*self._in_flight, *self._queue)
+        return next((w for w in queued if w.record.key == key), None)
+
     def stuck(self) -> bool:
         """Return whether an append is unanswered beyond ``append_patience_s``."""
         if self.unanswered_since_s is None:
@@ -104,7 +117,9 @@
             await self._wake.wait()
             self._wake.clear()
             while self._queue:
-                await self._append(self._take_batch())
+                self._in_flight = self._take_batch()
+                await self._append(self._in_flight)
+                self._in_flight = []
 
     def _take_batch(self) -> list[_QueuedRecord]:
         taken: list[_QueuedRecord] = []
