Ask a second peer to append before appending oneself

An instance that shuts down takes no more records of others, and one that doesn't answer is followed by a second one. In simulated time with such an instance killed, 85 of 100 callers are answered within 1.5 s.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -219,10 +219,20 @@
     And no promise of the cell was broken
 
     Examples:
-      | gathered     | share                |
-      | gather       | at least 95 of 100   |
+      | gathered     | share                  |
+      | gather       | at least 95 of 100     |
       | don't gather | no more than 50 of 100 |
 
+  Scenario: An instance that appends for others goes down while each append is slow
+    # Guards against a line that fills again because all whose records went through that
+    # instance append by themselves.
+    Given a cell of 24 instances and 4 workers that reach the store through one another
+    And an instance that appends for others goes down after 2 s
+    When the store is at work on each append for 0.1 s, and 20 jobs a second are submitted for 5 s
+    Then at least 85 of 100 of them were accepted within 1.5 s
+    And nobody was told "not run" of a job that runs
+    And no promise of the cell was broken
+
   Scenario Outline: A peer that appends for others fails: it <fault>
     # Guards against a caller that is told a job will never run, although the peer has
     # stored it and its answer was lost, and against a job that is stored twice.
--- a/features/steps/group_commit_steps.py
+++ b/features/steps/group_commit_steps.py
@@ -29,6 +29,22 @@
         instance.appender.group_commit = None
 
 
+@given("an instance that appends for others goes down after {after_s:d} s")
+def gatherer_goes_down(context, after_s):
+    world = context.world
+    holder = world.holder()
+    name = next(n for n in sorted(world.instances, key=_rank) if n != holder)
+
+    async def go_down():
+        await asyncio.sleep(after_s)
+        await world.kill(name)
+
+    async def begin():
+        context.going_down = asyncio.create_task(go_down())
+
+    play(context, begin())
+
+
 @when(
     "the store is at work on each append for {append_s:g} s, and {per_s:d} jobs a "
     "second are submitted for {seconds_s:d} s"
@@ -37,11 +53,11 @@
     world = context.world
     context.took_s = {}
     context.outcomes = {}
-    names = list(world.instances)
 
     async def submit(number):
         begun_s = asyncio.get_running_loop().time()
         name = job_id(f"ac{number:03}")
+        names = list(world.instances)
         via = names[number % len(names)]
         outcome = await world.submit(name, BATCH, plain(1), via=via)
         took_s = asyncio.get_running_loop().time() - begun_s
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
@@ -136,22 +136,24 @@
         Returns the records that are still to be appended here, and whether they may
         have been stored all the same.
         """
-        group_commit = self.group_commit
-        address = group_commit.peer() if group_commit is not None else None
-        if group_commit is None or address is None:
+        if self.group_commit is None:
             return batch, False
-        records = [waiting.record for waiting in batch]
-        outcome = await group_commit.put(address, self.topic, records)
-        if not isinstance(outcome, PutAnswer):
-            return batch, isinstance(outcome, NoAnswer)
-        left = []
-        values = stored_values(outcome, len(batch))
-        for waiting, stored in zip(batch, values, strict=True):
-            if stored is Stored.YES:
-                self._resolve([waiting], stored)
-            else:
-                left.append(waiting)
-        return left, Stored.UNKNOWN in values
+        maybe_stored = False
+        for address in self.group_commit.peers_to_ask():
+            records = [waiting.record for waiting in batch]
+            outcome = await self.group_commit.put(address, self.topic, records)
+            if not isinstance(outcome, PutAnswer):
+                maybe_stored |= isinstance(outcome, NoAnswer)
+                continue
+            values = stored_values(outcome, len(batch))
+            left = []
+            for waiting, stored in zip(batch, values, strict=True):
+                if stored is Stored.YES:
+                    self._resolve([waiting], stored)
+                else:
+                    left.append(waiting)
+            return left, maybe_stored or Stored.UNKNOWN in values
+        return batch, maybe_stored
 
     async def _append_directly(
         self, batch: list[_QueuedRecord], maybe_stored: bool
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/group_commit.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/group_commit.py
@@ -48,9 +48,12 @@
 # Number of instances that append for all. One that is gone or cut off leaves others;
 # more of them would put more appends in line.
 GATHERERS = 3
-# Timeout of a put. The peer's append waits for its previous one and for those of the
-# other gatherers; a caller waits 3 s, so another way can still be tried.
+# Timeout of a put: the peer's append waits for its previous one and for those of the
+# other gatherers.
 PUT_TIMEOUT_S = 1.2
+# Number of peers asked for one put: a caller waits 3 s for all of them. If those of a
+# peer that is gone appended directly, they would fill the line.
+PEERS_PER_PUT_MAX = 2
 # Timeout of a notice that appends are slow; one that is lost costs one more append.
 NOTICE_TIMEOUT_S = 0.3
 # How long a peer is not asked again after a put that it did not carry out.
@@ -95,10 +98,10 @@
         calls = (self.peers.call(a, data, NOTICE_TIMEOUT_S) for a in addresses)
         await asyncio.gather(*calls)
 
-    def peer(self) -> Address | None:
-        """Return the peer through which to put records now, or None to append here."""
+    def peers_to_ask(self) -> list[Address]:
+        """Return the peers to put records through, in order; none to append here."""
         if not self._slow:
-            return None
+            return []
         ranked = sorted(
             (zlib.crc32(name.encode()), address)
             for name, address in self.peer_directory.addresses().items()
@@ -113,8 +116,10 @@
         gatherers = usable[:GATHERERS]
         if len(gatherers) < GATHERERS or own_rank < gatherers[-1][0]:
             # This instance is one of them, or too few are known to gain anything.
-            return None
-        return gatherers[own_rank % GATHERERS][1]
+            return []
+        first = own_rank % GATHERERS
+        in_turn = gatherers[first:] + gatherers[:first]
+        return [address for _, address in in_turn[:PEERS_PER_PUT_MAX]]
 
     async def put(
         self, address: Address, topic: Topic, records: Sequence[Keyed]
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -234,6 +234,9 @@
     async def stop(self) -> None:
         """Become not ready for new callers, and release the cell if held."""
         self.stopping = True
+        if self.relay is not None:
+            # Peers put their records through others from now on.
+            self.relay.appender = None
         holder = self.holder
         if holder is not None:
             holder.release()
