--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -19,6 +19,7 @@
 from .callers import CallerApi
 from .evacuations import Evacuations
 from .follower import Follower, Handler
+from .group_commit import GroupCommit
 from .holder import Holder
 from .leadership import HOLDER_KEY, HolderRecord, Leadership, encode_holder
 from .ledger import Ledger
@@ -109,6 +110,12 @@
         self.routing = Routing(settings, self.operator)
         self.metrics.watch_configuration(self.routing)
         self.appender = Appender(self.store, Topic.JOBS, clock, settings)
+        if self.relay is not None and peers is not None:
+            self.relay.appender = self.appender
+            if settings.gathers_appends:
+                self.appender.group_commit = GroupCommit(
+                    self.peer_directory, peers, clock
+                )
         self.callers = CallerApi(
             settings,
             clock,
@@ -232,6 +239,9 @@
     async def stop(self) -> None:
         """Become not ready for new callers, and release the cell if held."""
         self.stopping = True
+        if self.relay is not None:
+            # Peers put their records through others from now on.
+            self.relay.appender = None
         holder = self.holder
         if holder is not None:
             holder.release()
