Keep a joined record in the queue until its last caller gives up

Cause: a repeat joins the record of its key that waits. When the first caller's time was over, the record left the queue for both: the first was told "no", the second waited for nothing until its own time was over (scenario: no, unknown). With appends through peers a peer's put of 1.2 s could so take a record from a caller who waits 3 s.

Change: a record counts its callers and leaves with the last; one that gives up before is told that the outcome is unknown (scenario: unknown, yes).

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -123,6 +123,13 @@
     And a batch job "ba06" is handed in through a follower
     Then the follower says that it cannot know yet
 
+  Scenario: A repeat is stored although the time of its first caller is over
+    # Guards against a caller that waits in vain: the record that stands for both leaves
+    # the queue with the first one.
+    Given a log of jobs that is at work on an append for 1 s
+    When a record is put for 0.5 s, and again for 3 s
+    Then the first is told "unknown", the second "yes"
+
   Scenario: A record that is stored after another instance's refusal runs once
     # An append without an answer may be carried out seconds later. No read can tell. The
     # caller knows that its first try has no answer, and its next one finds the job.
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -4,20 +4,24 @@
 from collections import Counter
 from dataclasses import replace
 from random import Random
+from types import SimpleNamespace
 from unittest.mock import patch
 
 from behave import given, then, when
 from support.cell_scene import STORE_FAULTS, job_id, play
 from support.cell_walk import plain
 from support.refusing_day import RefusingDay
+from support.virtual_loop import VirtualLoop
 
 from hornbeampaddle.cell.backlog import QueueBacklog
 from hornbeampaddle.cell.jobs import Job
 from hornbeampaddle.cell.settings import CellSettings
 from hornbeampaddle_cell.admission import Admission, Admit, Competitors, Refuse
+from hornbeampaddle_cell.appender import Appender
 from hornbeampaddle_cell.backlog_record import BACKLOG_KEY, backlog_record
 from hornbeampaddle_cell.callers import Accepted, Gone, NotAccepted, Unknown
-from hornbeampaddle_cell.ports import Keyed, Topic
+from hornbeampaddle_cell.ports import Appended, Keyed, Topic
+from hornbeampaddle_cell.settings import InstanceSettings
 from hornbeampaddle_standins.cell.demand import Demand
 from hornbeampaddle_standins.cell.emulator import Emulator
 from hornbeampaddle_standins.cell.loads import LOADS, UNEVEN
@@ -406,6 +410,46 @@
     assert context.outcome == Accepted(), context.outcome
 
 
+@given("a log of jobs that is at work on an append for {append_s:g} s")
+def busy_log(context, append_s):
+    context.loop = VirtualLoop()
+    asyncio.set_event_loop(context.loop)
+    context.add_cleanup(context.loop.close)
+
+    async def append(*_):
+        await asyncio.sleep(append_s)
+        return Appended(1)
+
+    clock = SimpleNamespace(now_s=context.loop.time)
+    settings = InstanceSettings("i-1", "i", "dc-1", 1.0)
+    store = SimpleNamespace(append=append)
+    context.appender = Appender(store, Topic.JOBS, clock, settings)
+
+
+@when("a record is put for {first_s:g} s, and again for {second_s:g} s")
+def put_twice(context, first_s, second_s):
+    async def put():
+        now_s = context.loop.time()
+        running = asyncio.create_task(context.appender.run())
+        busy = asyncio.create_task(context.appender.put(Keyed("b", b"1"), now_s + 5))
+        await asyncio.sleep(0.1)
+        puts = [
+            context.appender.put(Keyed("a", b"1"), now_s + after_s)
+            for after_s in (first_s, second_s)
+        ]
+        context.stored = await asyncio.gather(*puts)
+        await busy
+        running.cancel()
+
+    play(context, put())
+
+
+@then('the first is told "{first}", the second "{second}"')
+def both_told(context, first, second):
+    told = [stored.value for stored in context.stored]
+    assert told == [first, second], told
+
+
 @then("the follower says that it cannot know yet")
 def cannot_know(context):
     assert isinstance(context.outcome, Unknown), context.outcome
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/appender.py
@@ -47,6 +47,8 @@
     queued_at_s: float
     # Whether this instance must append it itself, for a peer that asked it to.
     directly: bool = False
+    # How many wait for it; one that has given up no longer counts.
+    callers: int = 0
     done: asyncio.Future[Stored] = field(default_factory=asyncio.Future)
 
 
@@ -91,11 +93,13 @@
             self._queue.append(waiting)
             self._wake.set()
         waiting.directly |= directly
+        waiting.callers += 1
         try:
             async with asyncio.timeout(deadline_s - self.clock.now_s()):
                 return await asyncio.shield(waiting.done)
         except TimeoutError:
-            if waiting in self._queue:
+            waiting.callers -= 1
+            if not waiting.callers and waiting in self._queue:
                 self._queue.remove(waiting)
                 return Stored.NO
             return Stored.UNKNOWN
