Look again for an append under way after the read that a refusal needs

Cause: a job was checked for an append under way here before the read of the log, not after it. A repeat that is let in during the read, while the backlog is missing for a moment, was being stored when the first request was told "no_chance" (scenario).

Change: looked for on both sides of the read; the request then joins that append.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -123,6 +123,14 @@
     And a batch job "ba06" is handed in through a follower
     Then the follower says that it cannot know yet
 
+  Scenario: A job that this instance begins to store during its read is not refused
+    # Guards against "not run" for a job that runs: a repeat is let in, by a backlog that
+    # is missing for a moment, while the first request still waits for its read.
+    Given a cell of 3 instances and 4 workers
+    And the holder has published that the batch queue has work for 500 s
+    When a follower begins to store "ba09" while it reads the log for another try
+    Then the follower says that it cannot know yet
+
   Scenario: A repeat is stored although the time of its first caller is over
     # Guards against a caller that waits in vain: the record that stands for both leaves
     # the queue with the first one.
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -20,6 +20,7 @@
 from hornbeampaddle_cell.appender import Appender
 from hornbeampaddle_cell.backlog_record import BACKLOG_KEY, backlog_record
 from hornbeampaddle_cell.callers import Accepted, Gone, NotAccepted, Unknown
+from hornbeampaddle_cell.ledger import job_record
 from hornbeampaddle_cell.ports import Appended, Keyed, Topic
 from hornbeampaddle_cell.settings import InstanceSettings
 from hornbeampaddle_standins.cell.demand import Demand
@@ -410,6 +411,28 @@
     assert context.outcome == Accepted(), context.outcome
 
 
+@when('a follower begins to store "{name}" while it reads the log for another try')
+def stores_while_reading(context, name):
+    world = context.world
+    via = followers(context)[0]
+    instance = world.instances[via]
+    catch_up = instance.jobs.catch_up
+
+    async def read_and_store(timeout_s):
+        known = await catch_up(timeout_s)
+        world.store.faults[via] = STORE_FAULTS["acts late"]
+        record = job_record(batch_job(job_id(name)))
+        deadline_s = instance.clock.now_s() + 3.0
+        world.tasks["put"] = asyncio.create_task(
+            instance.appender.put(record, deadline_s)
+        )
+        await asyncio.sleep(0.1)
+        return known
+
+    with patch.object(instance.jobs, "catch_up", read_and_store):
+        hand_in(context, name, via)
+
+
 @given("a log of jobs that is at work on an append for {append_s:g} s")
 def busy_log(context, append_s):
     context.loop = VirtualLoop()
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
@@ -152,7 +152,7 @@
             return Accepted()
         # Decided anew: the read took its time.
         decision = self.load_gate.decide(job)
-        if not isinstance(decision, Refuse):
+        if not isinstance(decision, Refuse) or self.appender.has(job.job_id):
             return None
         retry_after_s = self.load_gate.retry_after_s(job, decision)
         log.info(
