Tell peers of slow appends once in 5 s at most

Cause: an instance told all peers each time its own appends turned slow after fast ones. One on a slow link does so at every second append, since its peers' answers are fast and its own appends are not (scenario: 12 notices to 3 peers in 4 s), and each notice sends every other instance on a detour.

Change: no second notice within 5 s (scenario: 3). A record that a peer asks for and that joins a caller's has a scenario too: without the merge's line it was put through two peers.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -249,3 +249,17 @@
       | is turned away by the store     | serves  | yes     |
       | is turned away by the store     | refuses | no      |
       | does not know what is asked     | refuses | unknown |
+
+  Scenario: A peer's record joins the caller's, and travels no further
+    # Guards against a record that two instances put through one another, each waiting
+    # for the other: the caller repeats its request at a second instance.
+    Given an instance that puts its records through a peer
+    When a caller's record waits, and a peer asks to append one of the same key
+    Then it was appended once, and put through no peer
+
+  Scenario: An instance on a slow link does not tell its peers at every append
+    # Guards against one instance that sends all others on a detour: peers' appends are
+    # fast, its own are not, so it changes its mind with each.
+    Given an instance that puts its records through a peer
+    When its own appends take turns of 0.12 s and its peers' of 0.01 s for 4 s
+    Then each peer was told once that appends are slow
--- a/features/steps/group_commit_steps.py
+++ b/features/steps/group_commit_steps.py
@@ -16,7 +16,7 @@
 from hornbeampaddle_cell.group_commit import GATHERERS, GroupCommit
 from hornbeampaddle_cell.peers import PeerDirectory, peer_record
 from hornbeampaddle_cell.ports import Appended, Keyed, Topic, Unavailable
-from hornbeampaddle_cell.relay_messages import PutAnswer, encode_outcome
+from hornbeampaddle_cell.relay_messages import PutAnswer, Stored, encode_outcome
 from hornbeampaddle_cell.settings import InstanceSettings
 from hornbeampaddle_standins.cell.world import BATCH
 
@@ -103,7 +103,9 @@
         directory.apply(peer_record(name, Address("peer", 1), 0.0))
     context.answer = None
     context.refuses = False
-    peers = SimpleNamespace(call=lambda *_: _answer(context))
+    context.asked = []
+    context.appends = 0
+    peers = SimpleNamespace(call=lambda *ask: _answer(context, *ask))
     store = SimpleNamespace(append=lambda *_: _append(context))
     settings = InstanceSettings("i-1", "i", "dc-1", 1.0)
     appender = Appender(store, Topic.JOBS, clock, settings)
@@ -116,11 +118,13 @@
     return zlib.crc32(name.encode())
 
 
-async def _answer(context):
+async def _answer(context, address, data, timeout_s):
+    context.asked.append(data)
     return context.answer
 
 
 async def _append(context):
+    context.appends += 1
     return Unavailable("refused") if context.refuses else Appended(1)
 
 
@@ -150,3 +154,46 @@
 @then('the caller is told that the outcome is "{outcome}"')
 def told(context, outcome):
     assert context.stored.value == outcome, context.stored
+
+
+@when("a caller's record waits, and a peer asks to append one of the same key")
+def joined_by_peer(context):
+    appender = context.appender
+    record = Keyed("a", b"1")
+
+    async def put():
+        deadline_s = context.loop.time() + 3.0
+        puts = (appender.put(record, deadline_s, directly=d) for d in (False, True))
+        running = asyncio.create_task(appender.run())
+        context.stored = await asyncio.gather(*puts)
+        running.cancel()
+
+    play(context, put())
+
+
+@then("it was appended once, and put through no peer")
+def appended_here(context):
+    assert context.stored == [Stored.YES, Stored.YES], context.stored
+    assert context.appends == 1, context.appends
+    assert not context.asked, context.asked
+
+
+@when(
+    "its own appends take turns of {own_s:g} s and its peers' of {peers_s:g} s for "
+    "{seconds_s:g} s"
+)
+def turns(context, own_s, peers_s, seconds_s):
+    group_commit = context.appender.group_commit
+
+    async def take_turns():
+        for _ in range(int(seconds_s)):
+            group_commit.note_append(peers_s)
+            group_commit.note_append(own_s)
+            await asyncio.sleep(1.0)
+
+    play(context, take_turns())
+
+
+@then("each peer was told once that appends are slow")
+def told_once(context):
+    assert len(context.asked) == GATHERERS, len(context.asked)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/group_commit.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/group_commit.py
@@ -56,6 +56,9 @@
 PEERS_PER_PUT_MAX = 2
 # Timeout of a notice that appends are slow; one that is lost costs one more append.
 NOTICE_TIMEOUT_S = 0.3
+# How long peers are not told again: an instance on a slow link would send all others
+# on a detour with every second append.
+NOTICE_INTERVAL_S = 5.0
 # How long a peer is not asked again after a put that it did not carry out.
 PEER_BACKOFF_S = 5.0
 
@@ -71,13 +74,16 @@
         self.peers = peers
         self.clock = clock
         self._slow = False
+        self._next_notice_s = float("-inf")
         self._failed_until_s: dict[Address, float] = {}
         self._notices: set[asyncio.Task[None]] = set()
 
     def note_append(self, took_s: float) -> None:
-        """Note the duration of an own append, finished or not; tell peers if slow."""
+        """Note the duration of an own append, finished or not; tell peers of a slow one."""
         slow = took_s >= SLOW_APPEND_S
-        if slow and not self._slow:
+        now_s = self.clock.now_s()
+        if slow and not self._slow and now_s >= self._next_notice_s:
+            self._next_notice_s = now_s + NOTICE_INTERVAL_S
             notice = asyncio.create_task(self._tell_peers())
             self._notices.add(notice)
             notice.add_done_callback(self._notices.discard)
