--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/group_commit.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/group_commit.py
@@ -79,7 +79,7 @@
         self._notices: set[asyncio.Task[None]] = set()
 
     def note_append(self, took_s: float) -> None:
-        """Note the duration of an own append, finished or not; tell peers of a slow one."""
+        """Note the duration of an append, finished or not; tell peers of a slow one."""
         slow = took_s >= SLOW_APPEND_S
         now_s = self.clock.now_s()
         if slow and not self._slow and now_s >= self._next_notice_s:
