--- a/features/known_red.py
+++ b/features/known_red.py
@@ -1,7 +1,9 @@
 """Count the scenarios of a test run and compare its failures with KNOWN-RED.txt.
 
 ``behave`` writes its results to JUnit files. A scenario that fails and is not
-listed in KNOWN-RED.txt fails the run, and so does a listed one that passes.
+listed in KNOWN-RED.txt fails the run, and so does a listed one that passes. A few
+scenarios may be listed at a time; other entries, such as days and soak seeds, are not
+run here and have no limit.
 """
 
 import sys
@@ -40,12 +42,15 @@
         print(f"failed: {name}")
     for name in sorted(fixed):
         print(f"listed in KNOWN-RED.txt but passes: {name}")
+    listed = red & (passed | failed)
+    if len(listed) > MAX_KNOWN_RED:
+        print(f"more than {MAX_KNOWN_RED} scenarios are listed in KNOWN-RED.txt")
     print(f"scenarios: {len(passed)} passed, {len(failed)} failed")
     # An aborted run has a non-zero exit code but may have no failed scenario.
     aborted = (Path(folder) / "exit").read_text().strip() != "0" and not failed
     if aborted:
         print("behave broke off")
-    succeeded = passed and not unexpected and not fixed and len(red) <= MAX_KNOWN_RED
+    succeeded = passed and not unexpected and not fixed and len(listed) <= MAX_KNOWN_RED
     succeeded = succeeded and not aborted
     return 0 if succeeded else 1
 
