Renew a worker that answers again at once, before it waits for an end

Cause: while the record of expiring leases names a worker, its lease may not be extended; its first answer after a silence was followed within 2 ms by a request with the old deadline, which the worker held for 0.8 s or more. Where it was out of reach again by then, its lease ran out although it had answered.

The stand-in loses the answer to a request whose worker is cut off while it waits, as a cut does; before it came through.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -38,3 +38,15 @@
     When the holder has stored when the lease expires
     And another holder begins 1 s later and does not reach the worker
     Then its first record names the worker, with less time left
+
+  Scenario: A worker that answers now and then keeps its lease
+    # Guards against tasks that end, or run a second time elsewhere, although their worker
+    # could be renewed: each answer is followed by the next silence, before a request that
+    # waits for an end with the old deadline comes back.
+    Given a cell of 3 instances and 1 workers
+    And a lasting job "ee01" of 4 tasks is at work
+    When the workers are out of reach but for 0.3 s from an answer, 6 times
+    And 1 s pass in the cell
+    Then no run was lost to an expired lease
+    And no task was started more often than 1 time
+    And no promise of the cell was broken
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -1,7 +1,10 @@
 """Steps on what a holder stores about the leases of silent workers."""
 
+import asyncio
+
 from behave import given, then, when
 from support.cell_player import LASTING, TICK_S, Player, step
+from support.cell_scene import play
 
 from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.progress import encode
@@ -126,3 +129,31 @@
     left_s = context.over_at_s - context.player.now_s
     assert left_s <= lapses[WORKER_ID] < left_s + 0.2, (lapses, left_s)
     assert lapses[WORKER_ID] < context.lapses[WORKER_ID]
+
+
+@when(
+    "the workers are out of reach but for {reach_s:g} s from an answer, {times:d} times"
+)
+def reach_now_and_then(context, reach_s, times):
+    world = context.world
+    pairs = {(i, w) for i in world.instances for w in world.workers}
+
+    async def answer_once():
+        answered = asyncio.Event()
+        world.faults.on_report_read = answered.set
+        world.faults.partitioned.clear()
+        await answered.wait()
+        await asyncio.sleep(reach_s)
+        world.faults.partitioned |= pairs
+
+    for _ in range(times):
+        world.faults.partitioned |= pairs
+        play(context, asyncio.sleep(3.0))
+        play(context, answer_once())
+    world.faults.on_report_read = lambda: None
+    world.faults.partitioned.clear()
+
+
+@then("no run was lost to an expired lease")
+def nothing_lapsed(context):
+    assert not context.world.checker.lapsed, context.world.checker.lapsed
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -40,9 +40,11 @@
 # How long the worker holds back its first report until a run ends: not at all, for
 # the takeover needs the report.
 FIRST_REPORT_WAIT_S = 0.0
-# How often a start checks whether the worker's lease, which must not be extended for
-# now, may be renewed: about the duration of one append to the store.
+# How often a start or a report checks whether the worker's lease, which must not be
+# extended for now, may be renewed: about the duration of one append to the store.
 LEASE_CHECK_INTERVAL_S = 0.02
+# How long a report waits for that: a few appends.
+RENEWAL_WAIT_MAX_S = 0.2
 # Pause before an unsettled stop is sent again; it doubles up to the maximum. Including
 # the timeout of an answer, stops go out 0.8 s apart at first and 1.6 s apart later.
 STOP_RETRY_BASE_S = 0.2
@@ -164,6 +166,7 @@
                 self._log_delivered_ends(report)
                 self.holder.handle_report(self.worker_id, report)
                 await self._wait_for_acknowledgement()
+                await self._wait_for_renewal()
                 return True
             case Answering.SUCCESSOR:
                 self.holder.worker_restarted(self.worker_id, report)
@@ -197,6 +200,21 @@
         except TimeoutError:
             pass
 
+    async def _wait_for_renewal(self) -> None:
+        """
+        Wait until the lease may be extended, for RENEWAL_WAIT_MAX_S at most.
+
+        Guards against leases that expire although the worker answers now and then: the
+        next request would hold the old deadline for as long as the worker waits for an
+        end, and the worker may be out of reach again by then.
+        """
+        lapses = self.holder.cell.lapses
+        deadline_s = self.holder.clock.now_s() + RENEWAL_WAIT_MAX_S
+        while lapses.running_out(self.worker_id):
+            if self.holder.clock.now_s() >= deadline_s:
+                return
+            await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
+
     def _mark_answered(self) -> None:
         if self._unanswered_since_s is None:
             return
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/access.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/access.py
@@ -89,7 +89,7 @@
     ) -> OrderOutcome:
         await asyncio.sleep(ROUND_TRIP_S / 2)
         worker = self.find()
-        if (self.caller, worker.listing.worker_id.name) in self.faults.partitioned:
+        if self._partitioned(worker):
             return await self._time_out()
         if not worker.alive:
             return await self._answer_when_dead(worker)
@@ -111,6 +111,9 @@
         await asyncio.sleep(ROUND_TRIP_S / 2)
         return outcome
 
+    def _partitioned(self, worker: CellWorker) -> bool:
+        return (self.caller, worker.listing.worker_id.name) in self.faults.partitioned
+
     async def _charged_order(
         self, kind: str, act: Callable[[CellWorker], OrderOutcome]
     ) -> OrderOutcome:
@@ -193,6 +196,9 @@
         await worker.wait_for_end(wait_s)
         if not worker.alive:
             return await self._answer_when_dead(worker)
+        if self._partitioned(worker):
+            # Cut off while it waited: the answer is lost.
+            return await self._time_out()
         self._connected_to = worker
         worker.reporting_token = self.token
         self.faults.on_report_read()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -72,6 +72,8 @@
             detail: dict[str, object] = {
                 "worker": worker_id,
                 "running": len(report.running),
+                "ended": len(report.ended),
+                "clock_s": round(report.clock_s, 3),
             }
             self.cell.log(LogEntry("worker_reported", "", detail))
         self.cell.pacer.observe(worker, now_s)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -367,13 +367,21 @@
             if now_s < over_at_s:
                 continue
             if worker.runs:
-                self.log(LogEntry("lease_over", "", {"worker": worker.worker_id}))
+                self._log_lease_over(worker, now_s)
                 self._release_lost_runs(worker, now_s, "lease_over")
             worker.reported = False
             if not worker.listed:
                 del self.workers[worker.worker_id]
                 self.incarnations.remove(worker.worker_id)
 
+    def _log_lease_over(self, worker: WorkerState, now_s: float) -> None:
+        detail: dict[str, object] = {"worker": worker.worker_id}
+        if worker.granted_deadline_s is not None:
+            detail["granted_deadline_s"] = round(worker.granted_deadline_s, 3)
+        if math.isfinite(worker.last_report_at_s):
+            detail["report_age_s"] = round(now_s - worker.last_report_at_s, 3)
+        self.log(LogEntry("lease_over", "", detail))
+
     def lease_deadline(self, worker_id: WorkerId, now_s: float) -> float | None:
         """
         Return the deadline, on the worker's clock, of a lease that begins now.
