Learn no run time of nothing, and none from another run's end

An end from which no work was seen (a resumed filler whose CPU use read 0 until its end) gave a run time of 0.0 s: the comparison of workers took its logarithm, the histogram divided by it, and the exception out of the intake of reports ended the holder's term. Such a run now teaches nothing.

The end of a run that had been given up taught the time of the run that replaced it, which may just have begun: only the run that ended teaches.

A record with sums that no times give (a damaged number) was taken: its exponentials overflowed in each decision or each log of errors. Sums are bounded for each reading, and a prediction by the longest time.

--- a/features/run_times.feature
+++ b/features/run_times.feature
@@ -47,6 +47,23 @@
     When they resume from a checkpoint at 40 percent and end
     Then its run time is known as 2.0 s
 
+  Scenario Outline: Resumed runs whose CPU use is unknown until they end teach nothing
+    # Guards against a holder that fails as it divides by a run time of nothing.
+    When <resumed> of 4 runs resume at 40 percent and end before their CPU use is known
+    Then no run time of nothing is learned
+
+    Examples:
+      | resumed |
+      | 4       |
+      | 1       |
+
+  Scenario: The end of an earlier run says nothing of the one that replaced it
+    # Guards against a run time of nearly nothing, learned from a run that had just begun
+    # when the run that was thought to be lost turned out to be done.
+    Given a cell with room for a job that is estimated at 2.0 s and takes 2.0 s
+    When its runs are replaced after 1.5 s and the replaced ones end at once
+    Then nothing is known of its run time
+
   Scenario: A slow worker's tasks teach nothing of their queue
     # Guards against predictions that follow one worker that has turned slow.
     Given 8 steps of 4 tasks that take 2.0 s, each with a task on a worker 4 times slower
@@ -85,4 +102,7 @@
       | empty              |
       | of another version |
       | with a sum of nan  |
+      | with a huge error  |
+      | with a wrong sum   |
+      | with a huge sum    |
       | cut short          |
--- a/features/steps/run_time_steps.py
+++ b/features/steps/run_time_steps.py
@@ -10,7 +10,8 @@
 from hornbeampaddle.cell.incarnations import WorkerId
 from hornbeampaddle.cell.jobs import Job, TaskKey
 from hornbeampaddle.cell.learned import RUN_TIMES_KEY
-from hornbeampaddle.cell.progress import Run, RunPhase
+from hornbeampaddle.cell.progress import JobStatus, Run, RunPhase
+from hornbeampaddle.cell.reports import EndKind
 from hornbeampaddle.cell.run_times import RunTimes
 from hornbeampaddle.cell.scheduler import Scheduler
 from hornbeampaddle.cell.settings import CellSettings
@@ -171,6 +172,44 @@
     play_step(context, "job", [context.work_s] * 4, 1.0, percent=float(percent))
 
 
+@when(
+    "{count:d} of 4 runs resume at {percent:d} percent and end before their CPU use is "
+    "known"
+)
+def end_unmeasured(context, count, percent):
+    context.times = times = RunTimes(CellSettings())
+    job = job_of("job", 1.0)
+    for position, worker in enumerate("abcd"):
+        resumed = position < count
+        run = begin(job, position, worker, 100.0, percent if resumed else 0.0)
+        run.progress_percent = percent if resumed else 0.0
+        run.used_cpu_millis = 0 if resumed else 1000
+        times.observe_progress(job, run, 100.5)
+        times.observe_done(job, run, 100.9)
+
+
+@then("no run time of nothing is learned")
+def no_zero(context):
+    for fit in context.times.fits.values():
+        assert fit.sum_y / fit.weight > math.log(0.5), fit
+
+
+@when("its runs are replaced after {after_s:f} s and the replaced ones end at once")
+def replaced_runs_end(context, after_s):
+    player = context.player
+    player.play(after_s)
+    replaced = list(player.cell.jobs["job"].runs())
+    for run in replaced:
+        player.cell.release(run, player.now_s, "not_on_worker")
+    player.tick()
+    for run in replaced:
+        worker = player.cell.workers[run.worker_id]
+        player._end(worker, run, EndKind.DONE)
+    player.tick()
+    assert player.cell.jobs["job"].status is JobStatus.COMPLETED
+    context.times = player.cell.run_times
+
+
 @then("its run time is known as {work_s:f} s")
 def known(context, work_s):
     fit = context.times.fits[BATCH.name]
@@ -227,6 +266,12 @@
         assert now_s + remaining.longest_s > end_s
 
 
+def _changed(record, place, value):
+    fields = msgspec.msgpack.decode(record)
+    fields[1][BATCH.name][1][place] = value
+    return msgspec.msgpack.encode(fields)
+
+
 def bad_record(kind):
     times = RunTimes(CellSettings())
     job = job_of("job", 1.0)
@@ -236,6 +281,9 @@
     fields = msgspec.msgpack.decode(good)
     fields[1][BATCH.name][1][0] = math.nan
     return {
+        "with a huge error": _changed(good, 5, 1e300),
+        "with a huge sum": _changed(good, 2, 9e4),
+        "with a wrong sum": _changed(good, 1, 90.0),
         "garbage": b"\xc1\xff",
         "empty": b"",
         "of another version": msgspec.msgpack.encode([99, "other"]),
--- a/packages/hornbeampaddle/hornbeampaddle/cell/estimates.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/estimates.py
@@ -39,6 +39,12 @@
 # Weight of tasks that all take as long as their step, in tasks.
 RATIO_PRIOR = 20.0
 TASKS_WEIGHT_MAX = 2000.0
+# Above the logarithm of every time in seconds.
+LOG_MAX = 30.0
+# Largest size of a fit's sums for each reading, in the order of its record.
+SUMS_MAX = (1.0, LOG_MAX, LOG_MAX, *[LOG_MAX**2] * 2, 2 * LOG_MAX, 4 * LOG_MAX**2)
+# Error of a record's sums by their rounding.
+SUM_ERROR = 0.1
 
 
 def log_s(time_s: float) -> float:
@@ -150,7 +156,7 @@
         spread_xx = self.sum_xx - self.weight * mean_x * mean_x
         spread_xy = self.sum_xy - mean_x * self.sum_y
         slope = (spread_xy - spread_xx) / (spread_xx + SLOPE_PRIOR)
-        return math.exp(x + shift + slope * (x - mean_x))
+        return math.exp(min(LOG_MAX, x + shift + slope * (x - mean_x)))
 
     def longest_ratio(self, count: int) -> float:
         """Return the run time of the longest of ``count`` tasks, in their medians."""
@@ -196,6 +202,12 @@
             raise ValueError("a sum is out of range")
         if not 0 < record.sums[0] <= WEIGHT_MAX + 1:
             raise ValueError("the weight is out of range")
+        weight, sum_x, _, sum_xx, *_ = record.sums
+        spread_xx = sum_xx - sum_x * sum_x / weight
+        bounds = zip(record.sums, SUMS_MAX, strict=True)
+        bounded = all(abs(value) <= weight * most for value, most in bounds)
+        if not bounded or spread_xx < -SUM_ERROR:
+            raise ValueError("the sums do not belong together")
         fit = cls(*record.sums, list(record.ratios), record.off)
         fit.age_s = record.age_s
         return fit
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -97,14 +97,10 @@
         self.cell.mark_active(row.key.job_id)
         crashes.forget_crash(self.cell, task, row.number)
         run = task.run
-        ours = (
-            run is not None
-            and run.number == row.number
-            and run.worker_id == worker.worker_id
-        )
+        ours = run is not None and _names(row, run, worker)
         self.cell.dirty.add(row.key.job_id)
         if row.how is EndKind.DONE:
-            self._task_done(state, task, run, worker, now_s)
+            self._task_done(state, task, row, worker, now_s)
             return
         if row.how is EndKind.FAILED:
             self._count_failure(state, task, row.number, now_s)
@@ -142,20 +138,21 @@
         self,
         state: JobState,
         task: Task,
-        run: Run | None,
+        row: EndedRow,
         worker: WorkerState,
         now_s: float,
     ) -> None:
         worker.record_end(True)
         if task.done:
             return
+        run = task.run
         detail: dict[str, object] = {
             "task": task.key,
             "run": task.last_run,
             "worker": worker.worker_id,
         }
         self.cell.log(LogEntry("run_done", task.key.job_id, detail))
-        if run is not None and not state.status.final:
+        if run is not None and _names(row, run, worker) and not state.status.final:
             self.cell.run_times.observe_done(state.job, run, now_s)
         step = state.occurrences[task.key.occurrence][task.key.step]
         if step.step.gang:
@@ -337,3 +334,8 @@
         for name, stray in list(worker.strays.items()):
             if name not in listed_runs and stray.confirmed_at_s < report.sent_at_s:
                 self.cell.release(stray, report.received_at_s, "not_on_worker")
+
+
+def _names(row: EndedRow, run: Run, worker: WorkerState) -> bool:
+    """Return whether a worker's row is about a run, not another one of its task."""
+    return run.number == row.number and run.worker_id == worker.worker_id
--- a/packages/hornbeampaddle/hornbeampaddle/cell/work_seen.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/work_seen.py
@@ -88,9 +88,11 @@
         if self.whole:
             return self.worked_s
         left = 100 - self.from_percent
-        if not left >= 100 * SPEED_MIN:
+        worked_s = self.worked_s - self.from_worked_s
+        # Without work since, its progress came from before or its speed is unknown.
+        if not left >= 100 * SPEED_MIN or worked_s <= 0:
             return None
-        return 100 * (self.worked_s - self.from_worked_s) / left
+        return 100 * worked_s / left
 
 
 def speed(run: Run, now_s: float) -> float:
