Keep predictions between readings

Each waiting step of a queue whose estimates are off computed its line and its longest task anew in each decision. The values are the same: both are cleared at each reading.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/estimates.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/estimates.py
@@ -39,6 +39,8 @@
 # Weight of tasks that all take as long as their step, in tasks.
 RATIO_PRIOR = 20.0
 TASKS_WEIGHT_MAX = 2000.0
+# Predictions kept at a time.
+PREDICTIONS_MAX = 4096
 # Above the logarithm of every time in seconds.
 LOG_MAX = 30.0
 # Largest size of a fit's sums for each reading, in the order of its record.
@@ -84,6 +86,9 @@
     # When the newest reading came: -inf if under an earlier holder, ``age_s`` ago.
     read_at_s: float = -math.inf
     age_s: float = 0.0
+    # Predictions since the last reading: each waiting job asks in each decision.
+    _predicted_s: dict[float, float] = field(default_factory=dict)
+    _longest: dict[int, float] = field(default_factory=dict)
 
     def add_step(self, estimate_s: float, works_s: list[float], now_s: float) -> None:
         """Learn from the work of the tasks of one step."""
@@ -97,7 +102,7 @@
         """Learn from a step whose tasks took ``run_s`` in the median."""
         self._age(now_s)
         x, y = log_s(estimate_s), log_s(run_s)
-        self.sum_squared_miss += (y - log_s(self.predict_s(estimate_s))) ** 2
+        self.sum_squared_miss += (y - log_s(self._predict_s(estimate_s))) ** 2
         self.weight += 1
         self.sum_x += x
         self.sum_y += y
@@ -105,9 +110,11 @@
         self.sum_xy += x * y
         self.sum_error += abs(y - x)
         limit = TRUSTED_FACTOR if self.off else OFF_FACTOR
+        self._predicted_s.clear()
         self.off = self.weight >= READINGS_MIN and self.estimate_error > limit
 
     def _add_ratio(self, ratio: float) -> None:
+        self._longest.clear()
         self.ratios[_ratio_bin(ratio)] += 1
         total = sum(self.ratios)
         if total > TASKS_WEIGHT_MAX:
@@ -148,6 +155,14 @@
 
     def predict_s(self, estimate_s: float) -> float:
         """Return the median run time of the tasks of a step."""
+        known_s = self._predicted_s.get(estimate_s)
+        if known_s is None:
+            if len(self._predicted_s) >= PREDICTIONS_MAX:
+                self._predicted_s.clear()
+            known_s = self._predicted_s[estimate_s] = self._predict_s(estimate_s)
+        return known_s
+
+    def _predict_s(self, estimate_s: float) -> float:
         x = log_s(estimate_s)
         if not self.weight:
             return math.exp(x)
@@ -160,6 +175,11 @@
 
     def longest_ratio(self, count: int) -> float:
         """Return the run time of the longest of ``count`` tasks, in their medians."""
+        if count not in self._longest:
+            self._longest[count] = self._longest_ratio(count)
+        return self._longest[count]
+
+    def _longest_ratio(self, count: int) -> float:
         counts = [RATIO_PRIOR / 2, RATIO_PRIOR / 2, *([0.0] * (len(RATIOS) - 2))]
         total = RATIO_PRIOR + sum(self.ratios)
         below = expected = reached = 0.0
