--- a/packages/hornbeampaddle/hornbeampaddle/cell/estimates.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/estimates.py
@@ -39,6 +39,14 @@
 # Weight of tasks that all take as long as their step, in tasks.
 RATIO_PRIOR = 20.0
 TASKS_WEIGHT_MAX = 2000.0
+# Predictions kept at a time.
+PREDICTIONS_MAX = 4096
+# Above the logarithm of every time in seconds.
+LOG_MAX = 30.0
+# Largest size of a fit's sums for each reading, in the order of its record.
+SUMS_MAX = (1.0, LOG_MAX, LOG_MAX, *[LOG_MAX**2] * 2, 2 * LOG_MAX, 4 * LOG_MAX**2)
+# Error of a record's sums by their rounding.
+SUM_ERROR = 0.1
 
 
 def log_s(time_s: float) -> float:
@@ -78,6 +86,9 @@
     # When the newest reading came: -inf if under an earlier holder, ``age_s`` ago.
     read_at_s: float = -math.inf
     age_s: float = 0.0
+    # Predictions since the last reading: each waiting job asks in each decision.
+    _predicted_s: dict[float, float] = field(default_factory=dict)
+    _longest: dict[int, float] = field(default_factory=dict)
 
     def add_step(self, estimate_s: float, works_s: list[float], now_s: float) -> None:
         """Learn from the work of the tasks of one step."""
@@ -91,7 +102,7 @@
         """Learn from a step whose tasks took ``run_s`` in the median."""
         self._age(now_s)
         x, y = log_s(estimate_s), log_s(run_s)
-        self.sum_squared_miss += (y - log_s(self.predict_s(estimate_s))) ** 2
+        self.sum_squared_miss += (y - log_s(self._predict_s(estimate_s))) ** 2
         self.weight += 1
         self.sum_x += x
         self.sum_y += y
@@ -99,9 +110,11 @@
         self.sum_xy += x * y
         self.sum_error += abs(y - x)
         limit = TRUSTED_FACTOR if self.off else OFF_FACTOR
+        self._predicted_s.clear()
         self.off = self.weight >= READINGS_MIN and self.estimate_error > limit
 
     def _add_ratio(self, ratio: float) -> None:
+        self._longest.clear()
         self.ratios[_ratio_bin(ratio)] += 1
         total = sum(self.ratios)
         if total > TASKS_WEIGHT_MAX:
@@ -142,6 +155,14 @@
 
     def predict_s(self, estimate_s: float) -> float:
         """Return the median run time of the tasks of a step."""
+        known_s = self._predicted_s.get(estimate_s)
+        if known_s is None:
+            if len(self._predicted_s) >= PREDICTIONS_MAX:
+                self._predicted_s.clear()
+            known_s = self._predicted_s[estimate_s] = self._predict_s(estimate_s)
+        return known_s
+
+    def _predict_s(self, estimate_s: float) -> float:
         x = log_s(estimate_s)
         if not self.weight:
             return math.exp(x)
@@ -150,10 +171,15 @@
         spread_xx = self.sum_xx - self.weight * mean_x * mean_x
         spread_xy = self.sum_xy - mean_x * self.sum_y
         slope = (spread_xy - spread_xx) / (spread_xx + SLOPE_PRIOR)
-        return math.exp(x + shift + slope * (x - mean_x))
+        return math.exp(min(LOG_MAX, x + shift + slope * (x - mean_x)))
 
     def longest_ratio(self, count: int) -> float:
         """Return the run time of the longest of ``count`` tasks, in their medians."""
+        if count not in self._longest:
+            self._longest[count] = self._longest_ratio(count)
+        return self._longest[count]
+
+    def _longest_ratio(self, count: int) -> float:
         counts = [RATIO_PRIOR / 2, RATIO_PRIOR / 2, *([0.0] * (len(RATIOS) - 2))]
         total = RATIO_PRIOR + sum(self.ratios)
         below = expected = reached = 0.0
@@ -196,6 +222,12 @@
             raise ValueError("a sum is out of range")
         if not 0 < record.sums[0] <= WEIGHT_MAX + 1:
             raise ValueError("the weight is out of range")
+        weight, sum_x, _, sum_xx, *_ = record.sums
+        spread_xx = sum_xx - sum_x * sum_x / weight
+        bounds = zip(record.sums, SUMS_MAX, strict=True)
+        bounded = all(abs(value) <= weight * most for value, most in bounds)
+        if not bounded or spread_xx < -SUM_ERROR:
+            raise ValueError("the sums do not belong together")
         fit = cls(*record.sums, list(record.ratios), record.off)
         fit.age_s = record.age_s
         return fit
