--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -47,8 +47,8 @@
       | nothing           | {}                                                       | they are the defaults                                            |
       | one of each       | {"cell": {"lease_s": 6}, "instance": {"stale_s": 2}}     | the lease is 6 s and a view is stale after 2 s                   |
       | a whole number    | {"cell": {"failures_in_row": 3}}                         | a worker rests after 3 failures                                  |
-      | a part turned off | {"cell": {"copies_slow_tasks": false}}                   | slow tasks are not copied                                        |
-      | a number for it   | {"cell": {"copies_slow_tasks": 0}}                       | the file is refused for "copies_slow_tasks is 0.0, not true or"  |
+      | a part turned off | {"cell": {"keeps_urgent_room": false}}                   | no room is kept for urgent jobs                                  |
+      | a number for it   | {"cell": {"keeps_urgent_room": 0}}                       | the file is refused for "keeps_urgent_room is 0.0, not true or"  |
       | a slip of unit    | {"cell": {"lease_s": 8000}}                              | the file is refused for "lease_s is 8000"                        |
       | two errors        | {"cell": {"lease": 8}, "instance": {"stale_s": 0}}       | the file is refused for "cell.lease is not known; instance.stale" |
       | an unknown part   | {"cells": {}}                                            | the file is refused for "cells"                                  |
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -113,9 +113,9 @@
     assert isinstance(context.settings.cell.failures_in_row, int)
 
 
-@then("slow tasks are not copied")
-def copies_off(context):
-    assert context.settings.cell.copies_slow_tasks is False
+@then("no room is kept for urgent jobs")
+def kept_room_off(context):
+    assert context.settings.cell.keeps_urgent_room is False
 
 
 @then('the file is refused for "{text}"')
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/overrides.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/overrides.py
@@ -1,7 +1,7 @@
 """
 Read the thresholds that an operator overrides, from a JSON file.
 
-    {"cell": {"lease_s": 6.0, "copies_slow_tasks": false}, "instance": {"stale_s": 2.0}}
+    {"cell": {"lease_s": 6.0, "keeps_urgent_room": false}, "instance": {"stale_s": 2.0}}
 
 Every name is a field of ``CellSettings`` or ``InstanceSettings``. All errors in a file
 are reported at once.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/settings.py
@@ -95,12 +95,8 @@
     learns_run_times: bool = True
     # room kept ahead for the urgent queues of a full cell,
     keeps_urgent_room: bool = True
-    # what each queue can still take, published for the instances that accept jobs,
+    # and what each queue can still take, published for the instances that accept jobs.
     publishes_backlog: bool = True
-    # second runs of slow tasks of steps that allow copies,
-    copies_slow_tasks: bool = True
-    # and fillers that move or stay by the time that they have left.
-    moves_by_remaining_time: bool = True
     # Maximum number of workers in one question for advice: few, since each costs time.
     # The next question names others.
     advice_workers: int = 24
