Let large instances claim the cell first after an outage of the store, too

Change: the delay by an instance's size counts anew from when the log can be read again. Fails first: the small one claimed at once.

--- a/features/cell.feature
+++ b/features/cell.feature
@@ -234,3 +234,10 @@
     And the holder dies
     And 3 s pass in the cell
     Then 4 tasks of "ah01" are at work within 7 s
+
+  Scenario: After an outage of the store a large instance claims the cell before a small one
+    # Guards against a holder on a small machine, which decides twice a second for the rest
+    # of the day: whoever reads the log first would claim, and most instances are small.
+    Given an instance of 0.5 cores and one of 2 cores that cannot read the log for 5 s
+    When the small one can read it again 0.2 s before the large one
+    Then the large one may claim the cell first
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -367,6 +367,7 @@
         # Without a recent read the end of the log is not known and the holder may be
         # active: the claim would fail and waste a call.
         if self.progress.age_s() > self.settings.cell.claim_after_s:
+            self.leadership.note_unreadable(now_s)
             return False
         return self.leadership.claim_due(now_s)
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/leadership.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/leadership.py
@@ -45,6 +45,8 @@
     random: Random
     holder: HolderRecord | None = None
     last_activity_s: float = float("-inf")
+    # When the log was last too old to claim by.
+    unreadable_at_s: float = float("-inf")
     claim_delay_s: float = 0.0
     unreadable: UnreadableRecords = field(
         default_factory=lambda: UnreadableRecords("progress")
@@ -75,6 +77,10 @@
         self.last_activity_s = now_s
         self._draw_claim_delay()
 
+    def note_unreadable(self, now_s: float) -> None:
+        """Note that the log of progress cannot be read at present."""
+        self.unreadable_at_s = now_s
+
     @property
     def vacant(self) -> bool:
         """Whether the last holder released the cell, or there never was one."""
@@ -87,6 +93,10 @@
         A holder sends no orders once ``holder_lapse_s`` has passed without a stored
         record, so after ``claim_after_s`` none of its orders remains to be sent.
         """
+        if now_s - self.unreadable_at_s < self.claim_delay_s:
+            # Guards against a holder on a small machine after an outage of the store:
+            # each instance has waited by then, so the first to read would claim.
+            return False
         silent_s = now_s - self.last_activity_s
         if self.vacant:
             return silent_s >= self.claim_delay_s
