Count all that urgent jobs wait for as their demand again

Without the waits of jobs that are late, urgent callers of a cell that is short of room got less (features/urgent_room.feature, two scenarios failed): where nobody finds room all are late, so none would be kept.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgent_demand.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgent_demand.py
@@ -24,7 +24,6 @@
 from .learned import UnusableRecordError
 from .progress import JobState
 from .prospects import prospect
-from .urgency import chance_of
 
 RECORD_VERSION = 1
 SAMPLE_INTERVAL_S = 0.2
@@ -200,8 +199,7 @@
                 continue
             if self.urgent(state.job):
                 service = service_of(state.job)
-                in_time = chance_of(state, now_s) == 0
-                _add_job(found.setdefault(service, _Sample()), state, in_time)
+                _add_job(found.setdefault(service, _Sample()), state)
                 observed = self._observed.setdefault(service, _Observed())
                 observed.note_job(state, self._room_wait, now_s)
             else:
@@ -285,20 +283,12 @@
     return objective_s - stretched_s / max(1.0, queue.stretch_ratio)
 
 
-def _add_job(sample: _Sample, state: JobState, in_time: bool) -> None:
-    """
-    Add what a job's urgent tasks hold and, if it can be on time, wait for.
-
-    After an outage, the jobs that are late by then are more than come in any wave.
-    """
+def _add_job(sample: _Sample, state: JobState) -> None:
     for steps in state.occurrences.values():
         for step in steps:
             if step.step.filler or step.ready_at_s is None:
                 continue
-            count = sum(
-                task.run is not None or (in_time and task.waiting)
-                for task in step.tasks
-            )
+            count = sum(not task.done for task in step.tasks)
             if count:
                 sample.cpu_millis += count * step.step.need.cpu_millis
                 sample.sizes[step.step.need.cpu_millis] += count
