--- a/features/cell.feature
+++ b/features/cell.feature
@@ -241,3 +241,11 @@
     Given an instance of 0.5 cores and one of 2 cores that cannot read the log for 5 s
     When the small one can read it again 0.2 s before the large one
     Then the large one may claim the cell first
+
+  Scenario: What was learned is stored again only when it has changed
+    # Guards against a cell that nobody uses and whose holder writes records for ever.
+    Given a cell of 3 instances and 4 workers
+    When a job "aa07" of 2 steps of 6 tasks is handed in
+    And 6 s pass in the cell
+    Then run times were learned and stored
+    And none of the learned records is stored in the next 10 s
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -26,6 +26,7 @@
 )
 
 from hornbeampaddle.cell.jobs import Job
+from hornbeampaddle.cell.learned import LEARNED_PREFIX, RUN_TIMES_KEY
 from hornbeampaddle.cell.progress import JobStatus
 from hornbeampaddle.cell.reports import EndKind
 from hornbeampaddle_cell.callers import Accepted, NotAccepted
@@ -449,3 +450,20 @@
     stored = world.store.logs[Topic.PROGRESS].newest
     missing = {key for key, value in ledger.progress.items() if stored[key] != value}
     assert ledger.progress and not missing, missing
+
+
+def learned_records(context):
+    log = context.world.store.logs[Topic.PROGRESS]
+    return [r.key for r in log.records if r.key.startswith(LEARNED_PREFIX)]
+
+
+@then("run times were learned and stored")
+def run_times_stored(context):
+    assert RUN_TIMES_KEY in learned_records(context)
+
+
+@then("none of the learned records is stored in the next {seconds_s:d} s")
+def learned_not_stored_again(context, seconds_s):
+    before = learned_records(context)
+    play(context, asyncio.sleep(seconds_s))
+    assert learned_records(context) == before
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -433,7 +433,11 @@
         period_s = self.cell.model.forecaster.period_s
         if period_s is not None:
             records.append(load_period_record(period_s))
-        records += [Keyed(*record) for record in encode_all(self.cell.learners)]
+        records += [
+            Keyed(key, value)
+            for key, value in encode_all(self.cell.learners)
+            if self.ledger.learned.get(key) != value
+        ]
         return records
 
     def _log_summary(self, now_s: float) -> None:
