Plan kept room where it is made

The planning of kept workers stood in scheduler.py, which is the largest file and needs no part of it. It moves beside the stops that empty them, in preempting.py; no decision changes.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
@@ -94,6 +94,32 @@
         budget -= len(found.runs)
 
 
+def keep_room(cell: "Scheduler", now_s: float) -> None:
+    """Forecast what urgent jobs need, and choose the workers kept for them."""
+    demand = cell.urgent_demand
+    demand.observe(cell.open_jobs.values(), cell.service_of, now_s)
+    for service in demand.services():
+        short_ratio = demand.short_ratio(service, now_s)
+        if not cell.kept_room.to_plan(service, short_ratio, now_s):
+            continue
+        workers = [
+            worker
+            for worker in cell.workers.values()
+            if worker.listing.service == service and worker.may_be_kept()
+        ]
+        entry = cell.kept_room.plan(
+            service,
+            workers,
+            demand.forecast(service, now_s),
+            short_ratio,
+            cell.settings.stop_s,
+            now_s,
+        )
+        if entry is not None:
+            cell.log(entry)
+    demand.keep(cell.kept_room.kept_services())
+
+
 def make_room_ahead(cell: "Scheduler", now_s: float) -> None:
     """Stop lasting tasks on the workers that are kept, and rotate the others."""
     kept_runs = [
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -626,7 +626,7 @@
         self.model.solve(now_s)
         decision = Decision()
         if self.settings.keeps_urgent_room:
-            self._keep_room(now_s)
+            preempting.keep_room(self, now_s)
         if self.may_displace(now_s):
             moving.move_slow_fillers(self, now_s)
             self.separator.separate(now_s)
@@ -652,30 +652,6 @@
         )
         return decision
 
-    def _keep_room(self, now_s: float) -> None:
-        """Forecast what urgent jobs need, and choose the workers kept for them."""
-        self.urgent_demand.observe(self.open_jobs.values(), self.service_of, now_s)
-        for service in self.urgent_demand.services():
-            short_ratio = self.urgent_demand.short_ratio(service, now_s)
-            if not self.kept_room.to_plan(service, short_ratio, now_s):
-                continue
-            workers = [
-                worker
-                for worker in self.workers.values()
-                if worker.listing.service == service and worker.may_be_kept()
-            ]
-            entry = self.kept_room.plan(
-                service,
-                workers,
-                self.urgent_demand.forecast(service, now_s),
-                short_ratio,
-                self.settings.stop_s,
-                now_s,
-            )
-            if entry is not None:
-                self.log(entry)
-        self.urgent_demand.keep(self.kept_room.kept_services())
-
     def _log_pace(self, order: PaceOrder) -> None:
         worker = self.workers.get(order.worker_id)
         over = worker is not None and worker.over_since_s is not None
