--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -73,6 +73,8 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     ticking: asyncio.Task[None] | None = None
     alive: bool = True
+    # "the Unix millisecond of its start", in its entry and its lists of runs.
+    born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
 
     def clock_ms(self) -> int:
         """Return the worker's own steady clock."""
@@ -110,6 +112,7 @@
                 "labels": self.labels,
                 "clockMs": self.clock_ms(),
                 "seqNum": 1,
+                "born": self.born_ms,
             }
         ).encode()
 
@@ -228,7 +231,12 @@
             ]
             for end in self.ends[:ENDS_PER_ANSWER]
         ]
-        answer = {"clockMs": self.clock_ms(), "running": running, "endedRuns": ended}
+        answer = {
+            "clockMs": self.clock_ms(),
+            "born": self.born_ms,
+            "running": running,
+            "endedRuns": ended,
+        }
         return json_reply(200, answer)
 
     def _percent(self, run: Run) -> float:
