Name the run that is done in the log, and say that it was released

Hypotheses, and the line that would tell each from the others:

A report of 500 ends is taken for the whole: `run_released` with `not_on_worker` right after `worker_reported` with `ended` 500, and the run of that number is listed as done in the next report. 2. The starts never arrived, as the leader was killed while it sent them: `run_released` alike, but no end of such a run is ever listed. 3. Ends were acknowledged before they were stored, and dropped: the first report begins above the first end that the worker has. 4. The leases lapsed: `lease_over`, and `run_released` says so.

The logs ruled out 4 (no `lease_over`, no `worker: lost`). They could not tell 1 from 2, as `run_done` stated the newest run of the task and not the one that had ended: 120 lines said that run 2 was done 0.06 s after its start, of tasks that take 2.5 s or more. Nor 1 from 3, as no line had the positions.

`run_done` now names the run that ended, `released_run_done` follows it where the holder had released that run, and `worker_reported` has the positions of the first and the last end. Lines beyond 120 of an event in 0.2 s are dropped, so the counter of decisions is what counts them.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -73,6 +73,8 @@
                 "worker": worker_id,
                 "running": len(report.running),
                 "ended": len(report.ended),
+                "first_end": report.ended[0].position if report.ended else 0,
+                "last_end": report.ended[-1].position if report.ended else 0,
                 "clock_s": round(report.clock_s, 3),
             }
             self.cell.log(LogEntry("worker_reported", "", detail))
@@ -150,11 +152,14 @@
         run = task.run
         detail: dict[str, object] = {
             "task": task.key,
-            "run": task.last_run,
+            "run": row.number,
             "worker": worker.worker_id,
         }
         self.cell.log(LogEntry("run_done", task.key.job_id, detail))
-        if run is not None and _names(row, run, worker) and not state.status.final:
+        if run is None or not _names(row, run, worker):
+            detail = {**detail, "newest_run": task.last_run}
+            self.cell.log(LogEntry("released_run_done", task.key.job_id, detail))
+        elif not state.status.final:
             self.cell.run_times.observe_done(state.job, run, now_s)
             task_s = self.cell.run_times.task_s(state.job.queue, run.step)
             self.cell.backlog.observe_done(state.job, run.step, task_s, now_s)
