Wait for the ends that a worker's report leaves out

Cause: a worker lists 500 ends at a time, and the others once these are acknowledged (PROTOCOL.md: "The others are returned again (500 at a time)"). The holder took each report for the complete state of a worker, so it released each run that a full report did not name, and started its task again. The end `done` came with the next report. Nothing in this depends on a new holder: one that was only away meets the same.

Mend: a report says whether its ends are complete, which the adapter knows by their number. A run that a report without the rest does not name stays booked; nothing starts on that worker, no room is made ahead there, and it is asked for the rest at once. A run that has certainly ended is no suspect when its worker is lost. Why it holds: a worker forgets only acknowledged ends, and only listed ones are acknowledged, so each end comes, 500 with each report, however many there are. Bounded: a worker that lists the same ends for 2 s although they are stored counts as silent, so its lease runs out and its tasks run elsewhere. While the store does not take the ends, it is not the worker that is late, and its lease is renewed as any other.

--- a/features/model.feature
+++ b/features/model.feature
@@ -45,6 +45,7 @@
       | cell          | leases_waited_out         |
       | cell          | fence_before_read         |
       | cell          | end_recorded_before_acknowledged |
+      | cell          | left_out_ends_waited_for  |
       | crashes       | stored_with_next_start    |
       | crashes       | successor_counts_vanished |
       | crashes       | counted_by_run            |
--- a/features/support/cell_player.py
+++ b/features/support/cell_player.py
@@ -13,6 +13,7 @@
 from hornbeampaddle.cell.workers import WorkerListing
 from hornbeampaddle.machines import Address
 from hornbeampaddle.resources import Resources
+from hornbeampaddle_standins.cell.workers import ENDS_PER_REPORT_MAX
 
 GIB = 2**30
 TICK_S = 0.1
@@ -102,8 +103,10 @@
             wanted = sum(run.step.need.cpu_millis for run in fillers)
             left = max(0.0, worker.spare_cpu_millis() + wanted)
             speed = min(1.0, left / wanted) if wanted else 1.0
+            ended = {row.key for row in self.ends[worker.worker_id]}
             for run in list(worker.runs.values()):
-                self._advance(worker, run, speed if run.step.filler else 1.0)
+                if run.key not in ended:
+                    self._advance(worker, run, speed if run.step.filler else 1.0)
         due = [run for at_s, run in self.stops if at_s <= self.now_s]
         self.stops = [(at_s, run) for at_s, run in self.stops if at_s > self.now_s]
         for run in due:
@@ -126,14 +129,17 @@
 
     def _report(self):
         for name, worker in list(self.cell.workers.items()):
-            ended, self.ends[name] = tuple(self.ends[name]), []
-            gone = {row.key for row in ended}
+            gone = {row.key for row in self.ends[name]}
+            ended = tuple(self.ends[name][:ENDS_PER_REPORT_MAX])
+            del self.ends[name][:ENDS_PER_REPORT_MAX]
+            complete = len(ended) < ENDS_PER_REPORT_MAX
             rows = tuple(
                 RunningRow(run.key, run.number, "", self.now_s % 97, 1.0)
                 for run in worker.runs.values()
                 if run.phase is not RunPhase.RECORDING and run.key not in gone
             )
-            report = Report(self.now_s, self.now_s, self.now_s, rows, ended)
+            now_s = self.now_s
+            report = Report(now_s, now_s, now_s, rows, ended, ends_complete=complete)
             self.cell.intake.report(name, report)
             self.cell.lease_deadline(name, self.now_s)
 
--- a/model/cell.py
+++ b/model/cell.py
@@ -3,8 +3,10 @@
 
 The log, the first holder, its successor, the worker that the first holder selected and
 another worker take steps in any order. Orders stay in transit for any length of time;
-the successor may or may not reach the first worker. Time is counted in ticks of a
-shared clock; the margins that the implementation adds for slow clocks are left out.
+the successor may or may not reach the first worker. Other ends may fill that worker's
+answers until they are acknowledged, and keep out the end of this task. Time is counted
+in ticks of a shared clock; the margins that the implementation adds for slow clocks are
+left out.
 """
 
 from dataclasses import dataclass, replace
@@ -37,6 +39,8 @@
 SAW_RUN = 1
 SAW_END = 2
 SAW_NOTHING = 3
+# It was full of other ends: the task's may have been left out.
+SAW_PART = 4
 
 FIELDS = (
     "epoch",  # highest epoch that the log has accepted
@@ -51,6 +55,7 @@
     "running",  # the first worker runs the task
     "lease_left",  # ticks left of that run's lease
     "end",  # the end of the run as the first worker lists it
+    "others",  # other ends come before it and fill the worker's answers
     "next_phase",  # phase of the successor
     "next_read",  # the task's record as the successor read it
     "next_saw",  # the first worker's answer to the successor
@@ -81,6 +86,7 @@
     leases_waited_out: bool = True
     fence_before_read: bool = True
     end_recorded_before_acknowledged: bool = True
+    left_out_ends_waited_for: bool = True
 
 
 @dataclass(frozen=True)
@@ -99,6 +105,7 @@
     running: int = 0
     lease_left: int = 0
     end: int = NOTHING
+    others: int = 0
     next_phase: int = 0
     next_read: int = NOTHING
     next_saw: int = NOTHING
@@ -149,7 +156,7 @@
         steps.append(("first sends the start", sent))
     if s.running and orders and s.token == 1:
         steps.append(("first renews", replace(s, lease_left=LEASE_TICKS)))
-    if s.end == LISTED and s.token == 1 and not s.first_saw_end:
+    if s.end == LISTED and not s.others and s.token == 1 and not s.first_saw_end:
         steps.append(("first sees the end", replace(s, first_saw_end=1)))
     if s.first_saw_end and stores and s.record == STARTED:
         steps.append(("first stores the end", _stored(s, DONE)))
@@ -171,6 +178,8 @@
             steps.append(("worker starts", begun))
     if s.running:
         steps.append(("worker is done", replace(s, running=0, end=LISTED)))
+    if s.end == NOTHING and not s.next_phase and not s.others:
+        steps.append(("other ends fill the answers", replace(s, others=1)))
     return steps
 
 
@@ -189,21 +198,35 @@
     if s.next_phase == FENCED:
         read = replace(s, next_phase=HOLDS, next_read=s.record)
         steps.append(("next reads the log", read))
-    if s.next_phase >= FENCED and s.next_saw in (NOTHING, SAW_RUN):
-        steps.append(
-            ("next asks the worker", replace(s, token=2, next_saw=_worker_answer(s)))
-        )
+    if s.next_phase >= FENCED and s.next_saw in (NOTHING, SAW_RUN, SAW_PART):
+        answer = _worker_answer(s, guards)
+        steps.append(("next asks the worker", replace(s, token=2, next_saw=answer)))
+    if s.next_phase == HOLDS and s.token == 2:
+        steps += _acknowledged_by_successor(s)
     if s.next_phase == HOLDS and _may_start(s, guards):
         steps.append(("next starts elsewhere", replace(s, running_there=1)))
     return steps
 
 
-def _worker_answer(s: State) -> int:
+def _worker_answer(s: State, guards: Guards) -> int:
     if s.running:
         return SAW_RUN
+    if s.others:
+        return SAW_PART if guards.left_out_ends_waited_for else SAW_NOTHING
     return SAW_END if s.end == LISTED else SAW_NOTHING
 
 
+def _acknowledged_by_successor(s: State) -> Steps:
+    if s.others:
+        return [("next acknowledges the other ends", replace(s, others=0))]
+    if s.end != LISTED:
+        return []
+    # An end does not count if the lease has expired before it was acknowledged.
+    counts = int(s.acknowledged or s.lease_left > 0)
+    gone = replace(s, end=FORGOTTEN, next_saw=SAW_END, acknowledged=counts)
+    return [("next acknowledges the end", gone)]
+
+
 def _may_start(s: State, guards: Guards) -> bool:
     if s.next_read == DONE or s.running_there or s.next_saw in (SAW_RUN, SAW_END):
         return False
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/access.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/access.py
@@ -19,7 +19,12 @@
 )
 
 from .processor import Processor
-from .workers import CALL_TIMEOUT_S, ROUND_TRIP_S, CellWorker
+from .workers import (
+    CALL_TIMEOUT_S,
+    ENDS_PER_REPORT_MAX,
+    ROUND_TRIP_S,
+    CellWorker,
+)
 
 
 class OrderFate(Enum):
@@ -202,14 +207,16 @@
         self._connected_to = worker
         worker.reporting_token = self.token
         self.faults.on_report_read()
+        ended = worker.listed_ends()
         report = Report(
             sent_at_s,
             worker.now_s(),
             worker.clock_s(),
             worker.rows(),
-            tuple(worker.ends),
+            ended,
             worker.listing.worker_id.born_ms,
             anew,
+            ends_complete=len(ended) < ENDS_PER_REPORT_MAX,
         )
         due_s = sent_at_s + wait_s + CALL_TIMEOUT_S
         if self.processor is None or await self._read(self.processor, report, due_s):
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
@@ -24,7 +24,7 @@
 from hornbeampaddle.resources import NOTHING, Resources
 
 from .demand import Demand, Submission
-from .workers import RESTART_DELAY_S
+from .workers import ENDS_PER_REPORT_MAX, RESTART_DELAY_S
 
 TICK_S = 0.1
 # The time that a task takes to restore its checkpoint before it does new work, as on
@@ -408,10 +408,13 @@
         name = worker.listing.worker_id
         state = self.cell.workers[name]
         rows = tuple(self._row(live) for live in worker.runs.values())
-        ended = tuple(worker.ends)
-        worker.ends.clear()
+        ended = tuple(worker.ends[:ENDS_PER_REPORT_MAX])
+        del worker.ends[:ENDS_PER_REPORT_MAX]
+        complete = len(ended) < ENDS_PER_REPORT_MAX
         sent_at_s = max(0.0, self.now_s - TICK_S)
-        report = Report(sent_at_s, self.now_s, self.now_s, rows, ended)
+        report = Report(
+            sent_at_s, self.now_s, self.now_s, rows, ended, ends_complete=complete
+        )
         self.cell.intake.report(name, report)
         self.cell.lease_deadline(name, self.now_s)
         poll = self.cell.polling.next_poll(state)
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/workers.py
@@ -49,6 +49,8 @@
 CRASHES_MAX = 3
 STARTS_AFTER_CRASHES_MAX = 2
 TICK_S = 0.05
+# Ends that one report lists.
+ENDS_PER_REPORT_MAX = 500
 # Slack (target latency / tail latency) of a serving task without fillers beside it.
 UNDISTURBED_SLACK = 2.8
 # Reported tail latencies are capped at this multiple of the target.
@@ -444,6 +446,10 @@
         except TimeoutError:
             pass
 
+    def listed_ends(self) -> tuple[EndedRow, ...]:
+        """Return the ends that a report lists, the oldest first."""
+        return tuple(self.ends[:ENDS_PER_REPORT_MAX])
+
     def rows(self) -> tuple[RunningRow, ...]:
         """Return the runs in progress as the rows of a report."""
         rows = []
--- a/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/crashes.py
@@ -85,6 +85,9 @@
         # A start that was sent after the loss never reached the worker.
         if run.sent_at_s > lost_at_s or run.reported_at_s <= proven_at_s:
             continue
+        # It had ended before the worker was lost.
+        if run.end_unlisted:
+            continue
         state = cell.jobs.get(run.key.job_id)
         task = state.task(run.key) if state is not None else None
         if state is None or task is None or task.done or state.status.final:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -1,9 +1,9 @@
 """
 Process the workers' reports: running, ended and missing attempts.
 
-A report is the complete state of one worker. An end counts once, by the number of
-its run. A run that the cell does not know is stopped; a run that the worker does not
-know is released.
+An end counts once, by the number of its run. A run that the cell does not know is
+stopped. A run that the worker does not know is released, once a report lists every end
+that is not acknowledged: until then its end may be among those left out.
 """
 
 from typing import TYPE_CHECKING
@@ -23,6 +23,9 @@
 # A run that is still reported this long after its stop should have taken effect is
 # sent another stop.
 STOP_RESEND_AFTER_S = 0.4
+# How long a worker may leave out ends without listing a new one before it counts as
+# silent: a connection that breaks costs one or two such reports.
+ENDS_STUCK_MAX_S = 2.0
 
 
 class ReportIntake:
@@ -43,11 +46,16 @@
             return False
         now_s = report.received_at_s
         worker.clock.observe(report.clock_s, now_s)
-        first = not worker.reported
-        worker.reported = True
-        worker.silent = False
-        worker.silent_since_s = None
         worker.last_report_at_s = now_s
+        self._note_left_out_ends(worker, report)
+        stuck = _ends_stuck(worker, now_s)
+        first = not worker.reported and not stuck
+        if stuck:
+            self._handle_stuck(worker, now_s)
+        else:
+            worker.reported = True
+            worker.silent = False
+            worker.silent_since_s = None
         listed: set[TaskKey] = set()
         listed_runs: set[tuple[TaskKey, int]] = set()
         if not first:
@@ -59,14 +67,20 @@
                 listed.add(ended.key)
                 listed_runs.add((ended.key, ended.number))
                 self._handle_end(worker, ended, now_s)
-        if report.ended:
-            worker.seen_end = max(worker.seen_end, report.ended[-1].position)
+        worker.seen_end = max(worker.seen_end, _last_end(report))
         for row in report.running:
             listed.add(row.key)
             listed_runs.add((row.key, row.number))
             self._handle_running(worker, row, now_s)
-        self._release_missing(worker, report, listed)
-        self._release_missing_strays(worker, report, listed_runs)
+        missing = [
+            *self._missing_runs(worker, report, listed),
+            *self._missing_strays(worker, report, listed_runs),
+        ]
+        if report.ends_complete:
+            for run in missing:
+                self.cell.release(run, now_s, "not_on_worker")
+        else:
+            self._await_ends(worker, missing)
         if first:
             restarts.stop_unsettled(self.cell, worker)
             detail: dict[str, object] = {
@@ -74,13 +88,45 @@
                 "running": len(report.running),
                 "ended": len(report.ended),
                 "first_end": report.ended[0].position if report.ended else 0,
-                "last_end": report.ended[-1].position if report.ended else 0,
+                "last_end": _last_end(report),
                 "clock_s": round(report.clock_s, 3),
             }
             self.cell.log(LogEntry("worker_reported", "", detail))
         self.cell.pacer.observe(worker, now_s)
         return first
 
+    def _note_left_out_ends(self, worker: WorkerState, report: Report) -> None:
+        """Update whether the worker leaves out ends, and whether it is stuck there."""
+        worker.ends_left_out = not report.ends_complete
+        # Until they are stored, it is this holder that keeps the worker from the rest.
+        stored = worker.acked_end >= worker.seen_end
+        if report.ends_complete or _last_end(report) > worker.seen_end or not stored:
+            worker.ends_stuck_since_s = None
+        elif worker.ends_stuck_since_s is None:
+            worker.ends_stuck_since_s = report.received_at_s
+
+    def _handle_stuck(self, worker: WorkerState, now_s: float) -> None:
+        """Let the lease of a worker run out that lists the same ends for too long."""
+        if not worker.silent:
+            detail: dict[str, object] = {
+                "worker": worker.worker_id,
+                "seen_end": worker.seen_end,
+            }
+            self.cell.log(LogEntry("ends_stuck", "", detail))
+        self.cell.worker_silent(worker.worker_id, now_s)
+
+    def _await_ends(self, worker: WorkerState, missing: list[Run]) -> None:
+        """Keep runs booked whose ends the worker has left out."""
+        for run in missing:
+            run.end_unlisted = True
+        if worker.ends_stuck_since_s is None:
+            detail: dict[str, object] = {
+                "worker": worker.worker_id,
+                "seen_end": worker.seen_end,
+                "waiting_runs": len(missing),
+            }
+            self.cell.log(LogEntry("ends_left_out", "", detail))
+
     def _log_missed_ends(self, worker: WorkerState, report: Report) -> None:
         """Log ends that the worker has dropped although no report listed them."""
         first = report.ended[0].position if report.ended else 0
@@ -224,6 +270,7 @@
         if run is None or run.number != row.number:
             self._stop_stray(worker, row, now_s)
             return
+        run.end_unlisted = False
         if run.phase < RunPhase.RUNNING:
             run.phase = RunPhase.RUNNING
             run.confirmed_at_s = now_s
@@ -320,30 +367,44 @@
             self._rest_if_failing(worker, now_s)
             self.cell.stop(run, "no_progress")
 
-    def _release_missing(
+    def _missing_runs(
         self, worker: WorkerState, report: Report, listed: set[TaskKey]
-    ) -> None:
-        """Release attempts that the report lists neither as running nor as ended."""
-        for run in list(worker.runs.values()):
-            if run.key in listed:
-                continue
-            inherited = run.phase is RunPhase.INHERITED
+    ) -> list[Run]:
+        """Return the attempts that certainly do not run and are not listed as ended."""
+        return [
+            run
+            for run in worker.runs.values()
             # The report was requested with this holder's fencing token: a start of an
             # earlier holder that has not arrived by now is refused.
-            confirmed = run.confirmed_at_s < report.sent_at_s
-            if inherited or confirmed:
-                self.cell.release(run, report.received_at_s, "not_on_worker")
+            if run.key not in listed
+            and (
+                run.phase is RunPhase.INHERITED or run.confirmed_at_s < report.sent_at_s
+            )
+        ]
 
-    def _release_missing_strays(
+    def _missing_strays(
         self,
         worker: WorkerState,
         report: Report,
         listed_runs: set[tuple[TaskKey, int]],
-    ) -> None:
-        """Release the room of strays that have ended or were settled by a stop."""
-        for name, stray in list(worker.strays.items()):
-            if name not in listed_runs and stray.confirmed_at_s < report.sent_at_s:
-                self.cell.release(stray, report.received_at_s, "not_on_worker")
+    ) -> list[Run]:
+        """Return the strays that have ended or were settled by a stop."""
+        return [
+            stray
+            for name, stray in worker.strays.items()
+            if name not in listed_runs and stray.confirmed_at_s < report.sent_at_s
+        ]
+
+
+def _last_end(report: Report) -> int:
+    """Return the position of the last end that a report lists, 0 if it lists none."""
+    return report.ended[-1].position if report.ended else 0
+
+
+def _ends_stuck(worker: WorkerState, now_s: float) -> bool:
+    """Return whether the worker has left out the same ends for too long."""
+    since_s = worker.ends_stuck_since_s
+    return since_s is not None and now_s - since_s > ENDS_STUCK_MAX_S
 
 
 def _names(row: EndedRow, run: Run, worker: WorkerState) -> bool:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/polling.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/polling.py
@@ -25,6 +25,8 @@
 # Longest time for which a worker is asked to hold back its report; the rest of the
 # interval is a pause in which no request is under way.
 WAIT_MAX_S = 2.0
+# Pause before a worker is asked again that left out ends and listed no new one.
+ENDS_STUCK_PAUSE_S = 0.3
 # How often the busy workers are counted.
 COUNT_INTERVAL_S = 0.5
 
@@ -64,6 +66,9 @@
     def next_poll(self, worker: WorkerState) -> Poll:
         """Return how to ask a worker for its next report."""
         settings = self.settings
+        if worker.ends_left_out:
+            stuck = worker.ends_stuck_since_s is not None
+            return Poll(ENDS_STUCK_PAUSE_S if stuck else 0.0, 0.0)
         if worker.idle():
             return self._idle_poll()
         interval_s = self._busy_interval_s()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/preempting.py
@@ -145,7 +145,7 @@
 
 
 def _all_reported(cell: "Scheduler") -> bool:
-    return all(w.reported or w.silent for w in cell.workers.values() if w.listed)
+    return all(w.known() or w.silent for w in cell.workers.values() if w.listed)
 
 
 def _rotate(cell: "Scheduler", service: str, lasting: list[Run], now_s: float) -> None:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -68,6 +68,8 @@
     sent_at_s: float = float("inf")
     # When a report first listed it as running; inf if none has.
     reported_at_s: float = float("inf")
+    # Whether a report has shown that it no longer runs, but none how it ended.
+    end_unlisted: bool = False
     stop_sent_at_s: float = float("-inf")
     # When its stop was first sent; inf if not yet.
     stop_first_sent_at_s: float = float("inf")
--- a/packages/hornbeampaddle/hornbeampaddle/cell/reports.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/reports.py
@@ -48,7 +48,12 @@
 @dataclass(frozen=True, slots=True)
 class Report:
     """
-    The complete state of one worker at a moment between two local times.
+    What one worker tells of itself at a moment between two local times.
+
+    ``running`` is everything that runs there. ``ended`` are the oldest ends that are
+    not acknowledged, in order, and ``ends_complete`` tells that there are no others.
+    A worker lists a limited number of ends; unless they are complete, it is not known
+    how a run ended that the report does not name.
 
     ``sent_at_s`` and ``received_at_s`` are local times of the request and the answer;
     ``clock_s`` is the time on the worker's clock. ``born_ms`` is the birth that the
@@ -63,6 +68,7 @@
     ended: tuple[EndedRow, ...]
     born_ms: int = UNKNOWN_BIRTH_MS
     connected_anew: bool = False
+    ends_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
@@ -134,6 +134,7 @@
         phase=phase,
         confirmed_at_s=float("inf"),
         reported_at_s=float("inf"),
+        end_unlisted=False,
         stop_sent_at_s=float("-inf"),
         stop_first_sent_at_s=float("inf"),
         stop_reason="",
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -99,6 +99,10 @@
     # Positions of the last end that was processed and of the last one acknowledged.
     seen_end: int = 0
     acked_end: int = 0
+    # Whether its last report left out ends, and since when its reports have done so
+    # without listing a new one, although all that they listed are stored.
+    ends_left_out: bool = False
+    ends_stuck_since_s: float | None = None
     # The last granted deadline, on the worker's clock, and the local time by which it
     # has certainly passed there.
     granted_deadline_s: float | None = None
@@ -293,7 +297,8 @@
 
     def idle(self) -> bool:
         """Return whether nothing runs here and every end is acknowledged."""
-        return not self.runs and not self.strays and self.acked_end >= self.seen_end
+        acknowledged = self.acked_end >= self.seen_end and not self.ends_left_out
+        return not self.runs and not self.strays and acknowledged
 
     def awaits_report(self) -> bool:
         """Return whether the next report renews a doubtful lease or settles a run."""
@@ -306,13 +311,17 @@
         """Return the local time by which its runs have ended if it stays silent."""
         return max(self.lease_over_at_s, self.late_leases_over_at_s)
 
+    def known(self) -> bool:
+        """Return whether this holder has heard of all that runs and has ended here."""
+        return self.reported and not self.ends_left_out
+
     def lost_at_s(self, now_s: float) -> float:
         """Return when a worker that is lost now stopped answering."""
         return now_s if self.silent_since_s is None else self.silent_since_s
 
     def present(self) -> bool:
         """Return whether the worker is listed and answers, and its tasks may stay."""
-        if not self.listed or not self.reported or self.gone or self.evacuated:
+        if not self.listed or not self.known() or self.gone or self.evacuated:
             return False
         return not self.silent and not self.listing.draining
 
