Do not take a record of which a read has a part for whole

Related path of the ends that a report leaves out: the size of a read from a log is limited, and the reader took what stood at its end for the last record, whatever its length said. A job or the progress of one would have been read with a part missing, and the next read would have begun after it.

The users' page says only that the size is limited, not that a record may be cut: a guard, not a fault that callers saw.

--- a/features/steps/store_page_steps.py
+++ b/features/steps/store_page_steps.py
@@ -13,12 +13,13 @@
 from hornbeampaddle_platform_standins.servers import StoreServer  # noqa: E402
 
 from hornbeampaddle.cell.reports import NoAnswer  # noqa: E402
-from hornbeampaddle_cell.ports import Keyed, Span, Topic  # noqa: E402
-from hornbeampaddle_platform.store import Store  # noqa: E402
+from hornbeampaddle_cell.ports import Keyed, Span, Topic, Unavailable  # noqa: E402
+from hornbeampaddle_platform.store import READ_OFFSETS, Store  # noqa: E402
 from hornbeampaddle_standins.cell.store import CellStore  # noqa: E402
 from hornbeampaddle_wire.http_messages import Response  # noqa: E402
 
 READ_MAX_BYTES = 1024 * 1024
+READS_MAX = 100
 
 
 class PagedStore(StoreServer):
@@ -28,6 +29,8 @@
         self.cell_store = CellStore()
         super().__init__(self.cell_store)
         self.pages = 0
+        # The size after which the records of a read are cut off.
+        self.cut_bytes = READ_MAX_BYTES
         # Called before each page but the first, with the number of pages before it;
         # returns a page's fields that replace its own, or None.
         self.before_page = lambda pages: None
@@ -41,6 +44,10 @@
         body = json.loads(response.body) | replacing
         return Response(200, json.dumps(body).encode())
 
+    async def _read(self, topic, query):
+        response = await super()._read(topic, query)
+        return Response(200, response.body[: READ_OFFSETS.size + self.cut_bytes])
+
 
 def key(number):
     return f"w{number:06d}"
@@ -128,3 +135,46 @@
 @then("it counts as no answer")
 def no_answer(context):
     assert isinstance(context.outcome, NoAnswer), type(context.outcome)
+
+
+@given(
+    "a log of {count:d} records of {size_bytes:d} bytes "
+    "whose reads end after {cut_bytes:d} bytes"
+)
+def cutting_store(context, count, size_bytes, cut_bytes):
+    store_with_keys(context, count, size_bytes)
+    context.store.cut_bytes = cut_bytes
+
+
+@when("the log is read to its end")
+def read_to_end(context):
+    async def read_all(client):
+        records = []
+        for _ in range(READS_MAX):
+            span = Span(len(records), 0.0, READ_MAX_BYTES)
+            batch = await client.read(Topic.WORKERS, span)
+            records += batch.records
+            assert batch.next_offset == len(records)
+            if batch.next_offset == batch.end_offset:
+                break
+        return records
+
+    context.records = read_store(context, read_all)
+
+
+@then("its {count:d} records are returned unchanged")
+def records_unchanged(context, count):
+    log = context.store.cell_store.logs[Topic.WORKERS]
+    assert len(context.records) == count, len(context.records)
+    assert context.records == log.records
+
+
+@when("the log is read")
+def read_once(context):
+    span = Span(0, 0.0, READ_MAX_BYTES)
+    context.outcome = read_store(context, lambda s: s.read(Topic.WORKERS, span))
+
+
+@then("the read counts as refused")
+def refused(context):
+    assert isinstance(context.outcome, Unavailable), type(context.outcome)
--- a/features/store_pages.feature
+++ b/features/store_pages.feature
@@ -38,3 +38,24 @@
       | what                                  |
       | has no records, though more follow    |
       | lists the first page's last key again |
+
+  Scenario Outline: A record that a read has cut is not taken for whole: <size> bytes
+    # Guards against jobs and progress of which a part is lost: the size of a read is
+    # limited, and the last record in it may go on beyond that.
+    Given a log of 30 records of 700 bytes whose reads end after <size> bytes
+    When the log is read to its end
+    Then its 30 records are returned unchanged
+
+    Examples:
+      | size |
+      | 1423 |
+      | 1424 |
+      | 1425 |
+      | 1428 |
+      | 2000 |
+
+  Scenario: A read without a whole record counts as refused
+    # Guards against a reader that asks for the same part again without a pause.
+    Given a log of 1 records of 700 bytes whose reads end after 500 bytes
+    When the log is read
+    Then the read counts as refused
