Use no entry whose address, id or numbers are of no worker

Cause: the border took any text before the last colon of an entry's address for a host. Connecting to "127.0..1" raises UnicodeError, which no caller of the client expects; it ended the task of that worker's session, and each leader steps down when a task fails. The next one reads the same entry.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -26,6 +26,12 @@
       | an address without a port  |
       | an address of port 70000   |
       | an address without a host  |
+      | an address with a gap      |
+      | an address that is a name  |
+      | an address of 300 letters  |
+      | an address with a NUL      |
+      | 2**64 MB of memory         |
+      | a birth of 2**64           |
       | a birth that is a text     |
       | a birth that is null       |
       | a birth that is a fraction |
@@ -33,6 +39,20 @@
       | bytes that cannot be read  |
       | an empty value             |
 
+  Scenario Outline: An entry under an id <what> is not used
+    # Guards against a leader that loses the lead because it cannot name a worker in the
+    # header of a call to it.
+    Given a valid worker's entry under an id <what>
+    Then it is decoded as no worker
+    And that is logged once however often the entry arrives
+
+    Examples:
+      | what                 |
+      | of no letter         |
+      | with a line break    |
+      | with another script  |
+      | that ends in a space |
+
   Scenario Outline: An evacuation with <what> is <verdict>
     # Guards against tasks that go on starting in a data centre where the operator wants
     # none, because another writer stored its bytes under the key of that data centre.
@@ -54,6 +74,15 @@
     And 2 s pass in the cell
     Then the holder knows 4 workers
 
+  Scenario: Entries that name no worker to use are counted
+    Given a cell of 3 instances and 4 workers
+    And the configuration names its services
+    When a worker of a service that it does not name is listed
+    And another writer stores bytes that cannot be read as "x1" in the log of workers
+    And 2 s pass in the cell
+    Then the holder has counted an entry that is "not_ours"
+    And the holder has counted an entry that is "not_understood"
+
   Scenario: A worker whose entry is overwritten is not used until it writes it again
     Given a cell of 3 instances and 4 workers
     When another writer overwrites the entry of "w0" with no value
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -62,6 +62,12 @@
     "an address without a port": VALID_ENTRY | {"address": "10.0.0.9"},
     "an address of port 70000": VALID_ENTRY | {"address": "10.0.0.9:70000"},
     "an address without a host": VALID_ENTRY | {"address": ":8080"},
+    "an address with a gap": VALID_ENTRY | {"address": "10.0..9:8080"},
+    "an address that is a name": VALID_ENTRY | {"address": "worker-9:8080"},
+    "an address of 300 letters": VALID_ENTRY | {"address": f"{300 * 'a'}:8080"},
+    "an address with a NUL": VALID_ENTRY | {"address": "10.0.0\0.9:8080"},
+    "2**64 MB of memory": VALID_ENTRY | {"capacity": {"cpu": 1, "memMb": 2**64}},
+    "a birth of 2**64": VALID_ENTRY | {"born": 2**64},
     "a birth that is a text": VALID_ENTRY | {"born": "1780251652342"},
     "a birth that is null": VALID_ENTRY | {"born": None},
     "a birth that is a fraction": VALID_ENTRY | {"born": 1780251652342.5},
@@ -78,20 +84,35 @@
             context.value = b""
         case _:
             context.value = json.dumps(ENTRIES[what]).encode()
+    context.record = Keyed("i-1", context.value)
+    context.records = Records()
+
+
+IDS = {
+    "of no letter": "",
+    "with a line break": "i-1\nhost: other",
+    "with another script": "i-\u0439",
+    "that ends in a space": "i-1 ",
+}
+
+
+@given("a valid worker's entry under an id {what}")
+def entry_under_id(context, what):
+    context.record = Keyed(IDS[what], json.dumps(VALID_ENTRY).encode())
     context.records = Records()
 
 
 @then("it is decoded as no worker")
 def check_decoded_as_none(context):
     with structlog.testing.capture_logs() as context.lines:
-        assert context.records.worker(Keyed("i-1", context.value)) is None
+        assert context.records.worker(context.record) is None
 
 
 @then("that is logged once however often the entry arrives")
 def logged_once(context):
     with structlog.testing.capture_logs() as repeated_lines:
         for _ in range(20):
-            context.records.worker(Keyed("i-1", context.value))
+            context.records.worker(context.record)
     events = [line["event"] for line in context.lines + repeated_lines]
     assert events == ["record: not understood"], events
 
@@ -130,6 +151,14 @@
     assert len(holder(context).cell.workers) == count, holder(context).cell.workers
 
 
+@then('the holder has counted an entry that is "{reason}"')
+def check_entries_counted(context, reason):
+    metrics = context.world.instances[context.world.holder()].metrics
+    (family,) = metrics.unused_entries.collect()
+    counts = {s.labels["reason"]: s.value for s in family.samples}
+    assert counts.get(reason), counts
+
+
 @when('another writer overwrites the entry of "{name}" with one that states no birth')
 def overwrite_entry_without_birth(context, name):
     write_without_birth(context.world, context.world.workers[name])
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -480,6 +480,8 @@
         gone: list[str] = []
         for record in records:
             listing = self.codec.worker(record)
+            if listing is None and record.value is not None:
+                self.metrics.unused_entries.labels("not_understood").inc()
             if listing is None or not self._is_usable(listing):
                 listed.pop(record.key, None)
                 gone.append(record.key)
@@ -499,6 +501,7 @@
         """
         reason = self._foreign_reason(listing)
         if reason:
+            self.metrics.unused_entries.labels("not_ours").inc()
             self._foreign_listings.mark_unreadable(listing.worker_id.name, reason)
             return False
         self._foreign_listings.mark_readable(listing.worker_id.name)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
@@ -85,6 +85,11 @@
         self.store_seconds = self._histogram(
             "hornbeampaddle_store_append_seconds", "Time of an append", ("topic",)
         )
+        self.unused_entries = self._counter(
+            "hornbeampaddle_unused_entries_total",
+            "Entries in the list of workers that name no worker to use, by reason",
+            ("reason",),
+        )
         self.worker_calls = self._counter(
             "hornbeampaddle_worker_calls_total",
             "Calls to workers",
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/unreadable.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/unreadable.py
@@ -12,6 +12,8 @@
 
 # Number of keys remembered as logged; beyond it, some keys are logged again.
 REMEMBERED_KEYS_MAX = 1000
+# Length of a logged reason, which may quote what another writer stored.
+WHY_MAX_CHARS = 200
 
 
 class UnreadableRecords:
@@ -29,6 +31,7 @@
         if len(self._keys) >= REMEMBERED_KEYS_MAX:
             self._keys.clear()
         self._keys.add(key)
+        why = why[:WHY_MAX_CHARS]
         log.error("record: not understood", log=self.log_name, key=key, why=why)
 
     def mark_readable(self, key: str) -> None:
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -81,10 +81,13 @@
         return Evacuation(name, record.value is not None)
 
     def worker(self, record: Keyed) -> WorkerListing | None:
-        """Return the listing, or None if the worker's entry was removed."""
+        """Return the listing, or None if the entry was removed or names no worker."""
         if record.value is None:
             return None
-        return msgspec.msgpack.decode(record.value, type=WorkerListing)
+        try:
+            return msgspec.msgpack.decode(record.value, type=WorkerListing)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return None
 
 
 class WorldPeers:
