Let a call that fails unforeseen cost its worker, not the lead

Cause: `WorkerPort` promises that no call raises because of the remote side, and nothing kept the promise where the adapter did not foresee what it met: a host or a header that cannot be encoded, an answer of another form.

Mend: a session takes an error of a call for an outcome. A report that fails counts as unanswered, so that the worker's lease runs out as any silent one's. A start that fails may have arrived: it is settled by a stop, and the worker gets nothing for a while, since a repeat would probably fail alike and the task would wait for good. One line for each spell of failed calls. Errors of the scheduler, of a decision or of a record still end the term: after them the state of the whole cell may be wrong.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -74,6 +74,22 @@
     And 2 s pass in the cell
     Then the holder knows 4 workers
 
+  Scenario Outline: A <call> that fails in an unforeseen way costs its worker, not the lead
+    # Guards against a cell that nobody can hold: each leader in turn makes the same call
+    # to the same worker, and steps down because of its error.
+    Given a cell of 3 instances and 4 workers
+    When each <call> to "w0" ends by an error
+    And 2 jobs of 2 steps of 12 tasks are handed in
+    Then all jobs are shown as completed within 25 s
+    And the holder's term goes on
+    And the error of "w0" is logged
+    And no promise of the cell was broken
+
+    Examples:
+      | call   |
+      | report |
+      | start  |
+
   Scenario: Entries that name no worker to use are counted
     Given a cell of 3 instances and 4 workers
     And the configuration names its services
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -151,6 +151,32 @@
     assert len(holder(context).cell.workers) == count, holder(context).cell.workers
 
 
+@when('each {call} to "{name}" ends by an error')
+def fail_calls(context, call, name):
+    context.epoch = holder(context).epoch
+    sessions = holder(context)._sessions.values()
+    (session,) = [s for s in sessions if s.worker_id.name == name]
+
+    async def fail(*arguments):
+        raise UnicodeError("label empty or too long")
+
+    setattr(session.port, call, fail)
+    capturing = structlog.testing.capture_logs()
+    context.lines = capturing.__enter__()
+    context.add_cleanup(capturing.__exit__, None, None, None)
+
+
+@then("the holder's term goes on")
+def same_term(context):
+    assert holder(context).epoch == context.epoch
+
+
+@then('the error of "{name}" is logged')
+def error_logged(context, name):
+    lines = [x for x in context.lines if x["event"] == "worker: call failed"]
+    assert {line["worker"].name for line in lines} == {name}, lines
+
+
 @then('the holder has counted an entry that is "{reason}"')
 def check_entries_counted(context, reason):
     metrics = context.world.instances[context.world.holder()].metrics
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import structlog
 
@@ -34,6 +35,15 @@
 
 log = structlog.get_logger()
 
+Outcome = TypeVar("Outcome")
+
+
+class CallFailed(NoAnswer):
+    """An error of the adapter ended the call: it may have reached the worker or not."""
+
+
+# Length of the logged error of a call.
+ERROR_MAX_CHARS = 200
 # Pause before a call that failed or may not be sent yet is tried again. Leases last
 # 10 s, so the pause costs little of one, and a worker that answers again is seen soon.
 RETRY_PAUSE_S = 0.3
@@ -73,6 +83,8 @@
         self._connected_anew = False
         self._unanswered_since_s: float | None = None
         self._stops_in_progress: set[tuple[TaskKey, int]] = set()
+        # Whether the last call ended by an error of the adapter.
+        self._call_failed = False
 
     async def run(self) -> None:
         """Request reports until the worker is removed or the task is cancelled."""
@@ -91,7 +103,7 @@
                 wait_s = FIRST_REPORT_WAIT_S if first else wait_s
                 outcome = await self._report_in_turn(acked_end, deadline_s, wait_s)
             else:
-                outcome = await self.port.report(acked_end, deadline_s, wait_s)
+                outcome = await self._report(acked_end, deadline_s, wait_s)
             if isinstance(outcome, Report) and not outcome.connected_anew:
                 self._delivered_acked_end = acked_end
             if not await self._handle_outcome(outcome):
@@ -117,7 +129,30 @@
         for seconds and makes it lose the cell.
         """
         async with self.holder.first_report_slots:
-            return await self.port.report(last_seen, deadline_s, wait_s)
+            return await self._report(last_seen, deadline_s, wait_s)
+
+    async def _report(
+        self, last_seen: int, deadline_s: float | None, wait_s: float
+    ) -> HoldOutcome:
+        return await self._contained(self.port.report(last_seen, deadline_s, wait_s))
+
+    async def _contained(self, call: Awaitable[Outcome]) -> Outcome | CallFailed:
+        """
+        Return the outcome of a call, also if it ends by an error of the adapter.
+
+        Guards against a cell that no instance can hold: a task that fails ends the
+        holder's term, and its successors make the same call to the same worker.
+        """
+        try:
+            outcome = await call
+        except Exception as error:
+            detail = repr(error)[:ERROR_MAX_CHARS]
+            if not self._call_failed:
+                log.error("worker: call failed", worker=self.worker_id, error=detail)
+            self._call_failed = True
+            return CallFailed(detail)
+        self._call_failed = False
+        return outcome
 
     def _next_poll(self) -> Poll:
         """Return how to ask for the next report, with a pause if the cell is large."""
@@ -258,7 +293,12 @@
                 continue
             if run.sent_at_s == float("inf"):
                 run.sent_at_s = now_s
-            outcome = await self.port.start(run, payload, deadline_s)
+            outcome = await self._contained(self.port.start(run, payload, deadline_s))
+            if isinstance(outcome, CallFailed):
+                # A repeat would probably fail alike, and the task would wait for good:
+                # the run is settled by a stop, and the worker gets nothing for a while.
+                run.unanswered += 1
+                outcome = Refused(Reason.UNWELL)
             if outcome == Refused(Reason.FENCED):
                 self.holder.step_down("a start was refused for its token")
                 return
@@ -320,7 +360,7 @@
             if not self.holder.may_send_orders():
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            outcome = await self.port.stop(order.run)
+            outcome = await self._contained(self.port.stop(order.run))
             now_s = self.holder.clock.now_s()
             if not cell.orders.stop_answered(order, outcome, now_s):
                 answered.set()
@@ -332,6 +372,6 @@
         """Send a pace once; a lost one is sent again with the next change."""
         if not self.holder.may_send_orders():
             return
-        outcome = await self.port.pace(order.run, order.percent)
+        outcome = await self._contained(self.port.pace(order.run, order.percent))
         if isinstance(outcome, NoAnswer):
             order.run.pace_percent = -1
