--- /dev/null
+++ b/features/steps/decoder_steps.py
@@ -0,0 +1,138 @@
+"""Steps on records that are wrong in one field."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import structlog
+from behave import given, then, when
+from support.mutations import json_bytes, mutated
+
+sys.path.insert(0, str(Path(__file__).parent.parent.parent / "platform"))
+
+from hornbeampaddle.cell.incarnations import WorkerId  # noqa: E402
+from hornbeampaddle.cell.jobs import Step, StepKey, TaskKey  # noqa: E402
+from hornbeampaddle.cell.progress import Run  # noqa: E402
+from hornbeampaddle.cell.reports import Done, Refused, Report  # noqa: E402
+from hornbeampaddle.cell.workers import WorkerListing  # noqa: E402
+from hornbeampaddle.machines import Address  # noqa: E402
+from hornbeampaddle.resources import NOTHING  # noqa: E402
+from hornbeampaddle_cell.ports import Configuration, Keyed  # noqa: E402
+from hornbeampaddle_platform.advice import Advice  # noqa: E402
+from hornbeampaddle_platform.records import Records  # noqa: E402
+from hornbeampaddle_platform.workers import Worker  # noqa: E402
+from hornbeampaddle_wire.http_messages import Response  # noqa: E402
+from hornbeampaddle_wire.http_server import HttpLimits, HttpServer  # noqa: E402
+
+LIMITS = HttpLimits(connections=20, body_bytes=65_536)
+WORKER_ID = WorkerId("i-1", 5)
+JOB_ID = "00000000000000aa"
+RUN = Run(TaskKey(JOB_ID, 0, 0, 0), 1, WORKER_ID, Step(1, NOTHING), NOTHING)
+VALID = {
+    "a worker's entry": {
+        "service": "compute",
+        "address": "10.0.0.9:8080",
+        "zone": "dc-1",
+        "state": "ready",
+        "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 1},
+        "labels": ["a", "r1-3"],
+        "born": 5,
+    },
+    "a configuration": {
+        "version": 3,
+        "routes": [
+            {
+                "name": "r",
+                "host": "h",
+                "pathPrefix": "/p/",
+                "service": "compute",
+                "targetLatencyMs": 100,
+                "priority": 1,
+                "maxAttempts": 3,
+                "stretchFactor": 2.0,
+                "advice": {"decisionMs": 3, "perWorkerMs": 1},
+            }
+        ],
+        "services": [{"name": "compute"}],
+        "limits": {"maxBodyBytes": 100, "idleTimeoutMs": 10},
+    },
+    "a worker's report": {
+        "clockMs": 1,
+        "born": 5,
+        "running": [[f"{JOB_ID}.0.0.0", 1, "", 41, 3]],
+        "endedRuns": [[1, f"{JOB_ID}.0.0.1", 1, "done", ""]],
+    },
+    "a worker's answer": {"clockMs": 1, "reason": "fence"},
+    "an answer on advice": {"allowed": [["i-1", "ticket"]], "validityMs": 3000},
+}
+
+
+class _Clock:
+    def now_s(self):
+        return 1.0
+
+    def wall_s(self):
+        return 1.0
+
+
+class _Border:
+    """The adapters, and a server that answers them with the record to decode."""
+
+    def __init__(self):
+        self.response = Response(500, b"")
+        self.server = HttpServer("border", LIMITS, self._answer)
+
+    async def _answer(self, request):
+        return self.response
+
+    async def start(self):
+        address = await self.server.start(Address("127.0.0.1", 0))
+        listing = WorkerListing(WORKER_ID, "compute", address, "dc-1", NOTHING)
+        self.worker = Worker(listing, 1, _Clock())
+        self.advice = Advice(address)
+
+    async def decode(self, what, data):
+        """Return whether the record was used."""
+        self.response = Response(200, data)
+        match what:
+            case "a worker's entry":
+                return Records().worker(Keyed("i-1", data)) is not None
+            case "a configuration":
+                decoded = Records().configuration(Keyed("config", data))
+                return isinstance(decoded, Configuration)
+            case "a worker's report":
+                return isinstance(await self.worker.report(0, None, 0.0), Report)
+            case "a worker's answer":
+                done = await self.worker.stop(RUN)
+                self.response = Response(409, data)
+                refused = await self.worker.start(RUN, "", 1.0)
+                return isinstance(done, Done) and isinstance(refused, Refused)
+            case "an answer on advice":
+                step = StepKey(JOB_ID, 0, 0)
+                return await self.advice.ask(step, [WORKER_ID]) is not None
+
+
+@given("the wrong forms of {what}")
+def wrong_forms(context, what):
+    context.what = what
+    context.forms = [json_bytes(record) for _, record in mutated(VALID[what])]
+
+
+@when("each of them is handed to its decoder")
+def decode_each(context):
+    async def decode_all():
+        border = _Border()
+        await border.start()
+        valid = await border.decode(context.what, json_bytes(VALID[context.what]))
+        assert valid, "the valid record is not used"
+        used = [await border.decode(context.what, data) for data in context.forms]
+        await border.server.close()
+        return used
+
+    with structlog.testing.capture_logs():
+        context.used = asyncio.run(decode_all())
+
+
+@then("no error is raised, and at least {count:d} of them are refused")
+def refused(context, count):
+    assert context.used.count(False) >= count, context.used.count(False)
