--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -16,3 +16,4 @@
       | a configuration      | 100  |
       | a worker's report    | 100  |
       | a worker's answer    | 10   |
+      | an answer on advice  | 30      |
