Refuse jobs whose numbers are negative or beyond any machine

No bound on what a job of many tasks costs a leader: that is open.

What is accepted of them is scheduled for 5 s without ending the holder's term.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -17,3 +17,13 @@
       | a worker's report   | 100     |
       | a worker's answer   | 10      |
       | an answer on advice | 30      |
+
+  Scenario: A caller's body with a wrong field is answered
+    # Guards against requests that end without an answer, and against a holder that ends
+    # because of a job that was accepted.
+    Given a cell of 3 instances and 4 workers
+    And the wrong forms of a caller's body
+    When each of them is handed in
+    And 5 s pass in the cell
+    Then each was answered 200 or 400, and at least 100 with 400
+    And the holder's term goes on
--- a/features/platform_border.feature
+++ b/features/platform_border.feature
@@ -19,6 +19,8 @@
       | a number for a text                 | POST   | /urgent/00000000000000aa | host | a wrong type     | 400    |
       | no steps                            | POST   | /urgent/00000000000000aa | host | no steps         | 400    |
       | a step of no tasks                  | POST   | /urgent/00000000000000aa | host | an empty step    | 400    |
+      | a number beyond 64 bits             | POST   | /urgent/00000000000000aa | host | a huge amount    | 400    |
+      | a negative amount                   | POST   | /urgent/00000000000000aa | host | a negative amount | 400    |
       | a step that waits for itself        | POST   | /urgent/00000000000000aa | host | a circle         | 400    |
       | a step that waits for a later one   | POST   | /urgent/00000000000000aa | host | a later step     | 400    |
       | a query for an unknown job          | GET    | /urgent/00000000000000bb | host | nothing          | 410    |
--- a/features/steps/border_steps.py
+++ b/features/steps/border_steps.py
@@ -38,6 +38,8 @@
     "a wrong type": {"spec": 7, "phases": [PHASE]},
     "no steps": {"spec": "work", "phases": []},
     "an empty step": {"spec": "work", "phases": [{**PHASE, "count": 0}]},
+    "a huge amount": {"spec": "work", "phases": [{**PHASE, "cpu": 2**70}]},
+    "a negative amount": {"spec": "work", "phases": [{**PHASE, "memMb": -1}]},
     "a circle": {"spec": "work", "phases": [{**PHASE, "dependsOn": [0]}]},
     "a later step": {"spec": "work", "phases": [{**PHASE, "dependsOn": [1]}, PHASE]},
 }
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -4,8 +4,11 @@
 import sys
 from pathlib import Path
 
+import msgspec
 import structlog
 from behave import given, then, when
+from support.cell_scene import new_loop, play
+from support.cell_walk import build
 from support.mutations import json_bytes, mutated
 
 sys.path.insert(0, str(Path(__file__).parent.parent.parent / "platform"))
@@ -18,10 +21,21 @@
 from hornbeampaddle.machines import Address  # noqa: E402
 from hornbeampaddle.resources import NOTHING  # noqa: E402
 from hornbeampaddle_cell.ports import Configuration, Keyed  # noqa: E402
+from hornbeampaddle_cell.relay_messages import (  # noqa: E402
+    AppendAsk,
+    NewestAsk,
+    PutAsk,
+    ReadAsk,
+    SlowNotice,
+    decode_outcome,
+    encode_ask,
+)
 from hornbeampaddle_platform.advice import Advice  # noqa: E402
+from hornbeampaddle_platform.ingress import Ingress  # noqa: E402
 from hornbeampaddle_platform.records import Records  # noqa: E402
 from hornbeampaddle_platform.workers import Worker  # noqa: E402
-from hornbeampaddle_wire.http_messages import Response  # noqa: E402
+from hornbeampaddle_standins.cell.world import ROUTE_HOST, World  # noqa: E402
+from hornbeampaddle_wire.http_messages import Request, Response  # noqa: E402
 from hornbeampaddle_wire.http_server import HttpLimits, HttpServer  # noqa: E402
 
 LIMITS = HttpLimits(connections=20, body_bytes=65_536)
@@ -63,10 +77,42 @@
         "endedRuns": [[1, f"{JOB_ID}.0.0.1", 1, "done", ""]],
     },
     "a worker's answer": {"clockMs": 1, "reason": "fence"},
+    "a caller's body": {
+        "spec": "work",
+        "phases": [
+            {
+                "count": 1,
+                "cpu": 500,
+                "memMb": 64,
+                "gpu": 0,
+                "estimateMs": 900,
+                "affinity": "r1-3",
+                "requirements": "a",
+                "antiAffinity": 1,
+                "targetMs": 5,
+                "fillCount": 1,
+                "maxUnavailable": 1,
+                "longRunning": False,
+            },
+            {"count": 1, "cpu": 500, "memMb": 64, "dependsOn": [0]},
+        ],
+        "repeatCount": 1,
+        "startAtMs": 5,
+        "intervalMs": 7,
+    },
     "an answer on advice": {"allowed": [["i-1", "ticket"]], "validityMs": 3000},
 }
 
 
+ASKS = (
+    ReadAsk("jobs", 0, 0.0, 1000, knows_views=True),
+    NewestAsk("operator", 0, knows_views=True),
+    AppendAsk("peers", [("k", b"v")], ("p", 1, 0), None),
+    PutAsk("jobs", [("k", b"v")], 0.1),
+    SlowNotice(),
+)
+
+
 class _Clock:
     def now_s(self):
         return 1.0
@@ -118,6 +164,70 @@
     context.forms = [json_bytes(record) for _, record in mutated(VALID[what])]
 
 
+@when("each of them is handed in")
+def hand_in_each(context):
+    world = context.world
+    instance = world.instances[world.holder()]
+    context.epoch = instance.holder.epoch
+    ingress = Ingress(instance)
+    context.statuses = [
+        play(context, ingress.handle(_request(number, data))).status
+        for number, data in enumerate(context.forms)
+    ]
+
+
+def _request(number, data):
+    return Request("POST", f"/urgent/{number:016x}", {"host": ROUTE_HOST}, data)
+
+
+@then("each was answered 200 or 400, and at least {count:d} with 400")
+def answered(context, count):
+    assert set(context.statuses) <= {200, 400}, set(context.statuses)
+    assert context.statuses.count(400) >= count, context.statuses.count(400)
+
+
+@given("a cell of {instances:d} instances that relay")
+def start_relaying(context, instances):
+    new_loop(context)
+
+    async def begin():
+        context.world = World(7, relays=True)
+        await build(context.world, instances, 1)
+
+    play(context, begin())
+
+
+@given("requests of a peer in all wrong forms")
+def wrong_requests(context):
+    requests = [msgspec.msgpack.decode(encode_ask(ask)) for ask in ASKS]
+    context.forms = list(filter(None, map(_packed, _wrong_forms(requests))))
+    assert len(context.forms) > 200, len(context.forms)
+
+
+def _wrong_forms(valid_records):
+    return (record for valid in valid_records for _, record in mutated(valid))
+
+
+def _packed(record):
+    try:
+        return msgspec.msgpack.encode(record)
+    except (OverflowError, UnicodeEncodeError):
+        # Cannot be written at all.
+        return None
+
+
+@when("each of them is served")
+def serve_each(context):
+    relay = context.world.instances["i0"].relay
+    context.answers = [play(context, relay.serve(data)) for data in context.forms]
+
+
+@then("each has an answer")
+def each_answered(context):
+    for answer in context.answers:
+        decode_outcome(answer)
+
+
 @when("each of them is handed to its decoder")
 def decode_each(context):
     async def decode_all():
