Answer a peer's request for an unknown log

Mend: such a request is refused at once, and no read for a peer waits for longer than its own reads through peers do.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -27,3 +27,10 @@
     And 5 s pass in the cell
     Then each was answered 200 or 400, and at least 100 with 400
     And the holder's term goes on
+
+  Scenario: A peer's request with a wrong field is answered
+    # Guards against a peer that waits for an answer that never comes.
+    Given a cell of 3 instances that relay
+    And requests of a peer in all wrong forms
+    When each of them is served
+    Then each has an answer
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -92,6 +92,9 @@
 SHARED_VIEW_AGE_MAX_S = 1.5
 
 
+TOPIC_VALUES = frozenset(topic.value for topic in Topic)
+
+
 class PeerCaller(Protocol):
     """The client for requests to other instances."""
 
@@ -319,6 +322,8 @@
         except msgspec.MsgspecError as error:
             log.error("relay: cannot decode request of peer", error=str(error))
             return encode_outcome(Unavailable("request not understood"))
+        if not isinstance(ask, SlowNotice) and ask.topic not in TOPIC_VALUES:
+            return encode_outcome(Unavailable("no such log"))
         if isinstance(ask, SlowNotice):
             if self.appender is not None and self.appender.group_commit is not None:
                 self.appender.group_commit.told_slow()
@@ -371,7 +376,7 @@
                 producer = Producer(*number) if number is not None else None
                 return await self.direct.append(topic, records, producer, at_offset)
             case ReadAsk(offset=offset, wait_s=wait_s, size_max_bytes=size_max_bytes):
-                span = Span(offset, wait_s, size_max_bytes)
+                span = Span(offset, min(wait_s, PEER_READ_WAIT_MAX_S), size_max_bytes)
                 return await self.direct.read(topic, span)
             case NewestAsk():
                 return await self.direct.newest(topic)
