--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ..resources import NOTHING
-from . import crashes, restarts
+from . import crashes, left_out_ends, restarts
 from .effects import LogEntry, StopOrder
 from .incarnations import WorkerId
 from .jobs import Step, TaskKey
@@ -23,9 +23,6 @@
 # A run that is still reported this long after its stop should have taken effect is
 # sent another stop.
 STOP_RESEND_AFTER_S = 0.4
-# How long a worker may leave out ends without listing a new one before it counts as
-# silent: a connection that breaks costs one or two such reports.
-ENDS_STUCK_MAX_S = 2.0
 
 
 class ReportIntake:
@@ -47,11 +44,11 @@
         now_s = report.received_at_s
         worker.clock.observe(report.clock_s, now_s)
         worker.last_report_at_s = now_s
-        self._note_left_out_ends(worker, report)
-        stuck = _ends_stuck(worker, now_s)
+        left_out_ends.note_report(worker, report)
+        stuck = left_out_ends.are_stuck(worker, now_s)
         first = not worker.reported and not stuck
         if stuck:
-            self._handle_stuck(worker, now_s)
+            left_out_ends.let_lease_run_out(self.cell, worker, now_s)
         else:
             worker.reported = True
             worker.silent = False
@@ -67,7 +64,7 @@
                 listed.add(ended.key)
                 listed_runs.add((ended.key, ended.number))
                 self._handle_end(worker, ended, now_s)
-        worker.seen_end = max(worker.seen_end, _last_end(report))
+        worker.seen_end = max(worker.seen_end, left_out_ends.last_end(report))
         for row in report.running:
             listed.add(row.key)
             listed_runs.add((row.key, row.number))
@@ -80,7 +77,7 @@
             for run in missing:
                 self.cell.release(run, now_s, "not_on_worker")
         else:
-            self._await_ends(worker, missing)
+            left_out_ends.await_ends(self.cell, worker, missing)
         if first:
             restarts.stop_unsettled(self.cell, worker)
             detail: dict[str, object] = {
@@ -88,45 +85,13 @@
                 "running": len(report.running),
                 "ended": len(report.ended),
                 "first_end": report.ended[0].position if report.ended else 0,
-                "last_end": _last_end(report),
+                "last_end": left_out_ends.last_end(report),
                 "clock_s": round(report.clock_s, 3),
             }
             self.cell.log(LogEntry("worker_reported", "", detail))
         self.cell.pacer.observe(worker, now_s)
         return first
 
-    def _note_left_out_ends(self, worker: WorkerState, report: Report) -> None:
-        """Update whether the worker leaves out ends, and whether it is stuck there."""
-        worker.ends_left_out = not report.ends_complete
-        # Until they are stored, it is this holder that keeps the worker from the rest.
-        stored = worker.acked_end >= worker.seen_end
-        if report.ends_complete or _last_end(report) > worker.seen_end or not stored:
-            worker.ends_stuck_since_s = None
-        elif worker.ends_stuck_since_s is None:
-            worker.ends_stuck_since_s = report.received_at_s
-
-    def _handle_stuck(self, worker: WorkerState, now_s: float) -> None:
-        """Let the lease of a worker run out that lists the same ends for too long."""
-        if not worker.silent:
-            detail: dict[str, object] = {
-                "worker": worker.worker_id,
-                "seen_end": worker.seen_end,
-            }
-            self.cell.log(LogEntry("ends_stuck", "", detail))
-        self.cell.worker_silent(worker.worker_id, now_s)
-
-    def _await_ends(self, worker: WorkerState, missing: list[Run]) -> None:
-        """Keep runs booked whose ends the worker has left out."""
-        for run in missing:
-            run.end_unlisted = True
-        if worker.ends_stuck_since_s is None:
-            detail: dict[str, object] = {
-                "worker": worker.worker_id,
-                "seen_end": worker.seen_end,
-                "waiting_runs": len(missing),
-            }
-            self.cell.log(LogEntry("ends_left_out", "", detail))
-
     def _log_missed_ends(self, worker: WorkerState, report: Report) -> None:
         """Log ends that the worker has dropped although no report listed them."""
         first = report.ended[0].position if report.ended else 0
@@ -396,17 +361,6 @@
         ]
 
 
-def _last_end(report: Report) -> int:
-    """Return the position of the last end that a report lists, 0 if it lists none."""
-    return report.ended[-1].position if report.ended else 0
-
-
-def _ends_stuck(worker: WorkerState, now_s: float) -> bool:
-    """Return whether the worker has left out the same ends for too long."""
-    since_s = worker.ends_stuck_since_s
-    return since_s is not None and now_s - since_s > ENDS_STUCK_MAX_S
-
-
 def _names(row: EndedRow, run: Run, worker: WorkerState) -> bool:
     """Return whether a worker's row is about a run, not another one of its task."""
     return run.number == row.number and run.worker_id == worker.worker_id
