--- a/review/standins2/cell.py
+++ b/review/standins2/cell.py
@@ -40,9 +40,16 @@
 
 
 async def serve(
-    handler: Handler, port: int = 0, writers: set | None = None
+    handler: Handler,
+    port: int = 0,
+    writers: set | None = None,
+    closes: Callable[[], bool] = lambda: False,
 ) -> tuple[asyncio.Server, int]:
-    """Serve HTTP/1.1 with keep-alive; ``writers`` holds the open connections."""
+    """
+    Serve HTTP/1.1; ``writers`` holds the open connections.
+
+    They are kept alive, unless ``closes`` says to close each one after its answer.
+    """
     open_writers = writers if writers is not None else set()
 
     async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
@@ -58,12 +65,15 @@
                     headers[name.strip().lower()] = value.strip()
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
                 status, answer = await handler(method, path, headers, body)
+                close = "connection: close\r\n" if closes() else ""
                 writer.write(
                     f"HTTP/1.1 {status} X\r\ncontent-length: {len(answer)}\r\n"
-                    "content-type: application/json\r\n\r\n".encode()
+                    f"{close}content-type: application/json\r\n\r\n".encode()
                     + answer
                 )
                 await writer.drain()
+                if close:
+                    return
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -267,6 +277,8 @@
         self.mem_mb = mem_mb
         self.port = 0
         self.up = False
+        # Whether it closes each connection after its answer, as HTTP allows.
+        self.closes = False
         self.running: dict[str, Running] = {}
         self._writers: set[asyncio.StreamWriter] = set()
         self._begin_life()
@@ -297,7 +309,9 @@
     async def start_again(self) -> None:
         """Come up again under the same id, at the same address, knowing nothing."""
         self._begin_life()
-        self.server, _ = await serve(self._handle, self.port, self._writers)
+        self.server, _ = await serve(
+            self._handle, self.port, self._writers, lambda: self.closes
+        )
         self.up = True
         self.cell.log("worker up again", worker=self.name, born=self.born_ms)
 
@@ -307,7 +321,9 @@
 
     async def live(self) -> None:
         """Listen, register every heartbeat, and end runs when they are due."""
-        self.server, self.port = await serve(self._handle, 0, self._writers)
+        self.server, self.port = await serve(
+            self._handle, 0, self._writers, lambda: self.closes
+        )
         self.up = True
         while True:
             if self.up and time.monotonic() >= self.next_beat_s:
@@ -484,6 +500,8 @@
         self.started: dict[str, float] = {}
         self.running_of: dict[str, int] = {}
         self.stops = 0
+        self.done_again = 0
+        self._done: set[str] = set()
         self.exits: list[tuple[str, int]] = []
         self.quiet = False
         self._tasks: list[asyncio.Task] = []
@@ -511,6 +529,9 @@
         """Note that a run has ended on a worker."""
         self.running_of[task.partition(".")[0]] -= 1
         self.stops += how == "stopped"
+        if how == "done":
+            self.done_again += task in self._done
+            self._done.add(task)
         if not self.quiet:
             self.log("run ended", task=task, run=number, how=how)
 
