--- a/review/standins2/cell.py
+++ b/review/standins2/cell.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -662,3 +663,12 @@
                 (Path(keep) / path.name).write_bytes(path.read_bytes())
         self._folder.cleanup()
         self.record.close()
+
+
+def run_case(case: Callable[[], Awaitable[int]]) -> int:
+    """Return what a case returns, and 2 if an error of its own ends it."""
+    try:
+        return asyncio.run(case())
+    except Exception:
+        traceback.print_exc()
+        return 2
