--- a/review/7/case.py
+++ b/review/7/case.py
@@ -16,7 +16,9 @@
 # Each worker has room for two of its tasks.
 POISON_JOB = {
     "spec": "work",
-    "phases": [{"count": 8, "cpu": CPU, "memMb": 64, "estimateMs": 1000}],
+    "phases": [
+        {"count": 8, "cpu": CPU, "memMb": 64, "estimateMs": 1000, "antiAffinity": 2}
+    ],
 }
 SMALL_JOB = {"spec": "work", "phases": [{"count": 2, "cpu": 1000, "memMb": 64}]}
 JOBS = 30
@@ -35,7 +37,7 @@
     )
     cell.how_it_ends = how_it_ends
     try:
-        await cell.build(3, [f"worker-{n}" for n in range(4)], 8000, 16000)
+        await cell.build(3, [f"worker-{n}" for n in range(4)], 16000, 32000)
         if not await cell.ready():
             return 2
         for number in range(JOBS):
