Log the error that ends work which nobody awaits

My hypotheses, and what the log says of each:

- The list of workers can't be read any more: `store: lost` with topic `workers`; absent.
- The list is read, and takes all workers for gone: `usable_workers` 0; it stays 4.
- The holder no longer decides: no `cell: state`; there is one each second.
- What follows the list has ended by an error: no line tells. asyncio reports the error of a task that nobody awaits only when the task is collected, and to standard error.

So the line comes first. `log_loop_errors` does the same for callbacks and for callers' connections. Nothing else changes.

--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/group_commit.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/group_commit.py
@@ -24,6 +24,7 @@
 
 from hornbeampaddle.cell.reports import NoAnswer
 from hornbeampaddle.machines import Address
+from hornbeampaddle_wire import background
 
 from .peers import PeerDirectory
 from .ports import Clock, Keyed, Topic, Unavailable
@@ -84,7 +85,7 @@
         now_s = self.clock.now_s()
         if slow and not self._slow and now_s >= self._next_notice_s:
             self._next_notice_s = now_s + NOTICE_INTERVAL_S
-            notice = asyncio.create_task(self._tell_peers())
+            notice = background.start(self._tell_peers(), "notice of slow appends")
             self._notices.add(notice)
             notice.add_done_callback(self._notices.discard)
         self._set_slow(slow, f"own append took {took_s:.3f} s")
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -14,6 +14,7 @@
 
 from hornbeampaddle.cell.reports import NoAnswer
 from hornbeampaddle.cell.workers import WorkerListing
+from hornbeampaddle_wire import background
 
 from .appender import Appender
 from .callers import CallerApi
@@ -458,7 +459,7 @@
         workers.on_reload = self._worker_list_reloaded
         holder.list_complete_at_s = lambda: workers.complete_at_s
         holder.list_read_bytes = lambda: workers.read_bytes
-        following = asyncio.create_task(workers.run())
+        following = background.start(workers.run(), "list of workers")
         try:
             await holder.run()
         finally:
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/instance.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/instance.py
@@ -20,6 +20,7 @@
     HomeRecord,
     home_stream,
 )
+from hornbeampaddle_wire import background
 from hornbeampaddle_wire.http_client import HttpTraffic
 from hornbeampaddle_wire.http_server import HttpLimits, HttpServer
 from hornbeampaddle_wire.peers import PeerSockets, Receiver
@@ -229,7 +230,8 @@
             self._poll_list(),
             self._tick(),
         ):
-            self._tasks.permanent.append(asyncio.create_task(coroutine))
+            name = getattr(coroutine, "__qualname__", "")
+            self._tasks.permanent.append(background.start(coroutine, name))
 
     async def _tick(self) -> None:
         while True:
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/main.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/main.py
@@ -16,6 +16,8 @@
 import structlog
 from result import Err, Ok
 
+from hornbeampaddle_wire import background
+
 from .instance import Instance
 from .settings import Settings, effective_settings, read_settings
 from .telemetry import set_up_logs
@@ -96,6 +98,7 @@
     signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
+    background.log_loop_errors(loop)
     instance = Instance(settings)
     await instance.start()
     await signals.get()
--- /dev/null
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/background.py
@@ -0,0 +1,50 @@
+"""
+Start asyncio tasks that nobody awaits, and log the errors that end them.
+
+asyncio itself reports such an error only once the task is garbage-collected, which may
+be never, and outside the structured log.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import structlog
+
+log = structlog.get_logger()
+
+
+def start(work: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
+    """
+    Start a task; an error that ends it is logged under ``name``.
+
+    The event loop keeps no reference to a task: the caller must, until it has ended.
+    """
+    task = asyncio.create_task(work, name=name)
+    task.add_done_callback(_log_error)
+    return task
+
+
+def _log_error(task: asyncio.Task[None]) -> None:
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        log.error(
+            "background: failed",
+            work=task.get_name(),
+            error=repr(error),
+            exc_info=error,
+        )
+
+
+def log_loop_errors(loop: asyncio.AbstractEventLoop) -> None:
+    """Log what the event loop reports of callbacks and of connections' tasks."""
+    loop.set_exception_handler(_log_loop_error)
+
+
+def _log_loop_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    error = context.get("exception")
+    log.error(
+        "loop: error", what=context.get("message"), error=repr(error), exc_info=error
+    )
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/peer_requests.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/peer_requests.py
@@ -18,6 +18,8 @@
 
 from hornbeampaddle.machines import Address
 
+from . import background
+
 log = structlog.get_logger()
 
 # Maximum number of peers' requests that are handled concurrently; each may wait for one
@@ -94,7 +96,7 @@
                 serving=len(self._serving),
             )
             return
-        task = asyncio.create_task(self._serve(envelope))
+        task = background.start(self._serve(envelope), "request of a peer")
         self._serving.add(task)
         task.add_done_callback(self._serving.discard)
 
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/peers.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/peers.py
@@ -22,6 +22,8 @@
     envelope_encoder,
 )
 
+from . import background
+
 MAC_BYTES = 16
 DIGEST = "blake2s"
 SEND_BUFFER_MESSAGES = 128
@@ -66,7 +68,7 @@
         self._listener = pynng.Pull0(
             listen=f"tcp://{address}", recv_max_size=RECEIVE_BYTES_MAX
         )
-        self._task = asyncio.create_task(self._receive())
+        self._task = background.start(self._receive(), "messages of peers")
 
     def dial(self, instance_id: str, address: Address) -> None:
         """Open a connection to a peer; it reconnects automatically."""
