--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -38,6 +38,10 @@
       | a birth of zero            |
       | bytes that cannot be read  |
       | an empty value             |
+      | lists nested and cut off   |
+      | lists nested to the end    |
+      | objects nested and cut off |
+      | nesting in another field   |
 
   Scenario Outline: An entry under an id <what> is not used
     # Guards against a leader that loses the lead because it cannot name a worker in the
@@ -99,6 +103,25 @@
     Then the holder has counted an entry that is "not_ours"
     And the holder has counted an entry that is "not_understood"
 
+  Scenario Outline: <what> in the list of workers stop no task from starting
+    # Guards against a holder that no longer follows the list of workers, and so starts
+    # nothing, while it keeps the cell and says that it is ready.
+    Given a cell of 3 instances and 4 workers
+    And its instances read the list of workers as on the platform
+    When another writer stores <what> as "x1" in the log of workers
+    And 4 s pass in the cell
+    And a job "ef09" of 2 steps of 4 tasks is handed in
+    Then the job "ef09" is shown as completed within 10 s
+    And the holder's term goes on
+    And the holder has counted an entry that is "not_understood"
+
+    Examples:
+      | what                       |
+      | bytes that cannot be read  |
+      | lists nested and cut off   |
+      | lists nested to the end    |
+      | objects nested and cut off |
+
   Scenario: A worker whose entry is overwritten is not used until it writes it again
     Given a cell of 3 instances and 4 workers
     When another writer overwrites the entry of "w0" with no value
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -33,9 +33,20 @@
 from hornbeampaddle_cell.settings import InstanceSettings  # noqa: E402
 from hornbeampaddle_platform.records import Records  # noqa: E402
 from hornbeampaddle_platform.store import decode_page, decode_records  # noqa: E402
-from hornbeampaddle_standins.cell.world import BATCH, URGENT  # noqa: E402
+from hornbeampaddle_standins.cell.world import BATCH, URGENT, WorldCodec  # noqa: E402
 
 UNREADABLE = b"\xff\x00\xc1{"
+# Values that a decoder of either format cannot nest so deeply.
+NESTED = {
+    "lists nested and cut off": b'{"inventory":' + 1200 * b"[",
+    "lists nested to the end": 5000 * b"[" + 5000 * b"]",
+    "objects nested and cut off": 2000 * b'{"a":',
+    "nesting in another field": b'{"service":"compute","x":' + 5000 * b"[",
+    "packed lists nested": 5000 * b"\x91",
+    "packed maps nested": 5000 * b"\x81\xa1a",
+    "packed nesting in another field": b"\x99" + 5000 * b"\x91",
+}
+FOREIGN_BYTES = {"bytes that cannot be read": UNREADABLE, **NESTED}
 VALID_ENTRY = {
     "service": "compute",
     "address": "10.0.0.9:8080",
@@ -83,8 +94,8 @@
 @given("a valid worker's entry with {what}")
 def entry(context, what):
     match what:
-        case "bytes that cannot be read":
-            context.value = UNREADABLE
+        case _ if what in FOREIGN_BYTES:
+            context.value = FOREIGN_BYTES[what]
         case "an empty value":
             context.value = b""
         case _:
@@ -237,9 +248,28 @@
     assert len(usable) == count, usable
 
 
-@when('another writer stores bytes that cannot be read as "{key}" in the log of {log}')
-def store_unreadable(context, key, log):
-    context.world.store.write(Topic(log), Keyed(key, UNREADABLE))
+class PlatformListCodec(WorldCodec):
+    """The cell's own codec for its workers, the platform's for foreign entries."""
+
+    def __init__(self):
+        self.records = Records()
+
+    def worker(self, record):
+        if record.key.startswith("w"):
+            return super().worker(record)
+        return self.records.worker(record)
+
+
+@given("its instances read the list of workers as on the platform")
+def read_as_on_the_platform(context):
+    for instance in context.world.instances.values():
+        instance.codec = PlatformListCodec()
+    context.epoch = holder(context).epoch
+
+
+@when('another writer stores {what} as "{key}" in the log of {log}')
+def store_foreign(context, what, key, log):
+    context.world.store.write(Topic(log), Keyed(key, FOREIGN_BYTES[what]))
 
 
 @when('another writer stores the progress of another job as that of "{name}"')
