End a holder's term when it no longer follows the list of workers

Cause: the follower was a task beside the term that nobody awaited.

The scenario fails before: a job handed in 4 s after the error is never completed.

--- a/features/background.feature
+++ b/features/background.feature
@@ -7,6 +7,19 @@
     Given work in the background that ends by an error
     Then one line "background: failed" names the work and the error
 
+  Scenario: The term of a holder that no longer follows the list of workers ends
+    # Guards against a holder that starts nothing any more, keeps the cell and says that
+    # it is ready.
+    Given a cell of 3 instances and 4 workers
+    When the holder's reader of the list of workers is to end by an error
+    And "w0" writes its entry again
+    And 4 s pass in the cell
+    And a job "ba01" of 2 steps of 4 tasks is handed in
+    Then the job "ba01" is shown as completed within 25 s
+    And the holder's term is a later one
+    And one line "holder: task failed" names "Follower.run" and the error
+    And no promise of the cell was broken
+
   Scenario: Work in the background that is cancelled or done is no failure
     Given work in the background that is cancelled, and some that is done
     Then no failure is logged
--- a/features/steps/background_steps.py
+++ b/features/steps/background_steps.py
@@ -3,8 +3,9 @@
 import asyncio
 
 import structlog
-from behave import given, then
+from behave import given, then, when
 
+from hornbeampaddle_standins.cell.world import WorldCodec
 from hornbeampaddle_wire import background
 
 
@@ -75,3 +76,39 @@
 @then("no failure is logged")
 def nothing_logged(context):
     assert not context.lines, context.lines
+
+
+class _FailingCodec(WorldCodec):
+    """Fails at the first entry that it reads."""
+
+    failed = False
+
+    def worker(self, record):
+        if not self.failed:
+            self.failed = True
+            raise RecursionError("too deep")
+        return super().worker(record)
+
+
+@when("the holder's reader of the list of workers is to end by an error")
+def fail_reader(context):
+    world = context.world
+    instance = world.instances[world.holder()]
+    context.epoch = instance.holder.epoch
+    instance.codec = _FailingCodec()
+    capturing = structlog.testing.capture_logs()
+    context.lines = capturing.__enter__()
+    context.add_cleanup(capturing.__exit__, None, None, None)
+
+
+@then("the holder's term is a later one")
+def later_term(context):
+    world = context.world
+    assert world.instances[world.holder()].holder.epoch > context.epoch
+
+
+@then('one line "{event}" names "{work}" and the error')
+def part_named(context, event, work):
+    (line,) = [line for line in context.lines if line["event"] == event]
+    assert line["work"] == work and "too deep" in line["error"], line
+    assert line["exc_info"], line
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -219,7 +219,7 @@
         port = MeteredWorker(self.make_worker(listing, self.epoch), self.metrics)
         session = Session(self, listing.worker_id, port)
         self._sessions[listing.worker_id] = session
-        self._spawn(self._run_session(session))
+        self.spawn(self._run_session(session))
 
     async def _run_session(self, session: Session) -> None:
         try:
@@ -377,15 +377,15 @@
         for pace in decision.paces:
             session = self._sessions.get(pace.worker_id)
             if session is not None:
-                self._spawn(session.pace(pace))
+                self.spawn(session.pace(pace))
         for question in decision.questions:
-            self._spawn(self._ask_advice(question))
+            self.spawn(self._ask_advice(question))
 
     def _send_stops(self, stops: Sequence[StopOrder]) -> None:
         for stop in stops:
             session = self._sessions.get(stop.worker_id)
             if session is not None:
-                self._spawn(session.stop(stop))
+                self.spawn(session.stop(stop))
 
     def _send_starts(self, decision: Decision) -> None:
         for run in decision.starts:
@@ -393,7 +393,7 @@
             # A run that was stopped while its record was being stored is not sent.
             if session is not None and run.phase is RunPhase.RECORDING:
                 payload = self.cell.jobs[run.key.job_id].job.payload
-                self._spawn(session.start(run, payload))
+                self.spawn(session.start(run, payload))
 
     def _acknowledge(self, worker_id: WorkerId, end: int) -> None:
         worker = self.cell.workers.get(worker_id)
@@ -491,7 +491,7 @@
             return
         self._next_job_cleanup_s = now_s + JOB_CLEANUP_INTERVAL_S
         for job_id in self.cell.forgettable(now_s)[:JOB_CLEANUP_BATCH_SIZE]:
-            self._spawn(self._delete_job(job_id))
+            self.spawn(self._delete_job(job_id))
 
     def _take_progress_deletions(self) -> list[Keyed]:
         """
@@ -509,15 +509,29 @@
         records = [Keyed(job_id, None), Keyed(CANCEL_PREFIX + job_id, None)]
         await self.store.append(Topic.JOBS, records, producer, None)
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """
+        Do work beside the loop until the term is over; an error ends the term.
+
+        Guards against a holder of which a part is dead, and which keeps the cell.
+        """
+        task = asyncio.create_task(work, name=getattr(work, "__qualname__", ""))
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("holder: task failed", error=repr(task.exception()))
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            log.error(
+                "holder: task failed",
+                epoch=self.epoch,
+                work=task.get_name(),
+                error=repr(error),
+                exc_info=error,
+            )
             self.step_down("a task broke an invariant")
 
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -14,7 +14,6 @@
 
 from hornbeampaddle.cell.reports import NoAnswer
 from hornbeampaddle.cell.workers import WorkerListing
-from hornbeampaddle_wire import background
 
 from .appender import Appender
 from .callers import CallerApi
@@ -459,11 +458,10 @@
         workers.on_reload = self._worker_list_reloaded
         holder.list_complete_at_s = lambda: workers.complete_at_s
         holder.list_read_bytes = lambda: workers.read_bytes
-        following = background.start(workers.run(), "list of workers")
+        holder.spawn(workers.run())
         try:
             await holder.run()
         finally:
-            following.cancel()
             self.holder = None
             self._ended_epoch = holder.epoch
             self.jobs.wait_s = self.settings.read_wait_s
