End a process of which a part has failed

What callers would see: an instance that no longer serves its peers, no longer writes its log or, on the own interface, no longer follows a log, ticks or handles messages, but says that it is ready and keeps its workers. Found by listing each task that is started and not awaited.

The platform's process waited for the end of the instance alone; the own interface's for a signal alone. What is left are tasks of one request or notice (an answer to a peer, a notice of slow appends, the reader of peers' messages, each of which drops what it can't handle): their error is logged.

--- a/features/background.feature
+++ b/features/background.feature
@@ -17,7 +17,7 @@
     And a job "ba01" of 2 steps of 4 tasks is handed in
     Then the job "ba01" is shown as completed within 25 s
     And the holder's term is a later one
-    And one line "holder: task failed" names "Follower.run" and the error
+    And a line "holder: task failed" names "Follower.run" and the error
     And no promise of the cell was broken
 
   Scenario: Work in the background that is cancelled or done is no failure
@@ -29,3 +29,22 @@
     # which nobody collects.
     Given a callback that ends by an error
     Then one line "loop: error" has the error
+
+  Scenario Outline: A process ends when <part> has ended by an error
+    # Guards against an instance that says it is ready while a part of it is dead.
+    Given a process of which <part> ends by an error
+    Then the process ends with 1 within 5 s
+    And a line "background: failed" names "<part>" and the error
+
+    Examples:
+      | part              |
+      | instance          |
+      | requests of peers |
+      | log               |
+
+  Scenario: An instance of the own interface ends when a part of it has failed
+    # Guards against an instance that keeps its workers and jobs while it no longer reads
+    # the log, so that none of its peers takes them over.
+    Given an entry instance whose reader of a log ends by an error
+    Then the process ends with 1 within 5 s
+    And a line "background: failed" names "_fail" and the error
--- a/features/steps/background_steps.py
+++ b/features/steps/background_steps.py
@@ -1,12 +1,46 @@
 """Steps on work that nobody awaits."""
 
 import asyncio
-
+import json
+import os
+import sys
+from pathlib import Path
+from unittest import mock
+
+import cappa
+import msgspec
 import structlog
 from behave import given, then, when
 
+from bench.processes import free_ports
+
+sys.path.insert(0, str(Path(__file__).parent.parent.parent / "platform"))
+
+from hornbeampaddle_cell.instance import Instance
+from hornbeampaddle_cell.logs import LogWriter
+from hornbeampaddle_cell.overrides import Overrides
+from hornbeampaddle_entry.main import _serve
+from hornbeampaddle_entry.settings import parse_settings
+from hornbeampaddle_entry.streams import StreamLink
+from hornbeampaddle_platform.boot import Boot
+from hornbeampaddle_platform.main import Daemon
 from hornbeampaddle_standins.cell.world import WorldCodec
 from hornbeampaddle_wire import background
+from hornbeampaddle_wire.peer_requests import PeerChannel
+
+# A separate loopback address avoids conflicts on the fixed metrics port.
+HOST = "127.0.0.87"
+BOOT = {
+    "nodeName": "edge-1",
+    "zone": "dc-1",
+    "ip": HOST,
+    "internalPorts": [7820, 7821],
+    "listenAddrs": {"frontend": f"{HOST}:7811", "readiness": f"{HOST}:7812"},
+    "platform": {"address": f"{HOST}:7813"},
+}
+
+
+PARTS = {"instance": Instance, "requests of peers": PeerChannel, "log": LogWriter}
 
 
 def _run_logged(context, work):
@@ -107,8 +141,64 @@
     assert world.instances[world.holder()].holder.epoch > context.epoch
 
 
-@then('one line "{event}" names "{work}" and the error')
+@then('a line "{event}" names "{work}" and the error')
 def part_named(context, event, work):
-    (line,) = [line for line in context.lines if line["event"] == event]
+    line, *_ = [line for line in context.lines if line["event"] == event]
     assert line["work"] == work and "too deep" in line["error"], line
     assert line["exc_info"], line
+
+
+@given("a process of which {part} ends by an error")
+def start_process(context, part):
+    reader, descriptor = os.pipe()
+    context.add_cleanup(os.close, reader)
+    context.add_cleanup(os.close, descriptor)
+    writer = LogWriter(descriptor)
+
+    async def run():
+        daemon = Daemon(msgspec.convert(BOOT, Boot), Overrides())
+        servers = (daemon.callers, daemon.readiness, daemon.metrics)
+        try:
+            async with asyncio.timeout(5.0):
+                with mock.patch.object(PARTS[part], "run", lambda part: _fail()):
+                    await daemon.run(writer)
+        except SystemExit as end:
+            context.exit_code = end.code
+        finally:
+            await asyncio.gather(*(server.close() for server in servers))
+
+    context.exit_code = None
+    _run_logged(context, run)
+
+
+@given("an entry instance whose reader of a log ends by an error")
+def start_entry_instance(context):
+    ports = free_ports(4)
+    listen = ("callers", "operators", "peers")
+    addresses = [{"host": "127.0.0.1", "port": port} for port in ports]
+    raw = {
+        "instance_id": "e0",
+        "data_centre": "brno",
+        "listen": dict(zip(listen, addresses, strict=False)),
+        "platform": {"log": addresses[3], "instances": addresses[3]},
+        "peers": [],
+        "peer_key": "0123456789abcdef0123456789abcdef",
+        "operator_token": "operators-of-the-test",
+    }
+
+    async def run():
+        settings = parse_settings(json.dumps(raw)).unwrap()
+        try:
+            async with asyncio.timeout(5.0):
+                with mock.patch.object(StreamLink, "follow", lambda link: _fail()):
+                    await _serve(settings)
+        except cappa.Exit as end:
+            context.exit_code = end.code
+
+    context.exit_code = None
+    _run_logged(context, run)
+
+
+@then("the process ends with {code:d} within 5 s")
+def process_ended(context, code):
+    assert context.exit_code == code, context.exit_code
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/instance.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/instance.py
@@ -163,6 +163,8 @@
         self.operators = HttpServer("operators", bounds, self.operator_api.handle)
         self.addresses: Addresses | None = None
         self._tasks = _Tasks()
+        # Set when a part without which the instance must not go on has failed.
+        self.failed = asyncio.Event()
 
     def _link(self, stream: str, record_type: Any) -> StreamLink:
         limits = self.settings.limits.limits()
@@ -231,7 +233,8 @@
             self._tick(),
         ):
             name = getattr(coroutine, "__qualname__", "")
-            self._tasks.permanent.append(background.start(coroutine, name))
+            part = background.start(coroutine, name, self.failed.set)
+            self._tasks.permanent.append(part)
 
     async def _tick(self) -> None:
         while True:
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/main.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/main.py
@@ -22,6 +22,7 @@
 from .settings import Settings, effective_settings, read_settings
 from .telemetry import set_up_logs
 
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 EXIT_ABANDONED = 3
 
@@ -92,7 +93,7 @@
     """
     Run until a signal, then drain; a second signal stops the instance at once.
 
-    Return whether requests were aborted.
+    Return whether requests were aborted. Exits with 1 when a part has failed.
     """
     loop = asyncio.get_running_loop()
     signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
@@ -101,7 +102,14 @@
     background.log_loop_errors(loop)
     instance = Instance(settings)
     await instance.start()
-    await signals.get()
+    first_signal = asyncio.create_task(signals.get())
+    failing = asyncio.create_task(instance.failed.wait())
+    await asyncio.wait({first_signal, failing}, return_when=asyncio.FIRST_COMPLETED)
+    if instance.failed.is_set():
+        # Its peers take over its jobs; half alive, it would keep them.
+        log.error("instance: Ends, as a part of it has failed.")
+        await instance.stop()
+        raise cappa.Exit(code=EXIT_FAILED)
     draining = asyncio.create_task(instance.drain())
     second_signal = asyncio.create_task(signals.get())
     await asyncio.wait({draining, second_signal}, return_when=asyncio.FIRST_COMPLETED)
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/background.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/background.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import structlog
@@ -14,28 +14,29 @@
 log = structlog.get_logger()
 
 
-def start(work: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
+def start(
+    work: Coroutine[Any, Any, None],
+    name: str,
+    on_error: Callable[[], None] | None = None,
+) -> asyncio.Task[None]:
     """
     Start a task; an error that ends it is logged under ``name``.
 
-    The event loop keeps no reference to a task: the caller must, until it has ended.
+    Then ``on_error`` is called, for work without which the process must not go on. The
+    event loop keeps no reference to a task: the caller must, until it has ended.
     """
-    task = asyncio.create_task(work, name=name)
-    task.add_done_callback(_log_error)
-    return task
 
+    def handle_end(task: asyncio.Task[None]) -> None:
+        error = None if task.cancelled() else task.exception()
+        if error is None:
+            return
+        log.error("background: failed", work=name, error=repr(error), exc_info=error)
+        if on_error is not None:
+            on_error()
 
-def _log_error(task: asyncio.Task[None]) -> None:
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is not None:
-        log.error(
-            "background: failed",
-            work=task.get_name(),
-            error=repr(error),
-            exc_info=error,
-        )
+    task = asyncio.create_task(work, name=name)
+    task.add_done_callback(handle_end)
+    return task
 
 
 def log_loop_errors(loop: asyncio.AbstractEventLoop) -> None:
