Refuse what is nested too deep at each border of the platform

All go through `hornbeampaddle.decoding` now, as do a peer's answers, its messages and the file of overrides. The five scenarios of decoders.feature failed with the new forms; all pass.

--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from support.cell_scene import new_loop, play
 from support.cell_walk import build
-from support.mutations import json_bytes, mutated
+from support.mutations import json_bytes, mutated, packed_bytes
 
 sys.path.insert(0, str(Path(__file__).parent.parent.parent / "platform"))
 
@@ -200,7 +200,7 @@
 @given("requests of a peer in all wrong forms")
 def wrong_requests(context):
     requests = [msgspec.msgpack.decode(encode_ask(ask)) for ask in ASKS]
-    context.forms = list(filter(None, map(_packed, _wrong_forms(requests))))
+    context.forms = list(filter(None, map(packed_bytes, _wrong_forms(requests))))
     assert len(context.forms) > 200, len(context.forms)
 
 
@@ -208,14 +208,6 @@
     return (record for valid in valid_records for _, record in mutated(valid))
 
 
-def _packed(record):
-    try:
-        return msgspec.msgpack.encode(record)
-    except (OverflowError, UnicodeEncodeError):
-        # Cannot be written at all.
-        return None
-
-
 @when("each of them is served")
 def serve_each(context):
     relay = context.world.instances["i0"].relay
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/group_commit.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/group_commit.py
@@ -19,10 +19,10 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-import msgspec
 import structlog
 
 from hornbeampaddle.cell.reports import NoAnswer
+from hornbeampaddle.decoding import UnreadableError
 from hornbeampaddle.machines import Address
 from hornbeampaddle_wire import background
 
@@ -164,7 +164,7 @@
         return NoAnswer("peer timed out")
     try:
         outcome = decode_outcome(answer)
-    except (msgspec.MsgspecError, zlib.error, KeyError) as error:
+    except UnreadableError as error:
         log.error("appends: cannot decode answer of peer", error=str(error))
         return NoAnswer(f"peer answered {error}")
     if isinstance(outcome, PutAnswer | Unavailable):
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/overrides.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/overrides.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from hornbeampaddle.cell.settings import CellSettings
+from hornbeampaddle.decoding import UnreadableError, decode
 
 from .settings import InstanceSettings
 
@@ -44,11 +45,14 @@
     instance: dict[str, float | bool] = {}
 
 
+_decoder = msgspec.json.Decoder(Overrides)
+
+
 def read_overrides(path: Path) -> Overrides:
     """Read and validate a file; raises ``OverrideError``."""
     try:
-        overrides = msgspec.json.decode(path.read_bytes(), type=Overrides)
-    except (OSError, msgspec.MsgspecError) as error:
+        overrides = decode(_decoder, path.read_bytes())
+    except (OSError, UnreadableError) as error:
         raise OverrideError(f"{path}: {error}") from error
     errors = [
         *_errors("cell", overrides.cell, thresholds(CellSettings)),
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -12,15 +12,14 @@
 """
 
 import asyncio
-import zlib
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from typing import Protocol
 
-import msgspec
 import structlog
 
 from hornbeampaddle.cell.reports import NoAnswer
+from hornbeampaddle.decoding import UnreadableError
 from hornbeampaddle.machines import Address
 
 from .appender import Appender
@@ -305,7 +304,7 @@
             return NoAnswer(f"peer {address} timed out")
         try:
             return decode_outcome(answer)
-        except (msgspec.MsgspecError, zlib.error, KeyError) as error:
+        except UnreadableError as error:
             log.error(
                 "relay: cannot decode answer of peer",
                 peer=str(address),
@@ -319,7 +318,7 @@
         """Execute a peer's encoded request and return the encoded outcome."""
         try:
             ask = decode_ask(data)
-        except msgspec.MsgspecError as error:
+        except UnreadableError as error:
             log.error("relay: cannot decode request of peer", error=str(error))
             return encode_outcome(Unavailable("request not understood"))
         if not isinstance(ask, SlowNotice) and ask.topic not in TOPIC_VALUES:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hornbeampaddle.cell.reports import NoAnswer
+from hornbeampaddle.decoding import UnreadableError, convert, decode
 
 from .ports import (
     Appended,
@@ -26,7 +27,7 @@
 # MessagePack array.
 COMPRESS_ABOVE_BYTES = 16 * 1024
 COMPRESSION_LEVEL = 1
-ZLIB_FIRST_BYTE = 0x78
+ZLIB_FIRST_BYTE = b"\x78"
 
 
 class AppendAsk(msgspec.Struct, tag="append", frozen=True):
@@ -134,8 +135,8 @@
 
 
 def decode_ask(data: bytes) -> Ask:
-    """Decode a peer's request; raises ``msgspec.MsgspecError``."""
-    return _ask_decoder.decode(data)
+    """Decode a peer's request; raises ``UnreadableError``."""
+    return decode(_ask_decoder, data)
 
 
 def encode_outcome(outcome: Outcome) -> bytes:
@@ -152,13 +153,20 @@
 
 
 def decode_outcome(data: bytes) -> Outcome:
-    """
-    Decode a peer's answer, compressed or not.
-
-    Raises ``msgspec.MsgspecError``, ``zlib.error`` or ``KeyError``.
-    """
-    if data[0] == ZLIB_FIRST_BYTE:
-        data = zlib.decompress(data)
-    name, fields = _answer_decoder.decode(data)
-    outcome: Outcome = msgspec.convert(fields, OUTCOMES[name], builtin_types=(bytes,))
+    """Decode a peer's answer, compressed or not; raises ``UnreadableError``."""
+    if data[:1] == ZLIB_FIRST_BYTE:
+        data = _decompress(data)
+    name, fields = decode(_answer_decoder, data)
+    kind = OUTCOMES.get(name)
+    if kind is None:
+        raise UnreadableError(f"no kind of answer: {name!r}")
+    outcome: Outcome = convert(fields, kind)
     return outcome
+
+
+def _decompress(data: bytes) -> bytes:
+    """Return the whole answer; raises ``UnreadableError``."""
+    try:
+        return zlib.decompress(data)
+    except zlib.error as error:
+        raise UnreadableError(str(error)) from error
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/peer_requests.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/peer_requests.py
@@ -16,6 +16,7 @@
 import pynng
 import structlog
 
+from hornbeampaddle.decoding import UnreadableError, decode
 from hornbeampaddle.machines import Address
 
 from . import background
@@ -81,8 +82,8 @@
 
     def _handle_message(self, data: bytes) -> None:
         try:
-            envelope = _decoder.decode(data)
-        except msgspec.MsgspecError as error:
+            envelope = decode(_decoder, data)
+        except UnreadableError as error:
             log.error("peer: cannot decode message", error=str(error))
             return
         if envelope.answer:
--- a/packages/hornbeampaddle/hornbeampaddle/decoding.py
+++ b/packages/hornbeampaddle/hornbeampaddle/decoding.py
@@ -34,3 +34,11 @@
         return decoder.decode(data)
     except _ERRORS as error:
         raise UnreadableError(str(error)) from error
+
+
+def convert(value: object, kind: type[T]) -> T:
+    """Return a decoded value as ``kind``; raises only ``UnreadableError``."""
+    try:
+        return msgspec.convert(value, kind, builtin_types=(bytes,))
+    except _ERRORS as error:
+        raise UnreadableError(str(error)) from error
