Leave out stored records that are nested too deep

Whoever may write there: a record with one more field, nested too deep, raised RecursionError in every instance that read it, and again in each that was started. All seven kinds did (a job, its progress, the backlog, the holder, a peer, run times, the urgent need): the scenarios of decoders.feature failed, and three of a cell (.backlog, .learned/run-times) left none of its instances alive. Each is now left out and logged once, like others that can't be read. The seeded fuzz of arbitrary bytes draws nested values from now on.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -34,3 +34,19 @@
     And requests of a peer in all wrong forms
     When each of them is served
     Then each has an answer
+
+  Scenario Outline: A stored record of <what> with a further field that is nested is left out
+    # Guards against a crash of all instances at once, and again at each restart: every
+    # instance reads the same record.
+    Given a stored record of <what>, and one with a further field that is nested
+    Then the first is used, and the second raises no error
+
+    Examples:
+      | what             |
+      | a job            |
+      | a job's progress |
+      | the backlog      |
+      | the holder       |
+      | a peer           |
+      | the run times    |
+      | the urgent need  |
--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -155,6 +155,31 @@
       | progress | .lapses          |
       | peers    | i1               |
 
+  Scenario Outline: <what> under <key> in the log of <log> crash no instance
+    # Guards against the same crash by a value that is nested too deep: its decoder
+    # raises another error than for other values that it cannot read.
+    Given a cell of 3 instances and 4 workers
+    When a job "ef0a" of 2 steps of 4 tasks is handed in
+    And another writer stores <what> as "<key>" in the log of <log>
+    And 1 s pass in the cell
+    And the holder dies
+    Then the job "ef0a" is shown as completed within 25 s
+    And no promise of the cell was broken
+    And 2 instances follow the logs
+
+    Examples:
+      | what                            | log      | key              |
+      | packed lists nested             | jobs     | 000000000000ffff |
+      | packed nesting in another field | jobs     | 000000000000ffff |
+      | packed lists nested             | progress | 000000000000ffff |
+      | packed nesting in another field | progress | .holder          |
+      | packed maps nested              | progress | .interference    |
+      | packed lists nested             | progress | .backlog         |
+      | packed lists nested             | progress | .learned/run-times |
+      | packed nesting in another field | progress | .learned/run-times |
+      | packed nesting in another field | progress | .learned/urgent-demand |
+      | packed nesting in another field | peers    | i1               |
+
   Scenario: Progress that a job cannot have costs that job, not the cell
     # Guards against a cell that nobody can hold: the process of each instance that
     # becomes the holder ends, as it cannot rebuild the job's state.
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -359,8 +359,15 @@
         return b""
 
 
+NESTINGS = st.builds(
+    lambda head, opening, levels: head + levels * opening,
+    st.sampled_from([b"", b"[", b'{"a":', b"\x92\x01", b"\x99", b"\x82\xa1a"]),
+    st.sampled_from([b"[", b'{"a":', b"\x91", b"\x81\xa1a", b"\x81\x01"]),
+    st.integers(900, 6000),
+)
 ARBITRARY_BYTES = (
-    st.binary(max_size=60)
+    NESTINGS
+    | st.binary(max_size=60)
     | ARBITRARY_VALUES.map(encode_or_empty)
     | ARBITRARY_VALUES.map(lambda value: json.dumps(value).encode())
 )
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/backlog_record.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/backlog_record.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from hornbeampaddle.cell.backlog import Backlog, QueueBacklog
+from hornbeampaddle.decoding import decode
 
 from .ports import Keyed
 
@@ -40,6 +41,12 @@
     queues: list[_QueueRow]
 
 
+# The version is the first field of every version.
+_header_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
+_version_decoder = msgspec.msgpack.Decoder(int)
+_decoder = msgspec.msgpack.Decoder(_BacklogRecord)
+
+
 @dataclass(frozen=True, slots=True)
 class PublishedBacklog:
     """A backlog as read from the log at ``read_at_s`` on this instance's clock."""
@@ -80,12 +87,12 @@
 
 
 def decode_backlog(value: bytes, read_at_s: float) -> PublishedBacklog:
-    """Decode and check a record; raises ``msgspec.DecodeError`` or ``ValueError``."""
-    header = msgspec.msgpack.decode(value, type=list[msgspec.Raw])
-    version = msgspec.msgpack.decode(header[0], type=int) if header else 0
+    """Decode and check a record; raises ``ValueError``."""
+    header = decode(_header_decoder, value)
+    version = decode(_version_decoder, header[0]) if header else 0
     if version != BACKLOG_VERSION:
         raise ValueError(f"backlog of version {version}")
-    record = msgspec.msgpack.decode(value, type=_BacklogRecord)
+    record = decode(_decoder, value)
     backlog = {row.name: _queue_backlog(row) for row in record.queues}
     return PublishedBacklog(backlog, record.epoch, record.measured_at_s, read_at_s)
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/leadership.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/leadership.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from hornbeampaddle.decoding import UnreadableError, decode
+
 from .settings import InstanceSettings
 from .unreadable import UnreadableRecords
 
@@ -71,8 +73,8 @@
     def observe(self, value: bytes | None, now_s: float) -> None:
         """Apply a holder record; one that cannot be decoded keeps the known holder."""
         try:
-            self.holder = _decoder.decode(value) if value else None
-        except msgspec.DecodeError as error:
+            self.holder = decode(_decoder, value) if value else None
+        except UnreadableError as error:
             self.unreadable.mark_unreadable(HOLDER_KEY, str(error))
         self.last_activity_s = now_s
         self._draw_claim_delay()
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -15,6 +15,7 @@
 from hornbeampaddle.cell.jobs import Job
 from hornbeampaddle.cell.learned import LEARNED_PREFIX
 from hornbeampaddle.cell.progress import JobStatus, decode_status
+from hornbeampaddle.decoding import UnreadableError, decode
 
 from .backlog_record import BACKLOG_KEY, PublishedBacklog, decode_backlog
 from .ports import Keyed
@@ -127,8 +128,8 @@
             # same request again.
             return JobChange.REPEATED, job_id
         try:
-            job = _job_decoder.decode(record.value)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            job = decode(_job_decoder, record.value)
+        except UnreadableError as error:
             self.unreadable_jobs.mark_unreadable(job_id, str(error))
             return JobChange.UNREADABLE, job_id
         self.jobs[job_id] = job
@@ -146,7 +147,7 @@
         """Apply a record of the log of progress, read at ``read_at_s`` local time."""
         try:
             self._apply_progress(record, read_at_s)
-        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+        except ValueError as error:
             # The value read before stays valid: without it a job would start again, and
             # an error raised here would end the holder.
             self.unreadable_progress.mark_unreadable(record.key, str(error))
@@ -154,14 +155,14 @@
     def _apply_progress(self, record: Keyed, read_at_s: float) -> None:
         value = record.value
         if record.key == LEASE_EXPIRY_KEY:
-            left_s = _lease_expiry_decoder.decode(value) if value else {}
+            left_s = decode(_lease_expiry_decoder, value) if value else {}
             self.lease_expiry_at_s = {
                 WorkerId.parse(text): read_at_s + s for text, s in left_s.items()
             }
         elif record.key == INTERFERENCE_KEY:
-            self.slopes = _slopes_decoder.decode(value) if value else {}
+            self.slopes = decode(_slopes_decoder, value) if value else {}
         elif record.key == LOAD_PERIOD_KEY:
-            self.period_s = _period_decoder.decode(value) if value else None
+            self.period_s = decode(_period_decoder, value) if value else None
         elif record.key == BACKLOG_KEY:
             # One that cannot be read leaves none: the one before it is outdated.
             self.backlog = None
@@ -188,7 +189,7 @@
         if value is None:
             self.births_ms.pop(name, None)
         else:
-            self.births_ms[name] = _birth_decoder.decode(value)
+            self.births_ms[name] = decode(_birth_decoder, value)
 
     def _remove_progress(self, job_id: str) -> None:
         self.progress.pop(job_id, None)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from hornbeampaddle.decoding import UnreadableError, decode
 from hornbeampaddle.machines import Address
 
 from .admission import Competitors
@@ -70,8 +71,8 @@
 
     def _apply(self, name: str, value: bytes) -> None:
         try:
-            record = _decoder.decode(value)
-        except msgspec.DecodeError as error:
+            record = decode(_decoder, value)
+        except UnreadableError as error:
             self._unreadable.mark_unreadable(name, str(error))
             return
         if not 0 < record.port <= PORT_MAX:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ..decoding import decode
 from ..resources import Resources
 from .incarnations import NO_WORKER, UNKNOWN_BIRTH_MS, WorkerId
 from .jobs import Job, Step, StepKey, TaskKey
@@ -285,8 +286,8 @@
 
 
 def decode_status(value: bytes) -> JobStatus:
-    """Return the job status from an encoded progress record."""
-    return JobStatus(_decoder.decode(value).status)
+    """Return the job status from an encoded record; raises ``ValueError``."""
+    return JobStatus(decode(_decoder, value).status)
 
 
 def _pack(task: Task) -> PackedTask:
@@ -319,8 +320,8 @@
     if value is None:
         return state
     try:
-        _restore(state, _decoder.decode(value), births_ms or {})
-    except (msgspec.DecodeError, ValueError, LookupError) as error:
+        _restore(state, decode(_decoder, value), births_ms or {})
+    except (ValueError, LookupError) as error:
         raise UnusableProgressError(str(error)) from error
     return state
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/run_times.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/run_times.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ..decoding import decode
 from .estimates import FitRecord, QueueFit
 from .jobs import ESTIMATE_MIN_S, Job, Queue, Step, StepKey
 from .learned import UnusableRecordError
@@ -283,12 +284,12 @@
             return
         # The version is the first field of every version.
         try:
-            version = _version_decoder.decode(value)[0]
+            version = decode(_version_decoder, value)[0]
             if version != RECORD_VERSION:
                 raise UnusableRecordError(f"version {version}")
-            record = _decoder.decode(value)
+            record = decode(_decoder, value)
             fits = {n: QueueFit.restored(r) for n, r in record.fits.items()}
-        except (msgspec.DecodeError, ValueError, IndexError) as error:
+        except (ValueError, IndexError) as error:
             raise UnusableRecordError(str(error)) from error
         self.fits = dict(list(fits.items())[:QUEUES_MAX])
         self._update_off()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgent_demand.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgent_demand.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from ..decoding import UnreadableError, decode
 from .jobs import Job
 from .learned import UnusableRecordError
 from .progress import JobState
@@ -263,8 +264,8 @@
     def inherit(self, value: bytes) -> None:
         """Go on from a record of an earlier holder; raises ``UnusableRecordError``."""
         try:
-            record = _decoder.decode(value)
-        except msgspec.MsgspecError as error:
+            record = decode(_decoder, value)
+        except UnreadableError as error:
             raise UnusableRecordError(str(error)) from error
         if record.version != RECORD_VERSION:
             raise UnusableRecordError(f"version {record.version}")
