--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -35,6 +35,19 @@
     When each of them is served
     Then each has an answer
 
+  Scenario Outline: <what> of the store raises no error
+    # Guards against a process that ends because of one answer of the store, and then
+    # again each time it is started.
+    Given the store answers <what> with bytes of all kinds
+    Then each is a failed call, and none raises an error
+
+    Examples:
+      | what                |
+      | an append           |
+      | a refused append    |
+      | a read              |
+      | a page of newest    |
+
   Scenario Outline: A stored record of <what> with a further field that is nested is left out
     # Guards against a crash of all instances at once, and again at each restart: every
     # instance reads the same record.
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -16,11 +16,17 @@
 from hornbeampaddle.cell.incarnations import WorkerId  # noqa: E402
 from hornbeampaddle.cell.jobs import Step, StepKey, TaskKey  # noqa: E402
 from hornbeampaddle.cell.progress import Run  # noqa: E402
-from hornbeampaddle.cell.reports import Done, Refused, Report  # noqa: E402
+from hornbeampaddle.cell.reports import Done, NoAnswer, Refused, Report  # noqa: E402
 from hornbeampaddle.cell.workers import WorkerListing  # noqa: E402
 from hornbeampaddle.machines import Address  # noqa: E402
 from hornbeampaddle.resources import NOTHING  # noqa: E402
-from hornbeampaddle_cell.ports import Configuration, Keyed  # noqa: E402
+from hornbeampaddle_cell.ports import (  # noqa: E402
+    Configuration,
+    Keyed,
+    Span,
+    Topic,
+    Unavailable,
+)
 from hornbeampaddle_cell.relay_messages import (  # noqa: E402
     AppendAsk,
     NewestAsk,
@@ -33,6 +39,7 @@
 from hornbeampaddle_platform.advice import Advice  # noqa: E402
 from hornbeampaddle_platform.ingress import Ingress  # noqa: E402
 from hornbeampaddle_platform.records import Records  # noqa: E402
+from hornbeampaddle_platform.store import Store  # noqa: E402
 from hornbeampaddle_platform.workers import Worker  # noqa: E402
 from hornbeampaddle_standins.cell.world import ROUTE_HOST, World  # noqa: E402
 from hornbeampaddle_wire.http_messages import Request, Response  # noqa: E402
@@ -132,7 +139,7 @@
         return self.response
 
     async def start(self):
-        address = await self.server.start(Address("127.0.0.1", 0))
+        address = self.address = await self.server.start(Address("127.0.0.1", 0))
         listing = WorkerListing(WORKER_ID, "compute", address, "dc-1", NOTHING)
         self.worker = Worker(listing, 1, _Clock())
         self.advice = Advice(address)
@@ -220,6 +227,52 @@
         decode_outcome(answer)
 
 
+NO_ANSWERS = (
+    b"",
+    b"\xff\x00\xc1{",
+    b"[]",
+    b"7",
+    b'{"endOffset": "x"}',
+    b'{"endOffset": 1.5, "seqNum": null}',
+    b'{"seqNum": [], "items": 7}',
+    b'{"items": [{"key": 5}]}',
+    b'{"a":' + 5000 * b"[",
+    5000 * b"[",
+    b"short",
+)
+
+
+@given("the store answers {what} with bytes of all kinds")
+def answer_with_bytes(context, what):
+    statuses = {"a refused append": 409}
+
+    async def ask_all():
+        border = _Border()
+        await border.start()
+        store = Store(border.address)
+        outcomes = []
+        for body in NO_ANSWERS:
+            border.response = Response(statuses.get(what, 200), body)
+            match what:
+                case "an append" | "a refused append":
+                    outcome = await store.append(Topic.JOBS, [], None, None)
+                case "a read":
+                    outcome = await store.read(Topic.JOBS, Span(0, 0.0, 1024))
+                case "a page of newest":
+                    outcome = await store.newest(Topic.JOBS)
+            outcomes.append(outcome)
+        await border.server.close()
+        return outcomes
+
+    context.outcomes = asyncio.run(ask_all())
+
+
+@then("each is a failed call, and none raises an error")
+def check_failed_calls(context):
+    for outcome in context.outcomes:
+        assert isinstance(outcome, NoAnswer | Unavailable), outcome
+
+
 @when("each of them is handed to its decoder")
 def decode_each(context):
     async def decode_all():
