Take a peer's answer to another request as no answer

What an operator would see: a process that ends by AssertionError, as a peer, perhaps of another version, answers a request to append, read or list with an outcome of another kind. Found by reading what follows the decoder of peers' answers: the kind was asserted, in the follower of a log or in the queue of appends, whose errors end the process.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -48,6 +48,19 @@
       | a read              |
       | a page of newest    |
 
+  Scenario Outline: <answer> of a peer is no answer
+    # Guards against a process that ends because of one answer of a peer, which may be of
+    # another version.
+    Given the store refuses an instance, and its peer gives <answer>
+    Then an append, a read and a page of newest records have no answer
+
+    Examples:
+      | answer                          |
+      | an answer to another request    |
+      | a cut off compressed answer     |
+      | an answer of an unknown kind    |
+      | an answer that is nested        |
+
   Scenario Outline: A stored record of <what> with a further field that is nested is left out
     # Guards against a crash of all instances at once, and again at each restart: every
     # instance reads the same record.
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+import zlib
 from pathlib import Path
 
 import msgspec
@@ -9,7 +10,7 @@
 from behave import given, then, when
 from support.cell_scene import new_loop, play
 from support.cell_walk import build
-from support.mutations import json_bytes, mutated, packed_bytes
+from support.mutations import NESTED, json_bytes, mutated, packed_bytes
 
 sys.path.insert(0, str(Path(__file__).parent.parent.parent / "platform"))
 
@@ -20,21 +21,27 @@
 from hornbeampaddle.cell.workers import WorkerListing  # noqa: E402
 from hornbeampaddle.machines import Address  # noqa: E402
 from hornbeampaddle.resources import NOTHING  # noqa: E402
+from hornbeampaddle_cell.peers import PeerDirectory, peer_record  # noqa: E402
 from hornbeampaddle_cell.ports import (  # noqa: E402
     Configuration,
+    Expired,
     Keyed,
+    Producer,
     Span,
     Topic,
     Unavailable,
 )
+from hornbeampaddle_cell.relay import Relay  # noqa: E402
 from hornbeampaddle_cell.relay_messages import (  # noqa: E402
     AppendAsk,
     NewestAsk,
+    PutAnswer,
     PutAsk,
     ReadAsk,
     SlowNotice,
     decode_outcome,
     encode_ask,
+    encode_outcome,
 )
 from hornbeampaddle_platform.advice import Advice  # noqa: E402
 from hornbeampaddle_platform.ingress import Ingress  # noqa: E402
@@ -273,6 +280,54 @@
         assert isinstance(outcome, NoAnswer | Unavailable), outcome
 
 
+ANSWERS = {
+    "an answer to another request": encode_outcome(PutAnswer(["yes"], 0.1)),
+    "a cut off compressed answer": zlib.compress(200 * encode_outcome(Expired()))[:-9],
+    "an answer of an unknown kind": msgspec.msgpack.encode(("Other", {})),
+    "an answer that is nested": packed_bytes(["Expired", {"a": NESTED}]),
+}
+
+
+class _RefusingStore:
+    async def append(self, topic, records, producer, at_offset):
+        return Unavailable("refused")
+
+    async def read(self, topic, span):
+        return Unavailable("refused")
+
+    async def newest(self, topic):
+        return Unavailable("refused")
+
+
+class _OnePeer:
+    def __init__(self, answer):
+        self.answer = answer
+
+    async def call(self, address, data, timeout_s):
+        return self.answer
+
+
+@given("the store refuses an instance, and its peer gives {answer}")
+def refuse_and_answer(context, answer):
+    directory = PeerDirectory("me")
+    directory.apply(peer_record("other", Address("10.0.0.2", 7720), 1.0))
+    peers = _OnePeer(ANSWERS[answer])
+    context.relay = Relay(_RefusingStore(), directory, peers, _Clock())
+
+
+@then("an append, a read and a page of newest records have no answer")
+def check_no_answers(context):
+    relay, producer = context.relay, Producer("me", 1, 0)
+    calls = (
+        relay.append(Topic.JOBS, [], producer, None),
+        relay.read(Topic.JOBS, Span(0, 0.0, 1024)),
+        relay.newest(Topic.JOBS),
+    )
+    with structlog.testing.capture_logs():
+        outcomes = [asyncio.run(call) for call in calls]
+    assert all(isinstance(outcome, NoAnswer) for outcome in outcomes), outcomes
+
+
 @when("each of them is handed to its decoder")
 def decode_each(context):
     async def decode_all():
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay.py
@@ -50,6 +50,7 @@
     ReadAsk,
     SlowNotice,
     StoreAsk,
+    answers,
     compress,
     decode_ask,
     decode_outcome,
@@ -263,6 +264,10 @@
         for address in self._peers_for(ask):
             called_at_s = self.clock.now_s()
             outcome = await self._call_peer(address, data, timeout_s)
+            if not answers(ask, outcome):
+                kind = type(outcome).__name__
+                log.error("relay: wrong answer of peer", peer=str(address), kind=kind)
+                outcome = NoAnswer(f"peer {address} answered {kind}")
             match outcome:
                 case NoAnswer():
                     self._last_peers.pop((type(ask), ask.topic), None)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
@@ -129,6 +129,17 @@
 _encode = msgspec.msgpack.Encoder().encode
 
 
+def answers(ask: StoreAsk, outcome: Outcome) -> bool:
+    """Return whether an outcome is one of those that a request may have."""
+    match ask:
+        case AppendAsk():
+            return isinstance(outcome, AppendOutcome)
+        case ReadAsk():
+            return isinstance(outcome, ReadOutcome)
+        case NewestAsk():
+            return isinstance(outcome, NewestOutcome)
+
+
 def encode_ask(ask: Ask) -> bytes:
     """Encode a request to a peer."""
     return _encode(ask)
