Limit the size of a peer's decompressed answer

A compressed answer of 64 KB may stand for 64 MB, and one of 4 MB, the largest message, for 4 GB, on machines of 200 MB. An answer above 16 MB counts as unreadable: pages of newest records are about 1 MB.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -49,8 +49,8 @@
       | a page of newest    |
 
   Scenario Outline: <answer> of a peer is no answer
-    # Guards against a process that ends because of one answer of a peer, which may be of
-    # another version.
+    # Guards against a process that ends, or runs out of memory, because of one answer of a
+    # peer, which may be of another version.
     Given the store refuses an instance, and its peer gives <answer>
     Then an append, a read and a page of newest records have no answer
 
@@ -58,6 +58,7 @@
       | answer                          |
       | an answer to another request    |
       | a cut off compressed answer     |
+      | an answer of 64 MB in 64 KB     |
       | an answer of an unknown kind    |
       | an answer that is nested        |
 
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+import tracemalloc
 import zlib
 from pathlib import Path
 
@@ -234,6 +235,8 @@
         decode_outcome(answer)
 
 
+# A machine has 200 MB in all.
+ANSWER_PEAK_MAX_BYTES = 48 * 2**20
 NO_ANSWERS = (
     b"",
     b"\xff\x00\xc1{",
@@ -283,6 +286,7 @@
 ANSWERS = {
     "an answer to another request": encode_outcome(PutAnswer(["yes"], 0.1)),
     "a cut off compressed answer": zlib.compress(200 * encode_outcome(Expired()))[:-9],
+    "an answer of 64 MB in 64 KB": zlib.compress(64 * 2**20 * b"\x90"),
     "an answer of an unknown kind": msgspec.msgpack.encode(("Other", {})),
     "an answer that is nested": packed_bytes(["Expired", {"a": NESTED}]),
 }
@@ -323,8 +327,12 @@
         relay.read(Topic.JOBS, Span(0, 0.0, 1024)),
         relay.newest(Topic.JOBS),
     )
+    tracemalloc.start()
     with structlog.testing.capture_logs():
         outcomes = [asyncio.run(call) for call in calls]
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak_bytes < ANSWER_PEAK_MAX_BYTES, peak_bytes
     assert all(isinstance(outcome, NoAnswer) for outcome in outcomes), outcomes
 
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
@@ -28,6 +28,8 @@
 COMPRESS_ABOVE_BYTES = 16 * 1024
 COMPRESSION_LEVEL = 1
 ZLIB_FIRST_BYTE = b"\x78"
+# Several times a page of newest records, which is at most about 1 MB.
+ANSWER_BYTES_MAX = 16 * 1024 * 1024
 
 
 class AppendAsk(msgspec.Struct, tag="append", frozen=True):
@@ -176,8 +178,16 @@
 
 
 def _decompress(data: bytes) -> bytes:
-    """Return the whole answer; raises ``UnreadableError``."""
+    """
+    Return the whole answer; raises ``UnreadableError``.
+
+    The size is limited: a few kilobytes may stand for more than the machine has.
+    """
+    decompressor = zlib.decompressobj()
     try:
-        return zlib.decompress(data)
+        whole = decompressor.decompress(data, ANSWER_BYTES_MAX)
     except zlib.error as error:
         raise UnreadableError(str(error)) from error
+    if not decompressor.eof:
+        raise UnreadableError("cut off, or too large")
+    return whole
