Use no worker whose id is too long to be stored

What callers would see: a worker's entry under an id of 249 to 255 characters, and no task starts any more: each leader's process ends by ValueError as it stores the worker's birth, whose key is seven bytes longer than the id and has 255. The longest id that is used can be stored.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -56,6 +56,13 @@
       | with a line break    |
       | with another script  |
       | that ends in a space |
+      | of 249 letters       |
+
+  Scenario: The longest id that is used fits every key under which it is stored
+    # Guards against a leader that ends, and each of its successors, because the birth of
+    # a worker cannot be stored.
+    Given a valid worker's entry under the longest id that is used
+    Then it is decoded as a worker, whose birth can be stored
 
   Scenario Outline: An evacuation with <what> is <verdict>
     # Guards against tasks that go on starting in a data centre where the operator wants
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -27,12 +27,16 @@
     encode,
 )
 from hornbeampaddle_cell.leadership import HOLDER_KEY, Leadership  # noqa: E402
-from hornbeampaddle_cell.ledger import Ledger  # noqa: E402
+from hornbeampaddle_cell.ledger import Ledger, birth_record  # noqa: E402
 from hornbeampaddle_cell.peers import PeerDirectory  # noqa: E402
 from hornbeampaddle_cell.ports import Evacuation, Keyed, Topic  # noqa: E402
 from hornbeampaddle_cell.settings import InstanceSettings  # noqa: E402
 from hornbeampaddle_platform.records import Records  # noqa: E402
-from hornbeampaddle_platform.store import decode_page, decode_records  # noqa: E402
+from hornbeampaddle_platform.store import (  # noqa: E402
+    decode_page,
+    decode_records,
+    encode_record,
+)
 from hornbeampaddle_standins.cell.world import BATCH, URGENT, WorldCodec  # noqa: E402
 
 UNREADABLE = b"\xff\x00\xc1{"
@@ -109,6 +113,7 @@
     "with a line break": "i-1\nhost: other",
     "with another script": "i-\u0439",
     "that ends in a space": "i-1 ",
+    "of 249 letters": 249 * "i",
 }
 
 
@@ -118,6 +123,18 @@
     context.records = Records()
 
 
+@given("a valid worker's entry under the longest id that is used")
+def entry_under_longest_id(context):
+    context.record = Keyed(248 * "i", json.dumps(VALID_ENTRY | {"born": 5}).encode())
+
+
+@then("it is decoded as a worker, whose birth can be stored")
+def check_birth_storable(context):
+    worker_id = Records().worker(context.record).worker_id
+    record = birth_record(worker_id.name, worker_id.born_ms)
+    assert decode_records(encode_record(record)) == [record]
+
+
 @then("it is decoded as no worker")
 def check_decoded_as_none(context):
     with structlog.testing.capture_logs() as context.lines:
