--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -28,6 +28,26 @@
     Then each was answered 200 or 400, and at least 100 with 400
     And the holder's term goes on
 
+  Scenario Outline: A caller's deadline of "<text>" counts as none
+    # Guards against requests that end with status 500 because of one header.
+    Given a cell of 3 instances and 4 workers
+    When a job is handed in with a deadline of "<text>"
+    Then it is answered 200 within 3 s
+
+    Examples:
+      | text  |
+      | ²     |
+      | 3000² |
+      | -1    |
+      | inf   |
+      | 1e400 |
+      | 0x10  |
+
+  Scenario: A caller's deadline of 400 digits counts as none
+    Given a cell of 3 instances and 4 workers
+    When a job is handed in with a deadline of 400 digits
+    Then it is answered 200 within 3 s
+
   Scenario: A peer's request with a wrong field is answered
     # Guards against a peer that waits for an answer that never comes.
     Given a cell of 3 instances that relay
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -45,7 +45,10 @@
     encode_outcome,
 )
 from hornbeampaddle_platform.advice import Advice  # noqa: E402
-from hornbeampaddle_platform.ingress import Ingress  # noqa: E402
+from hornbeampaddle_platform.ingress import (  # noqa: E402
+    DEADLINE_HEADER,
+    Ingress,
+)
 from hornbeampaddle_platform.records import Records  # noqa: E402
 from hornbeampaddle_platform.store import Store  # noqa: E402
 from hornbeampaddle_platform.workers import Worker  # noqa: E402
@@ -191,8 +194,30 @@
     ]
 
 
-def _request(number, data):
-    return Request("POST", f"/urgent/{number:016x}", {"host": ROUTE_HOST}, data)
+def _request(number, data, **headers):
+    headers = {"host": ROUTE_HOST, **headers}
+    return Request("POST", f"/urgent/{number:016x}", headers, data)
+
+
+@when('a job is handed in with a deadline of "{text}"')
+def hand_in_with_deadline(context, text):
+    world = context.world
+    headers = {DEADLINE_HEADER: text}
+    body = json_bytes(VALID["a caller's body"])
+    ingress = Ingress(world.instances[world.holder()])
+    context.began_s = context.loop.time()
+    context.response = play(context, ingress.handle(_request(1, body, **headers)))
+
+
+@when("a job is handed in with a deadline of {count:d} digits")
+def hand_in_with_digits(context, count):
+    hand_in_with_deadline(context, count * "9")
+
+
+@then("it is answered {status:d} within {within_s:g} s")
+def answered_within(context, status, within_s):
+    assert context.response.status == status, context.response
+    assert context.loop.time() - context.began_s <= within_s
 
 
 @then("each was answered 200 or 400, and at least {count:d} with 400")
