Refuse what is nested too deep on the own interface

An operator's plan or confirmation was answered 500; a record of the log ended its reader, which nobody awaited, in every instance that read it; a settings file ended the program without a line that names it. The scenarios of bad_input.feature failed for these; the forms that go with callers' bodies and peers' messages were refused before, too. All bytes of other programs go through hornbeampaddle.decoding, those that the command line reads as well.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -47,6 +47,28 @@
       | an unknown service| /v1/requests/nothing | {}                           | 404    | unknown_service |
       | an empty service  | /v1/requests/        | {}                           | 404    | requests |
 
+  Scenario Outline: <form> in a <body> raise no error
+    # Guards against status 500 and against a reader that ends, as a decoder raises
+    # another error for values that are nested too deep.
+    Given the decoder of a <body>
+    When it is handed <form>
+    Then it refuses them
+
+    Examples:
+      | body             | form                        |
+      | caller's job     | nested lists                |
+      | caller's job     | nested lists before the tag |
+      | caller's keys    | nested lists                |
+      | operator's plan  | nested lists                |
+      | operator's plan  | nested lists before the tag |
+      | operator's order | nested lists                |
+      | operator's order | nested lists before the tag |
+      | peer's message   | nested lists                |
+      | peer's message   | nested lists before the tag |
+      | log's record     | nested lists                |
+      | log's record     | nested lists before the tag |
+      | settings file    | nested lists                |
+
   Scenario Outline: A request with a timeout of <text>
     Given 2 entry instances and 2 workers
     And a service "checks" that is "exclusive"
--- a/packages/hornbeampaddle-cli/hornbeampaddle_cli/client.py
+++ b/packages/hornbeampaddle-cli/hornbeampaddle_cli/client.py
@@ -9,6 +9,7 @@
 import cappa
 import msgspec
 
+from hornbeampaddle.decoding import decode
 from hornbeampaddle.machines import Address
 from hornbeampaddle_wire.http_client import HttpClient
 from hornbeampaddle_wire.http_messages import (
@@ -24,6 +25,8 @@
 CALL_TIMEOUT_S = 15.0
 TOKEN_VARIABLE = "HORNBEAMPADDLE_TOKEN"
 
+_decoder = msgspec.json.Decoder()
+
 
 def parse_address(text: str) -> Address:
     """Parse ``HOST:PORT``; raise UserError if it is malformed."""
@@ -117,7 +120,7 @@
 def decode_response(response: Response) -> Any:
     """Return the JSON of a response; raise UserError if it is an error."""
     try:
-        value = msgspec.json.decode(response.body)
+        value = decode(_decoder, response.body)
     except ValueError:
         raise UserError(
             f"response with status {response.status} is not valid JSON"
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/callers.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/callers.py
@@ -14,6 +14,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from hornbeampaddle.decoding import decode_json
 from hornbeampaddle.jobs import Job, JobTable
 from hornbeampaddle.outcomes import Done, NotRun, Outcome, Reason, Unknown
 from hornbeampaddle.queueing import Urgency
@@ -153,7 +154,7 @@
 
     async def _keys(self, request: Request) -> Response:
         try:
-            keys_body = msgspec.json.decode(request.body or b"{}", type=KeysBody)
+            keys_body = decode_json(request.body or b"{}", KeysBody)
         except ValueError as error:
             return error_response(400, "bad_request", str(error))
         limits = self.context.limits
@@ -168,7 +169,7 @@
 
     async def _submit(self, request: Request) -> Response:
         try:
-            spec = msgspec.json.decode(request.body, type=JobSpec)
+            spec = decode_json(request.body, JobSpec)
         except ValueError as error:
             return error_response(400, "bad_request", str(error))
         done: asyncio.Future[JobAnswer] = asyncio.get_running_loop().create_future()
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/control.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/control.py
@@ -14,6 +14,7 @@
 from hornbeampaddle.commands import Acknowledge, Adopt, Ask, Cancel, Command, Place
 from hornbeampaddle.configuration import Stale, resources_of
 from hornbeampaddle.contracts import Ending
+from hornbeampaddle.decoding import decode
 from hornbeampaddle.identity import AttemptId, incarnation_of, instance_of
 from hornbeampaddle.messages import (
     AcknowledgeEnd,
@@ -381,7 +382,7 @@
         """Apply configuration records that a peer sent."""
         configuration = self.context.configuration
         for offset, data in batch.entries:
-            record = config_decoder.decode(data)
+            record = decode(config_decoder, data)
             if batch.whole and isinstance(record, ConfigSnapshot):
                 configuration.restore(record)
             elif batch.after_offset <= configuration.offset:
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hornbeampaddle.decoding import decode_json
 from hornbeampaddle.intents import Intent
 from hornbeampaddle.jobs import TaskState, job_id_of
 from hornbeampaddle.plans import Plan
@@ -85,7 +86,7 @@
 
     async def _plan(self, request: Request) -> Response:
         try:
-            intent = msgspec.json.decode(request.body, type=Intent)
+            intent = decode_json(request.body, Intent)
         except ValueError as error:
             return error_response(400, "bad_request", str(error))
         done: asyncio.Future[PlanAnswer] = asyncio.get_running_loop().create_future()
@@ -97,7 +98,7 @@
 
     async def _confirm(self, request: Request) -> Response:
         try:
-            plan = msgspec.json.decode(request.body, type=Plan)
+            plan = decode_json(request.body, Plan)
         except ValueError as error:
             return error_response(400, "bad_request", str(error))
         done: asyncio.Future[ConfirmAnswer] = asyncio.get_running_loop().create_future()
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/settings.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/settings.py
@@ -191,7 +191,7 @@
         return Ok(Settings.model_validate_json(text))
     except ValidationError as error:
         return Err([_error_line(fault) for fault in error.errors()])
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err([f"(file): {error}"])
 
 
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/streams.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/streams.py
@@ -16,6 +16,7 @@
 from result import Err, Ok
 
 from hornbeampaddle.contracts import NoAnswer
+from hornbeampaddle.decoding import UnreadableError, decode
 from hornbeampaddle.records import ConfigRecord, HomeRecord
 
 from .mail import StreamDown, StreamMail
@@ -144,8 +145,8 @@
 
     def _decode(self, offset: int, data: bytes) -> Any:
         try:
-            return self._decoder.decode(data)
-        except ValueError as error:
+            return decode(self._decoder, data)
+        except UnreadableError as error:
             # The record has a later format or a foreign writer. All instances skip
             # it, so their states stay consistent.
             log.warning(
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/peers.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/peers.py
@@ -13,6 +13,7 @@
 import pynng
 import structlog
 
+from hornbeampaddle.decoding import UnreadableError, decode
 from hornbeampaddle.machines import Address
 from hornbeampaddle.messages import (
     PROTOCOL_VERSION,
@@ -127,8 +128,8 @@
             self._refuse("wrong key")
             return
         try:
-            envelope = envelope_decoder.decode(body)
-        except ValueError as error:
+            envelope = decode(envelope_decoder, body)
+        except UnreadableError as error:
             self._refuse(f"unreadable: {error}")
             return
         if envelope.version != PROTOCOL_VERSION:
--- a/packages/hornbeampaddle/hornbeampaddle/decoding.py
+++ b/packages/hornbeampaddle/hornbeampaddle/decoding.py
@@ -5,7 +5,7 @@
 no reader is ended by a form of input that its author did not know of.
 """
 
-from typing import Protocol, TypeVar
+from typing import Any, Protocol, TypeVar, overload
 
 import msgspec
 
@@ -36,6 +36,19 @@
         raise UnreadableError(str(error)) from error
 
 
+@overload
+def decode_json(data: bytes, kind: type[T]) -> T: ...
+
+
+@overload
+def decode_json(data: bytes, kind: Any) -> Any: ...
+
+
+def decode_json(data: bytes, kind: Any) -> Any:
+    """Return a decoded JSON body; raises only ``UnreadableError`` for any bytes."""
+    return decode(msgspec.json.Decoder(kind), data)
+
+
 def convert(value: object, kind: type[T]) -> T:
     """Return a decoded value as ``kind``; raises only ``UnreadableError``."""
     try:
