Take a worker's answer that can't be read as none on the own interface

What an operator would see: calls to one worker fail, with an error of ours in the log, and its reports are never taken note of. The body was decoded under a guard, what was made of it outside: a state or an end that nobody knows, or an attempt's id of another form, raised ValueError in the call; nesting too deep in an answer of a worker, the list or the log raised RecursionError. Both are under the guard now, and count as no answer. The four scenarios failed before.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -67,6 +67,11 @@
       | peer's message   | nested lists before the tag |
       | log's record     | nested lists                |
       | log's record     | nested lists before the tag |
+      | worker's answer  | nested lists                |
+      | worker's answer  | nested lists before the tag |
+      | worker's answer  | a state that nobody knows   |
+      | list of workers  | nested lists before the tag |
+      | page of a log    | nested lists before the tag |
       | settings file    | nested lists                |
 
   Scenario Outline: A request with a timeout of <text>
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/adapters.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/adapters.py
@@ -1,6 +1,7 @@
 """Implement the platform ports over HTTP."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import msgspec
@@ -17,6 +18,7 @@
     Stopped,
     WorkerReport,
 )
+from hornbeampaddle.decoding import UnreadableError, decode_json
 from hornbeampaddle.defaults import Limits, Timing
 from hornbeampaddle.machines import Address, Worker
 from hornbeampaddle_wire import http_messages, platform
@@ -34,6 +36,7 @@
 STATUS_OK = 200
 CONTROL_CONNECTIONS_MAX = 2
 
+B = TypeVar("B")
 T = TypeVar("T")
 
 
@@ -71,14 +74,10 @@
     ) -> WorkerReport | Refused | NoAnswer | NotSent:
         """Claim the worker, which issues a new epoch."""
         body = platform.ClaimBody(decider)
-        answer = await self._call("/claim", body, platform.ReportBody)
-        match answer:
-            case platform.ReportBody():
-                return report_from(answer)
-            case Fenced():
-                return NoAnswer("a claim cannot be fenced")
-            case _:
-                return answer
+        answer = await self._call("/claim", body, platform.ReportBody, report_from)
+        if isinstance(answer, Fenced):
+            return NoAnswer("a claim cannot be fenced")
+        return answer
 
     async def start(
         self, call: StartAttempt
@@ -86,25 +85,14 @@
         """Start an attempt."""
         order = order_body(call.order)
         body = platform.StartBody(call.epoch, order, call.lease_deadline_s)
-        answer = await self._call("/start", body, platform.StartedBody)
-        match answer:
-            case platform.StartedBody():
-                return Started(answer.clock_s)
-            case _:
-                return answer
+        return await self._call("/start", body, platform.StartedBody, _started)
 
     async def stop(
         self, call: StopAttempt
     ) -> Stopped | Refused | Fenced | NoAnswer | NotSent:
         """Stop an attempt."""
         body = platform.StopBody(call.epoch, str(call.attempt), call.checkpoint)
-        answer = await self._call("/stop", body, platform.StoppedBody)
-        match answer:
-            case platform.StoppedBody():
-                ending = Ending(answer.ending)
-                return Stopped(answer.clock_s, ending, answer.generation)
-            case _:
-                return answer
+        return await self._call("/stop", body, platform.StoppedBody, _stopped)
 
     async def renew(
         self, call: RenewLeases
@@ -116,21 +104,20 @@
             call.lease_deadline_s,
             tuple(str(a) for a in call.acknowledged),
         )
-        answer = await self._call("/renew", body, platform.ReportBody)
-        match answer:
-            case platform.ReportBody():
-                return report_from(answer)
-            case _:
-                return answer
+        return await self._call("/renew", body, platform.ReportBody, report_from)
 
     async def _call(
-        self, path: str, body: msgspec.Struct, answer_type: type[T]
+        self,
+        path: str,
+        body: msgspec.Struct,
+        answer_type: type[B],
+        convert: Callable[[B], T],
     ) -> T | Refused | Fenced | NoAnswer | NotSent:
         request = Request("POST", path, body=msgspec.json.encode(body))
         exchange = await self.control.call(request, self.timing.call_timeout_s)
         match exchange:
             case Response():
-                return _decode(exchange, answer_type)
+                return _decode(exchange, answer_type, convert)
             case http_messages.NotSent():
                 return NotSent(exchange.detail)
             case NoResponse() | CutShort():
@@ -177,19 +164,27 @@
         if not isinstance(exchange, Response) or exchange.status != STATUS_OK:
             return False
         try:
-            barred = msgspec.json.decode(exchange.body, type=dict[str, Any])
-        except ValueError:
+            barred = decode_json(exchange.body, dict[str, Any])
+        except UnreadableError:
             return False
         return barred.get("never_ran") is True
 
 
+def _started(body: platform.StartedBody) -> Started:
+    return Started(body.clock_s)
+
+
+def _stopped(body: platform.StoppedBody) -> Stopped:
+    return Stopped(body.clock_s, Ending(body.ending), body.generation)
+
+
 def _decode(
-    response: Response, answer_type: type[T]
+    response: Response, answer_type: type[B], convert: Callable[[B], T]
 ) -> T | Refused | Fenced | NoAnswer:
     if response.status != STATUS_OK:
         return _refusal(response)
     try:
-        return msgspec.json.decode(response.body, type=answer_type)
+        return convert(decode_json(response.body, answer_type))
     except ValueError as error:
         # The call may have taken effect although its answer can't be decoded.
         return NoAnswer(str(error))
@@ -199,10 +194,10 @@
     try:
         match response.status:
             case 409:
-                fenced = msgspec.json.decode(response.body, type=platform.FencedBody)
+                fenced = decode_json(response.body, platform.FencedBody)
                 return Fenced(fenced.epoch, fenced.decider)
             case 429:
-                refused = msgspec.json.decode(response.body, type=platform.RefusedBody)
+                refused = decode_json(response.body, platform.RefusedBody)
                 return Refused(refused.reason)
             case _:
                 return NoAnswer(f"status {response.status}")
@@ -236,9 +231,7 @@
         match exchange:
             case Response(status=200):
                 try:
-                    appended = msgspec.json.decode(
-                        exchange.body, type=platform.AppendedBody
-                    )
+                    appended = decode_json(exchange.body, platform.AppendedBody)
                     return Ok(appended.offset)
                 except ValueError as error:
                     return Err(NoAnswer(str(error)))
@@ -256,7 +249,7 @@
         match exchange:
             case Response(status=200):
                 try:
-                    page = msgspec.json.decode(exchange.body, type=platform.PageBody)
+                    page = decode_json(exchange.body, platform.PageBody)
                 except ValueError as error:
                     return Err(str(error))
                 entries = tuple((e.offset, e.record) for e in page.entries)
@@ -290,7 +283,7 @@
                 return Ok(None)
             case Response(status=200):
                 try:
-                    listed = msgspec.json.decode(exchange.body, type=platform.ListBody)
+                    listed = decode_json(exchange.body, platform.ListBody)
                     workers = [machine_from(machine) for machine in listed.machines]
                 except ValueError as error:
                     return Err(str(error))
