Answer 400 to events from a number of other digits

An operator who asked for the events from a superscript two on was answered 500: Python counts it as a digit, and can't convert it.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -74,6 +74,17 @@
       | page of a log    | nested lists before the tag |
       | settings file    | nested lists                |
 
+  Scenario Outline: Events from <text> on are refused
+    Given 2 entry instances and 2 workers
+    When an operator asks for the events from "<text>" on
+    Then that is refused with status 400
+
+    Examples:
+      | text |
+      | ²    |
+      | -1   |
+      | x    |
+
   Scenario Outline: A request with a timeout of <text>
     Given 2 entry instances and 2 workers
     And a service "checks" that is "exclusive"
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/operators.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hmac
+import re
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
@@ -22,6 +23,7 @@
 
 CONFIRM_TIMEOUT_S = 10.0
 BEARER = "Bearer "
+EVENT_NUMBER = re.compile(r"[0-9]{1,18}")
 
 
 def _needs(resources: Resources) -> Needs:
@@ -266,7 +268,7 @@
 
     def _events(self, query: str) -> Response:
         text = parse_qs(query).get("from", ["0"])[0]
-        if not text.isdigit():
+        if not EVENT_NUMBER.fullmatch(text):
             return error_response(400, "bad_request", "from must be a number")
         events = self.context.events
         body = {"events": events.since(int(text)), "next": events.next_number}
