--- a/features/parsers.feature
+++ b/features/parsers.feature
@@ -17,5 +17,7 @@
       | records, any bytes         |
       | peer messages, any bytes   |
       | request heads, any bytes   |
+      | answer heads, any bytes    |
+      | peer requests, any bytes   |
       | clocks keep deadlines safe |
       | books never overdraw       |
--- a/features/steps/parser_steps.py
+++ b/features/steps/parser_steps.py
@@ -18,8 +18,10 @@
 from hornbeampaddle.records import ConfigRecord, HomeRecord
 from hornbeampaddle.resources import NOTHING, Resources
 from hornbeampaddle_entry.settings import parse_settings
-from hornbeampaddle_wire.http_messages import Response
+from hornbeampaddle_wire.http_client import HttpClient
+from hornbeampaddle_wire.http_messages import Exchange, Request, Response
 from hornbeampaddle_wire.http_server import HttpLimits, HttpServer
+from hornbeampaddle_wire.peer_requests import PeerChannel
 from hornbeampaddle_wire.peers import PeerSockets
 
 REPEATABLE = settings(
@@ -132,6 +134,73 @@
     assert answer == b"" or answer.startswith(b"HTTP/1.1 ")
 
 
+async def _call(data):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = HttpClient(Address("127.0.0.1", port), 1)
+    outcome = await client.call(Request("GET", "/"), 1.0)
+    client.close()
+    server.close()
+    return outcome
+
+
+@settings(REPEATABLE, max_examples=100)
+@given(
+    st.sampled_from(
+        [
+            b"",
+            b"HTTP/1.1 200 OK\r\n",
+            b"HTTP/1.1 ",
+            b"HTTP/1.1 200 OK\r\ncontent-length: ",
+        ]
+    ),
+    st.binary(max_size=60) | st.integers(0, 6000).map(lambda count: count * b"9"),
+    st.sampled_from([b"", b"\r\n\r\n", b"\r\n\r\nbody"]),
+)
+def check_answer_heads_any_bytes(head, data, end):
+    assert isinstance(asyncio.run(_call(head + data + end)), Exchange)
+
+
+ENVELOPE = [1, "127.0.0.1", 7720, False, b"data"]
+
+
+def _envelope_with(position, value):
+    return [*ENVELOPE[:position], value, *ENVELOPE[position + 1 :]]
+
+
+ENVELOPES = st.builds(
+    _envelope_with,
+    st.integers(0, 4),
+    st.integers(-(2**63), 2**64 - 1)
+    | st.text(max_size=300)
+    | st.binary(max_size=300)
+    | st.booleans()
+    | st.none(),
+)
+
+
+async def _serve_message(data):
+    async def echo(request):
+        return request
+
+    channel = PeerChannel(Address("127.0.0.1", 7720), echo)
+    channel._handle_message(data)
+    serving = list(channel._serving)
+    await asyncio.gather(*serving)
+    channel.close()
+
+
+@REPEATABLE
+@given(st.binary() | ENVELOPES.map(msgspec.msgpack.encode))
+def check_peer_requests_any_bytes(data):
+    asyncio.run(_serve_message(data))
+
+
 @REPEATABLE
 @given(st.floats(-0.01, 0.01), times, times, st.floats(0, 100), st.floats(0, 100))
 def check_clocks_safe(error, offset_s, stamp_at_s, delay_s, ahead_s):
@@ -182,6 +251,8 @@
     "records, any bytes": check_records_any_bytes,
     "peer messages, any bytes": check_peer_messages_any_bytes,
     "request heads, any bytes": check_request_heads_any_bytes,
+    "answer heads, any bytes": check_answer_heads_any_bytes,
+    "peer requests, any bytes": check_peer_requests_any_bytes,
     "clocks keep deadlines safe": check_clocks_safe,
     "books never overdraw": check_allocations_bounded,
 }
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -19,6 +19,7 @@
 from hornbeampaddle.cell.progress import JobStatus, Run
 from hornbeampaddle.cell.settings import CellSettings
 from hornbeampaddle.cell.workers import WorkerListing
+from hornbeampaddle.decoding import UnreadableError, decode
 from hornbeampaddle.machines import Address
 from hornbeampaddle.resources import Resources
 from hornbeampaddle_cell.callers import Accepted, Submitted
@@ -59,6 +60,10 @@
 BATCH = Queue("batch", "compute", 2, 2, 2.0, 1.0)
 
 
+_configuration_decoder = msgspec.msgpack.Decoder(Configuration)
+_listing_decoder = msgspec.msgpack.Decoder(WorkerListing)
+
+
 class WorldCodec:
     """The codec of the simulated records: the product's own types in msgpack."""
 
@@ -69,8 +74,8 @@
         if record.key != "config" or record.value is None:
             return None
         try:
-            return msgspec.msgpack.decode(record.value, type=Configuration)
-        except msgspec.DecodeError:
+            return decode(_configuration_decoder, record.value)
+        except UnreadableError:
             return UnreadableConfiguration()
 
     def evacuation(self, record: Keyed) -> Evacuation | None:
@@ -85,8 +90,8 @@
         if record.value is None:
             return None
         try:
-            return msgspec.msgpack.decode(record.value, type=WorkerListing)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            return decode(_listing_decoder, record.value)
+        except UnreadableError:
             return None
 
 
