Emulate jobs that can never be done, and workers that fail part of all

New loads of the emulator: doomed (8 % of the jobs that end fail each of their runs), grey (15 % of the workers fail half of what they start from 10 to 40 s, at any point of its time), grey all (they fail all of it), and grey and doomed together; runs lost to such workers and the time that sound workers stand aside are counted.

--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/demand.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/demand.py
@@ -24,6 +24,9 @@
 URGENT = Queue("urgent", "compute", 0, 3, 1.5, 0.25)
 BATCH = Queue("batch", "compute", 2, 3, 2.0, 1.0)
 # The fraction of each load swing for which a shrinking worker has half its CPU.
+# When the grey workers fail part of what they start, after the load began.
+GREY_FROM_S = 10.0
+GREY_TO_S = 40.0
 SHRUNK_FRACTION = 0.4
 # When a burst of batch jobs begins after the start of the day, and how long it lasts.
 BURST_AT_S = 10.0
@@ -96,6 +99,12 @@
     urgent_estimate_spread: float = 0.0
     # The share of the urgent and batch jobs that have a task that crashes its workers.
     crash_ratio: float = 0.0
+    # The share of jobs that end of which every run fails, by the job's own fault.
+    doomed_ratio: float = 0.0
+    # The share of workers that fail this part of all that they start, at any point of
+    # its time, between ``GREY_FROM_S`` and ``GREY_TO_S``.
+    grey_ratio: float = 0.0
+    grey_fail_ratio: float = 0.5
     # The share of the workers that have half their CPU for a part of each swing.
     shrink_ratio: float = 0.0
     # The fraction of each swing for which one of the three data centres is evacuated.
@@ -215,6 +224,25 @@
         chance = Random(f"{self.seed} {job_id} crashes").random()
         return job_id not in self._phases and chance < self.settings.crash_ratio
 
+    def doomed(self, job_id: str) -> bool:
+        """Return whether every run of a job fails; never if it lasts."""
+        chance = Random(f"{self.seed} {job_id} doomed").random()
+        return job_id not in self._phases and chance < self.settings.doomed_ratio
+
+    def grey(self, number: int, at_s: float) -> bool:
+        """Return whether a worker fails part of what it starts now."""
+        if not GREY_FROM_S <= at_s < GREY_TO_S:
+            return False
+        chance = Random(f"{self.seed} {number} grey").random()
+        return chance < self.settings.grey_ratio
+
+    def grey_work(self, run: Run, work: Work) -> Work | None:
+        """Return when a run on a grey worker fails; None if it does not."""
+        random = Random(f"{self.seed} {run.key} {run.number} grey")
+        if random.random() >= self.settings.grey_fail_ratio:
+            return None
+        return Work(max(0.1, random.random() * work.work_s), True)
+
     def capacity(self, number: int, whole: Resources, at_s: float) -> Resources:
         """Return a worker's current capacity, given its full capacity ``whole``."""
         settings = self.settings
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/emulator.py
@@ -69,6 +69,7 @@
     pace_from_s: float = 0.0
     next_pace: float = 1.0
     fails: bool = False
+    failed_by_worker: bool = False
     # Sums over the current window: CPU use in millicores x s, and slack by tick.
     use_millis_s: float = 0.0
     slack_sum: float = 0.0
@@ -137,6 +138,10 @@
         self.overruns = 0
         # Starts in a data centre under evacuation.
         self.evacuated_starts = 0
+        # Runs that failed by their worker's fault, and the time that workers which fail
+        # nothing were set aside, summed over them.
+        self.failed_by_workers = 0
+        self.sound_rest_s = 0.0
         self._pending_restarts: list[tuple[float, EmulatedWorker]] = []
         self._pending_stops: list[tuple[float, StopOrder]] = []
         self._service_earnings: dict[str, Earnings] = defaultdict(Earnings)
@@ -201,6 +206,11 @@
                 self.done_at_s.setdefault(job_id, self.now_s)
         if self.now_s >= self._interval_end_s:
             self._close_interval()
+        at_s = self.now_s - self.begun_at_s
+        for worker_id, worker in self.workers.items():
+            resting = self.cell.workers[worker_id].resting(self.now_s)
+            if resting and not self.demand.grey(worker.number, at_s):
+                self.sound_rest_s += TICK_S
 
     def _crash(self, worker: EmulatedWorker) -> None:
         self.crashes += 1
@@ -268,7 +278,14 @@
 
     def _begin(self, run: Run) -> None:
         work = self.demand.work(self.submitted[run.key.job_id], run)
-        live = EmulatedRun(run, self.now_s, work.work_s, fails=work.fails)
+        fails = work.fails or self.demand.doomed(run.key.job_id)
+        live = EmulatedRun(run, self.now_s, work.work_s, fails=fails)
+        number = self.workers[run.worker_id].number
+        if not fails and self.demand.grey(number, self.now_s - self.begun_at_s):
+            grey_work = self.demand.grey_work(run, work)
+            if grey_work is not None:
+                live.work_s, live.fails = grey_work.work_s, True
+                live.failed_by_worker = True
         if run.checkpoint:
             live.saved_s = float(run.checkpoint)
             live.done_s = live.saved_s - RESTORE_DURATION_S
@@ -400,6 +417,7 @@
         if step.saves_checkpoints:
             live.saved_s = max(live.saved_s, float(math.floor(live.done_s)))
         if live.done_s >= live.work_s:
+            self.failed_by_workers += live.failed_by_worker
             self._end(worker, live, EndKind.FAILED if live.fails else EndKind.DONE)
 
     # Reports
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/loads.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/loads.py
@@ -145,6 +145,11 @@
     stop_s=0.4,
 )
 
+# Jobs that can never be done, workers that fail half of what they start, and both.
+DOOMED = DemandSettings(fail_ratio=0.0, doomed_ratio=0.08)
+GREY = DemandSettings(fail_ratio=0.0, grey_ratio=0.15)
+GREY_AND_DOOMED = replace(GREY, doomed_ratio=0.08)
+
 LOADS = {
     "usual": DemandSettings(),
     "tight": DemandSettings(disturbing_ratio=0.8, batch_per_s=4.0, load=0.5),
@@ -157,4 +162,8 @@
     "evacuated": EVACUATED,
     "short": SHORT,
     "uneven": UNEVEN,
+    "doomed": DOOMED,
+    "grey": GREY,
+    "grey all": replace(GREY, grey_fail_ratio=1.0),
+    "grey and doomed": GREY_AND_DOOMED,
 }
