Hold a failed run against its worker or its task, whichever is at fault

One job whose tasks always fail, and no worker takes any task for 6 s after each of its attempts, though all are sound and idle: the job itself has nothing running for 6 s beside free room (LOST), and others would wait as long.

Cause: two failures in a row set a worker aside, whoever's fault they are. A failure alone does not tell. It is still held against the worker at once, so that a sick one is avoided as early as before, and is taken back (`worker_rest_ended`) when its task has failed on three workers, or all that was started of its step has, on three (or on all, if the service has fewer), and no run of it elsewhere has outlasted those that failed. A success of the step holds them against the workers again. Tasks that stand still are judged alike. A refused start has its own time now.

Four of the five scenarios of blame.feature fail without it; the fifth, a worker that fails all is set aside at its second failure, holds before and after.

--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -380,7 +380,7 @@
     world = context.world
     cell = world.instances[world.holder()].holder.cell
     for worker in cell.workers.values():
-        worker.rest_until_s = context.loop.time() + 30.0
+        worker.health.rest_until_s = context.loop.time() + 30.0
     worker = next(w for w in world.workers.values() if w.runs)
     act(context, worker._end, next(iter(worker.runs)), EndKind.FAILED)
 
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/world.py
@@ -174,6 +174,8 @@
     accepted: dict[str, Job] = field(default_factory=dict)
     # By task that crashes every worker it runs on: the seconds from start to crash.
     crashing: dict[TaskKey, float] = field(default_factory=dict)
+    # Whether every run of a task fails, by its own fault.
+    doomed: Callable[[TaskKey], bool] = lambda key: False
     # The delay after which crashed workers start again under their ids; None if they
     # come back under other ids.
     begin_again_after_s: float | None = None
@@ -334,7 +336,7 @@
 
     def _work(self, run: Run) -> tuple[float, bool]:
         spread = Random(f"{self.seed} {run.key}").uniform(0.5, 1.5)
-        fails = self.random.random() < self.fail_ratio
+        fails = self.random.random() < self.fail_ratio or self.doomed(run.key)
         return max(0.1, spread * self.work_s), fails
 
     def start_instance(self, name: str, skew_s: float = 0.0) -> Instance:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -137,8 +137,7 @@
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         if row.how is EndKind.FAILED:
-            worker.record_end(False)
-            self._rest_if_failing(worker, now_s)
+            self.cell.health.failed(worker, run, now_s)
 
     def _release_room(self, worker: WorkerState, row: EndedRow) -> None:
         # Also for jobs that the cell has forgotten: their room would stay reserved.
@@ -157,7 +156,7 @@
         worker: WorkerState,
         now_s: float,
     ) -> None:
-        worker.record_end(True)
+        self.cell.health.succeeded(worker, task.key)
         if task.done:
             return
         run = task.run
@@ -214,20 +213,6 @@
         if exhausted and not state.status.final:
             self.cell.finish(state, JobStatus.FAILED, now_s, "attempts_used")
 
-    def _rest_if_failing(self, worker: WorkerState, now_s: float) -> None:
-        unhealthy = len(worker.recent_ends) >= 4 and sum(worker.recent_ends) * 2 <= len(
-            worker.recent_ends
-        )
-        if worker.failures_in_row >= self.cell.settings.failures_in_row or unhealthy:
-            worker.rest_until_s = now_s + self.cell.settings.rest_s
-            worker.recent_ends.clear()
-            worker.failures_in_row = self.cell.settings.failures_in_row - 1
-            detail: dict[str, object] = {
-                "worker": worker.worker_id,
-                "until_s": worker.rest_until_s,
-            }
-            self.cell.log(LogEntry("worker_rests", "", detail))
-
     def _handle_running(
         self, worker: WorkerState, row: RunningRow, now_s: float
     ) -> None:
@@ -328,8 +313,7 @@
         if run.progress_percent >= 99:
             return
         if now_s - run.progressed_at_s > self.cell.settings.stall_s:
-            worker.record_end(False)
-            self._rest_if_failing(worker, now_s)
+            self.cell.health.failed(worker, run, now_s)
             self.cell.stop(run, "no_progress")
 
     def _missing_runs(
--- a/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/orders.py
@@ -125,9 +125,7 @@
         if reason is Reason.TICKET:
             self.cell.advice.drop_ticket(run.key, worker.worker_id)
         if reason in (Reason.UNWELL, Reason.NO_ROOM):
-            worker.rest_until_s = max(
-                worker.rest_until_s, now_s + self.cell.settings.unwell_s
-            )
+            worker.unwell_until_s = now_s + self.cell.settings.unwell_s
         if run.unanswered:
             # An earlier copy of the order may still be carried out; once a stop of this
             # run is answered, that is harmless.
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -17,6 +17,7 @@
 from .advice import AdviceCache, Allowance
 from .backlog import BacklogMeter
 from .effects import Decision, LogEntry, PaceOrder, StopOrder
+from .health import HealthJudge
 from .incarnations import Incarnations, WorkerId
 from .intake import ReportIntake
 from .interference import Interference
@@ -113,6 +114,7 @@
         self._recent_acceptances: list[tuple[float, str]] = []
         self.intake = ReportIntake(self)
         self.orders = OrderTracker(self)
+        self.health = HealthJudge(self)
 
     def inherit_learned(self, records: Mapping[str, bytes]) -> None:
         """Let each learner go on from its stored record, if it can be used."""
@@ -622,6 +624,7 @@
         """Place waiting tasks; return the records to store and orders to send."""
         self._use_ratios.clear()
         self.expire(now_s)
+        self.health.review(now_s)
         self.polling.count(self.workers.values(), now_s)
         self.model.solve(now_s)
         decision = Decision()
--- a/packages/hornbeampaddle/hornbeampaddle/cell/summary.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/summary.py
@@ -76,7 +76,7 @@
         widest_free_cpu_millis=max((w.free().cpu_millis for w in usable), default=0),
         usable_workers=len(usable),
         silent_workers=sum(worker.silent for worker in workers),
-        resting_workers=sum(worker.rest_until_s > now_s for worker in workers),
+        resting_workers=sum(worker.resting(now_s) for worker in workers),
         over_target_workers=sum(w.over_since_s is not None for w in workers),
         evacuated_workers=sum(worker.evacuated for worker in workers),
         overdue_stops=sum(
--- a/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/workers.py
@@ -7,20 +7,18 @@
 """
 
 import math
-from collections import deque
 from dataclasses import dataclass, field
 
 from ..clocks import RemoteClock
 from ..machines import Address
 from ..resources import NOTHING, Resources
+from .health import WorkerHealth
 from .incarnations import WorkerId
 from .interference import PRIOR_BASELINE_SLACK, Interference
 from .jobs import TaskKey
 from .progress import Run, RunPhase
 from .reports import EndedRow
 
-# Number of recent ends kept per worker to judge its health.
-RECENT_ENDS_MAX = 6
 # Slack (target / tail latency) above which every serving task on a worker must be
 # expected to stay when a filler starts there at full speed. 1 is the target, the users'
 # load takes up to 0.35 of slack per second, and a pace is corrected within 1 s.
@@ -115,11 +113,9 @@
     # When it first failed to answer since its last report.
     silent_since_s: float | None = None
     last_report_at_s: float = float("-inf")
-    rest_until_s: float = float("-inf")
-    failures_in_row: int = 0
-    recent_ends: deque[bool] = field(
-        default_factory=lambda: deque(maxlen=RECENT_ENDS_MAX)
-    )
+    health: WorkerHealth = field(default_factory=WorkerHealth)
+    # How long it gets no starts, as it refused one.
+    unwell_until_s: float = float("-inf")
     # CPU requested by the booked runs, by kind of task.
     lasting_cpu_millis: int = 0
     plain_cpu_millis: int = 0
@@ -333,17 +329,12 @@
 
     def resting(self, now_s: float) -> bool:
         """Return whether the worker is temporarily excluded from new attempts."""
-        return now_s < self.rest_until_s
+        return now_s < self.unwell_until_s or self.health.resting(now_s)
 
     def usable(self, now_s: float) -> bool:
         """Return whether a new attempt may be placed here."""
         return self.present() and not self.resting(now_s)
 
-    def record_end(self, well: bool) -> None:
-        """Record an end that indicates the worker's health."""
-        self.recent_ends.append(well)
-        self.failures_in_row = 0 if well else self.failures_in_row + 1
-
 
 def _add_to_count(counts: dict[str, int], name: str, change: int) -> None:
     """Add to a count by name, and remove it at zero."""
