Hold no job's failures against all workers on the own interface

A job of 60 tasks that fail on each worker had all four avoided, and a sound job handed in 3 s later was not done within 6 s. A job that has failed on three workers (on all, if there are fewer) and nowhere succeeded is now at fault itself: what was counted for it is taken back. A worker that fails whatever it starts is avoided as before (jobs.feature).

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -26,6 +26,17 @@
     Then the job "archive" is done within 90 s
     And at most 16 attempts failed on "w1"
 
+  # Guards against a job that can never be done and has all workers avoided, one after the
+  # other, for longer each time.
+  Scenario: A job that fails everywhere takes no worker from the others
+    Given 3 entry instances and 4 workers
+    And the job "broken" fails on every worker
+    When a job "broken" of 60 tasks of 0.5 s is submitted to "e0"
+    And 3 s pass
+    And a job "archive" of 8 tasks of 1 s is submitted to "e0"
+    Then the job "archive" is done within 6 s
+    And no worker is avoided
+
   Scenario: A task that fails everywhere ends as failed after three attempts
     Given 2 entry instances and 4 workers
     And every worker fails whatever it starts
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -91,6 +91,20 @@
         machine.fails_everything = True
 
 
+@step('the job "{job_id}" fails on every worker')
+def fail_job(context, job_id):
+    for machine in context.scene.machines.values():
+        machine.failing_jobs.add(job_id)
+
+
+@then("no worker is avoided")
+def check_none_avoided(context):
+    scene = context.scene
+    for instance in scene.instances.values():
+        avoided = instance.control.jobs.capacity_view.sick(scene.loop.time())
+        assert not avoided, avoided
+
+
 @then('at most {most:d} attempts failed on "{worker_id}"')
 def check_failed_attempts(context, most, worker_id):
     failures = context.scene.ledger.attempts_begun - context.tasks
--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/worker.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/worker.py
@@ -14,6 +14,7 @@
     WorkerReport,
 )
 from hornbeampaddle.identity import AttemptId
+from hornbeampaddle.jobs import job_id_of
 from hornbeampaddle.machines import Worker
 from hornbeampaddle.resources import NOTHING, Resources
 
@@ -57,6 +58,8 @@
     ledger: Ledger
     enforces_capacity: bool = True
     fails_everything: bool = False
+    # Jobs of which every attempt fails.
+    failing_jobs: set[str] = field(default_factory=set)
     epoch: int = 0
     decider: str = ""
     # Tasks that crash the worker as they start; it restarts immediately.
@@ -95,7 +98,8 @@
         )
         self.runs[order.attempt] = _Run(order, lease_deadline_s, now_s, progress_s)
         self.ledger.attempt_begun(order.attempt.task_id)
-        if self.fails_everything:
+        job_id = job_id_of(order.attempt.task_id)
+        if self.fails_everything or job_id in self.failing_jobs:
             self._end(order.attempt, Ending.FAILED, now_s)
         if order.attempt.task_id in self.crashing_tasks:
             self.crash()
--- a/packages/hornbeampaddle/hornbeampaddle/owner.py
+++ b/packages/hornbeampaddle/hornbeampaddle/owner.py
@@ -15,7 +15,16 @@
 from .contracts import Ending
 from .defaults import Limits, Timing
 from .identity import AttemptId
-from .jobs import Job, JobTable, Task, TaskEnd, TaskState, final_result, order_for
+from .jobs import (
+    Job,
+    JobTable,
+    Task,
+    TaskEnd,
+    TaskState,
+    final_result,
+    job_id_of,
+    order_for,
+)
 from .notices import (
     AttemptEnded,
     AttemptInDoubt,
@@ -297,9 +306,11 @@
                 self._count_setback(task, notice.ending, now_s, actions)
                 task.failed_on.add(notice.worker_id)
                 task.not_before_s = now_s + RETRY_BACKOFF_S * len(task.failed)
-                self.capacity_view.failed(notice.worker_id, now_s)
+                job_id = job_id_of(task.task_id)
+                self.capacity_view.failed(notice.worker_id, job_id, now_s)
             case Ending.DONE:
-                self.capacity_view.succeeded(notice.worker_id)
+                job_id = job_id_of(task.task_id)
+                self.capacity_view.succeeded(notice.worker_id, job_id)
             case Ending.EVICTED:
                 self.evictions += 1
             case Ending.NEVER_STARTED:
--- a/packages/hornbeampaddle/hornbeampaddle/placement.py
+++ b/packages/hornbeampaddle/hornbeampaddle/placement.py
@@ -16,6 +16,10 @@
 AVOID_AFTER_FAILURES = 3
 AVOID_FIRST_S = 5.0
 AVOID_MAX_S = 300.0
+# On how many workers, or on all if there are fewer, a job has failed if it is at fault.
+JOB_WORKERS_MIN = 3
+# Number of jobs with failures that are remembered, the newest.
+FAILING_JOBS_MAX = 1000
 
 
 @dataclass(slots=True)
@@ -28,11 +32,20 @@
     free: Resources
     open: bool
     heard_s: float
-    failures: int = 0
+    # The jobs whose attempts have failed here since the last success.
+    failed_jobs: list[str] = field(default_factory=list)
     avoided_until_s: float = 0.0
     avoid_s: float = AVOID_FIRST_S
 
 
+@dataclass(slots=True)
+class JobFailures:
+    """Where the attempts of a job have failed, and whether any has succeeded."""
+
+    workers: set[str] = field(default_factory=set)
+    succeeded: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Fits:
     """The attempt can be placed on this worker, by the reported capacity."""
@@ -62,6 +75,7 @@
 
     rng: random.Random
     capacities: dict[str, WorkerCapacity] = field(default_factory=dict)
+    _failing_jobs: dict[str, JobFailures] = field(default_factory=dict)
 
     def heard(
         self,
@@ -162,26 +176,54 @@
         if room is not None:
             room.free = room.free - needs
 
-    def failed(self, worker_id: str, now_s: float) -> None:
+    def failed(self, worker_id: str, job_id: str, now_s: float) -> None:
         """
         Count a failed attempt; avoid the worker after several consecutive failures.
 
-        If it fails again after that time, it is avoided for twice as long.
+        If it fails again after that time, it is avoided for twice as long. A job that
+        has failed on several workers, and nowhere succeeded, is at fault itself: its
+        failures count against none of them.
         """
         room = self.capacities.get(worker_id)
         if room is None:
             return
-        room.failures += 1
-        if room.failures >= AVOID_AFTER_FAILURES:
-            room.failures = AVOID_AFTER_FAILURES - 1
+        if self._is_at_fault(worker_id, job_id):
+            self._take_back(job_id)
+            return
+        room.failed_jobs.append(job_id)
+        if len(room.failed_jobs) >= AVOID_AFTER_FAILURES:
+            del room.failed_jobs[: 1 - AVOID_AFTER_FAILURES]
             room.avoided_until_s = now_s + room.avoid_s
             room.avoid_s = min(AVOID_MAX_S, 2 * room.avoid_s)
 
-    def succeeded(self, worker_id: str) -> None:
-        """Reset the worker's failure count and back-off after a successful attempt."""
+    def _is_at_fault(self, worker_id: str, job_id: str) -> bool:
+        if job_id not in self._failing_jobs:
+            while len(self._failing_jobs) >= FAILING_JOBS_MAX:
+                del self._failing_jobs[next(iter(self._failing_jobs))]
+            self._failing_jobs[job_id] = JobFailures()
+        failures = self._failing_jobs[job_id]
+        failures.workers.add(worker_id)
+        workers_min = max(2, min(JOB_WORKERS_MIN, len(self.capacities)))
+        return not failures.succeeded and len(failures.workers) >= workers_min
+
+    def _take_back(self, job_id: str) -> None:
+        """Stop avoiding the workers that are avoided for failures of one job only."""
+        for worker_id in self._failing_jobs[job_id].workers:
+            room = self.capacities.get(worker_id)
+            if room is None or job_id not in room.failed_jobs:
+                continue
+            if set(room.failed_jobs) == {job_id}:
+                room.avoided_until_s = 0.0
+                room.avoid_s = AVOID_FIRST_S
+            room.failed_jobs = [name for name in room.failed_jobs if name != job_id]
+
+    def succeeded(self, worker_id: str, job_id: str) -> None:
+        """Reset the worker's failures and back-off after a successful attempt."""
+        if job_id in self._failing_jobs:
+            self._failing_jobs[job_id].succeeded = True
         room = self.capacities.get(worker_id)
         if room is not None:
-            room.failures = 0
+            room.failed_jobs.clear()
             room.avoid_s = AVOID_FIRST_S
 
     def sick(self, now_s: float) -> list[str]:
