Go on when a job is deleted while its starts are being stored

What callers would see: the leader's process ends by KeyError, as another writer deletes a job in the moment in which its starts are being stored; the leader itself deletes only jobs that are over. Such a start is not sent, and its room is free again.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -200,6 +200,17 @@
     Then the job "ef08" is shown as completed within 25 s
     And 2 instances follow the logs
 
+  Scenario: A job that another writer deletes as it starts does not end the holder
+    # Guards against a holder that ends because the job of a start that it is storing has
+    # gone from the log of jobs.
+    Given a cell of 3 instances and 4 workers
+    And another writer deletes the job "ef0b" while its starts are being stored
+    When a job "ef0b" of 1 steps of 8 tasks is handed in
+    And 1 s pass in the cell
+    And a job "ef0c" of 2 steps of 8 tasks is handed in
+    Then the job "ef0c" is shown as completed within 10 s
+    And the holder's term goes on
+
   Scenario Outline: Arbitrary bytes are decoded, or reported and ignored: <what>
     Then arbitrary bytes are decoded or ignored by <what>
 
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -289,6 +289,24 @@
     context.world.store.write(Topic(log), Keyed(key, FOREIGN_BYTES[what]))
 
 
+@given('another writer deletes the job "{name}" while its starts are being stored')
+def delete_while_storing(context, name):
+    world = context.world
+    context.epoch = holder(context).epoch
+    log = holder(context).log
+    append = log.append
+    deletion = Keyed(job_id(name), None)
+
+    async def append_after_deletion(records):
+        if any(record.key == job_id(name) for record in records):
+            world.store.write(Topic.JOBS, deletion)
+            world.instances[world.holder()]._apply_job_records([deletion])
+            world.accepted.pop(job_id(name), None)
+        return await append(records)
+
+    log.append = append_after_deletion
+
+
 @when('another writer stores the progress of another job as that of "{name}"')
 def store_other_progress(context, name):
     job = Job("other", URGENT, "", (plain(3),), 0.0)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -391,9 +391,15 @@
         for run in decision.starts:
             session = self._sessions.get(run.worker_id)
             # A run that was stopped while its record was being stored is not sent.
-            if session is not None and run.phase is RunPhase.RECORDING:
-                payload = self.cell.jobs[run.key.job_id].job.payload
-                self.spawn(session.start(run, payload))
+            if session is None or run.phase is not RunPhase.RECORDING:
+                continue
+            task = self.cell.task(run.key)
+            if task is None or task.run is not run:
+                # Another writer deleted its job meanwhile.
+                self.cell.release(run, self.clock.now_s(), "job_deleted")
+                continue
+            payload = self.cell.jobs[run.key.job_id].job.payload
+            self.spawn(session.start(run, payload))
 
     def _acknowledge(self, worker_id: WorkerId, end: int) -> None:
         worker = self.cell.workers.get(worker_id)
