Judge the failures of a job that is gone

The judge of failures looked for the steps of a job whose tasks have failed, which may be deleted, and its id handed in again, before the next decision: a KeyError would end the leader's process. Found by reading again; the scenario failed before.

--- a/features/blame.feature
+++ b/features/blame.feature
@@ -51,6 +51,15 @@
     Then all jobs but "b007" are shown as completed within 25 s
     And no sound worker was set aside for longer than 2 s
 
+  Scenario: A job is deleted between the failure of its tasks and the next decision
+    # Guards against a holder that ends because a job has no longer the steps of which
+    # tasks have failed.
+    Given a cell of 3 instances and 4 workers
+    And each job is deleted and handed in anew in the moment in which a task of it fails
+    When a job "b00a" of 8 tasks is handed in, two on each worker, that can never be done
+    And 3 s pass in the cell
+    Then the holder goes on
+
   Scenario: Tasks of minutes that are reported in whole percents run on
     # Guards against sound runs that are stopped as standing still, each few seconds and
     # without end, and against workers that are set aside for them.
--- a/features/steps/blame_steps.py
+++ b/features/steps/blame_steps.py
@@ -146,3 +146,27 @@
 @then("at most {count:d} runs were stopped")
 def check_stops(context, count):
     assert len(_stops(context)) <= count, len(_stops(context))
+
+
+@given(
+    "each job is deleted and handed in anew in the moment in which a task of it fails"
+)
+def delete_failing(context):
+    world = context.world
+    context.holder_name = world.holder()
+    cell = world.instances[context.holder_name].holder.cell
+    failed = cell.health.failed
+
+    def fail_and_delete(worker, run, now_s):
+        failed(worker, run, now_s)
+        state = cell.jobs[run.key.job_id]
+        cell.forget(run.key.job_id)
+        cell.add_job(state.job, None, now_s, now_s)
+
+    cell.health.failed = fail_and_delete
+
+
+@then("the holder goes on")
+def check_holder_goes_on(context):
+    assert not context.world.tasks[context.holder_name].done()
+    assert context.world.holder() == context.holder_name
--- a/packages/hornbeampaddle/hornbeampaddle/cell/health.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/health.py
@@ -4,8 +4,8 @@
 A run fails by the fault of its worker or of its task, and one failure does not tell
 which. It is held against the worker at once, so that a sick one is avoided as early as
 possible, and taken back when it turns out to be the task's: the task has failed on
-another worker as well, or all that was started of its step has failed, on several
-workers. If a task of that step succeeds after all, it is held against the worker again.
+several workers, or all that was started of its step has. If a task of that step
+succeeds after all, it is held against the worker again.
 """
 
 import math
@@ -212,20 +212,21 @@
         succeeds: the next attempts run elsewhere. A job that is given up for one of its
         tasks may have more of that kind.
         """
-        state = self.cell.jobs.get(step_key.job_id)
-        if state is None:
+        step = self.cell.step(TaskKey(*step_key, 0))
+        if step is None:
+            # The job is gone, or another one has its id.
             return failures.at_fault
-        if state.status is JobStatus.FAILED and failures.has_task_at_fault():
+        given_up = self.cell.jobs[step_key.job_id].status is JobStatus.FAILED
+        if given_up and failures.has_task_at_fault():
             return True
-        tasks = state.occurrences[step_key.occurrence][step_key.step].tasks
-        if any(task.done for task in tasks):
+        if any(task.done for task in step.tasks):
             return False
         workers = failures.recent_workers(now_s)
         if failures.at_fault or len(workers) < failures.workers_min:
             return failures.at_fault
         elsewhere = (
             task.run
-            for task in tasks
+            for task in step.tasks
             if task.run is not None and task.run.worker_id not in workers
         )
         return all(now_s - run.sent_at_s <= failures.longest_s for run in elsewhere)
