--- a/bench/policy.py
+++ b/bench/policy.py
@@ -45,6 +45,10 @@
     by_kind: dict[str, float]
     longest_over_s: float
     decision_ms: float
+    # Runs that failed by their worker's fault, and the sum over sound workers of the
+    # time for which they were set aside.
+    failed_by_workers: int
+    sound_rest_s: float
 
 
 def change(text: str) -> Change:
@@ -90,6 +94,8 @@
         {kind: earnings[kind].ratio for kind in KINDS if kind in earnings},
         emulator.longest_over_s,
         1000 * statistics.fmean(took_s),
+        emulator.failed_by_workers,
+        emulator.sound_rest_s,
     )
 
 
@@ -100,9 +106,11 @@
     cells = [f"{share:.3f}" for share in shares]
     longest_s = max(day.longest_over_s for day in days)
     decision_ms = statistics.fmean(day.decision_ms for day in days)
+    failed = statistics.fmean(day.failed_by_workers for day in days)
+    sound_rest_s = statistics.fmean(day.sound_rest_s for day in days)
     return (
         f"| {load} | {len(days)} | {' | '.join(cells)} | {longest_s:.1f} "
-        f"| {decision_ms:.1f} |"
+        f"| {decision_ms:.1f} | {failed:.1f} | {sound_rest_s:.1f} |"
     )
 
 
@@ -114,8 +122,11 @@
     parser.add_argument("--set", action="append", type=change, default=[])
     options = parser.parse_args()
     loads = options.load or ["usual", "tight", "pressing"]
-    print("| load | days | total | urgent | serving | batch | longest over s | ms |")
-    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    print(
+        "| load | days | total | urgent | serving | batch | longest over s | ms "
+        "| lost to workers | sound aside s |"
+    )
+    print(f"|{10 * ' --- |'}")
     with ProcessPoolExecutor(PROCESSES) as pool:
         for load in loads:
             days = pool.map(
