Refuse a peer's request with a key that fits no record

What an operator would see: an instance whose process ends by ValueError, "bytes must be in range(0, 256)", as a peer asks it to put a record under a key of more than 255 bytes; the peer's next choice ends as well. A request to append alone went unanswered. The request is refused as not understood, by what a key takes in UTF-8. The three scenarios failed before.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -55,6 +55,19 @@
     When each of them is served
     Then each has an answer
 
+  Scenario Outline: A peer's request to <what> under a key of <count> letters is refused
+    # Guards against a process that ends because it is to store a key that fits no record.
+    Given an instance that appends for its peers, and a store on the platform
+    When a peer asks it to <what> under a key of <count> letters
+    Then the peer is told that this was not understood
+    And the queue of appends goes on
+
+    Examples:
+      | what              | count |
+      | append            | 256   |
+      | put               | 256   |
+      | put in two bytes  | 128   |
+
   Scenario Outline: <what> of the store raises no error
     # Guards against a process that ends because of one answer of the store, and then
     # again each time it is started.
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -22,6 +22,7 @@
 from hornbeampaddle.cell.workers import WorkerListing  # noqa: E402
 from hornbeampaddle.machines import Address  # noqa: E402
 from hornbeampaddle.resources import NOTHING  # noqa: E402
+from hornbeampaddle_cell.appender import Appender  # noqa: E402
 from hornbeampaddle_cell.peers import PeerDirectory, peer_record  # noqa: E402
 from hornbeampaddle_cell.ports import (  # noqa: E402
     Configuration,
@@ -44,6 +45,7 @@
     encode_ask,
     encode_outcome,
 )
+from hornbeampaddle_cell.settings import InstanceSettings  # noqa: E402
 from hornbeampaddle_platform.advice import Advice  # noqa: E402
 from hornbeampaddle_platform.ingress import (  # noqa: E402
     DEADLINE_HEADER,
@@ -361,6 +363,45 @@
     assert all(isinstance(outcome, NoAnswer) for outcome in outcomes), outcomes
 
 
+@given("an instance that appends for its peers, and a store on the platform")
+def start_appending(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    store = Store(Address("127.0.0.1", 9))
+    settings = InstanceSettings("me-1", "me", "dc-1", 1.0)
+    context.relay = Relay(store, PeerDirectory("me"), _OnePeer(b""), _Clock())
+    context.relay.appender = Appender(store, Topic.JOBS, _Clock(), settings)
+
+
+@when("a peer asks it to {what} under a key of {count:d} letters")
+def ask_with_long_key(context, what, count):
+    letter = "\u00e9" if what == "put in two bytes" else "k"
+    records = [(count * letter, b"v")]
+    ask = PutAsk("jobs", records, 0.1)
+    if what == "append":
+        ask = AppendAsk("jobs", records, ("p", 1, 0), None)
+
+    async def serve():
+        appending = asyncio.create_task(context.relay.appender.run())
+        with structlog.testing.capture_logs():
+            answer = await context.relay.serve(encode_ask(ask))
+        context.appending = not appending.done()
+        appending.cancel()
+        return answer
+
+    context.answer = context.loop.run_until_complete(serve())
+
+
+@then("the peer is told that this was not understood")
+def check_not_understood(context):
+    assert decode_outcome(context.answer) == Unavailable("request not understood")
+
+
+@then("the queue of appends goes on")
+def check_appending(context):
+    assert context.appending
+
+
 @when("each of them is handed to its decoder")
 def decode_each(context):
     async def decode_all():
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ports.py
@@ -28,6 +28,10 @@
     WORKERS = "workers"
 
 
+# Length of the longest key, in UTF-8, that a log takes.
+KEY_MAX_BYTES = 255
+
+
 @dataclass(frozen=True, slots=True)
 class Keyed:
     """A record of a compacted log; without a value it deletes the key."""
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/relay_messages.py
@@ -10,6 +10,7 @@
 from hornbeampaddle.decoding import UnreadableError, convert, decode
 
 from .ports import (
+    KEY_MAX_BYTES,
     Appended,
     AppendOutcome,
     Batch,
@@ -148,8 +149,18 @@
 
 
 def decode_ask(data: bytes) -> Ask:
-    """Decode a peer's request; raises ``UnreadableError``."""
-    return decode(_ask_decoder, data)
+    """
+    Decode a peer's request; raises ``UnreadableError``.
+
+    Guards against a key that fits no record: it would end the queue of appends, and
+    with it the process that serves the request.
+    """
+    ask = decode(_ask_decoder, data)
+    if isinstance(ask, AppendAsk | PutAsk):
+        for key, _ in ask.records:
+            if len(key.encode()) > KEY_MAX_BYTES:
+                raise UnreadableError(f"a key of {len(key)} characters")
+    return ask
 
 
 def encode_outcome(outcome: Outcome) -> bytes:
