Name what notes a job's failure, and find the job once

`CapacityView._is_at_fault` noted a failure under the name of a question, and the owner found the job's id in two places. No behaviour changes; features/jobs.feature passes as before.

--- a/packages/hornbeampaddle/hornbeampaddle/owner.py
+++ b/packages/hornbeampaddle/hornbeampaddle/owner.py
@@ -301,15 +301,14 @@
     def _apply_ending(
         self, task: Task, notice: AttemptEnded, now_s: float, actions: OwnerActions
     ) -> None:
+        job_id = job_id_of(task.task_id)
         match notice.ending:
             case Ending.FAILED:
                 self._count_setback(task, notice.ending, now_s, actions)
                 task.failed_on.add(notice.worker_id)
                 task.not_before_s = now_s + RETRY_BACKOFF_S * len(task.failed)
-                job_id = job_id_of(task.task_id)
                 self.capacity_view.failed(notice.worker_id, job_id, now_s)
             case Ending.DONE:
-                job_id = job_id_of(task.task_id)
                 self.capacity_view.succeeded(notice.worker_id, job_id)
             case Ending.EVICTED:
                 self.evictions += 1
--- a/packages/hornbeampaddle/hornbeampaddle/placement.py
+++ b/packages/hornbeampaddle/hornbeampaddle/placement.py
@@ -187,8 +187,11 @@
         room = self.capacities.get(worker_id)
         if room is None:
             return
-        if self._is_at_fault(worker_id, job_id):
-            self._take_back(job_id)
+        failures = self._failures_of(job_id)
+        failures.workers.add(worker_id)
+        workers_min = max(2, min(JOB_WORKERS_MIN, len(self.capacities)))
+        if not failures.succeeded and len(failures.workers) >= workers_min:
+            self._take_back(job_id, failures)
             return
         room.failed_jobs.append(job_id)
         if len(room.failed_jobs) >= AVOID_AFTER_FAILURES:
@@ -196,19 +199,17 @@
             room.avoided_until_s = now_s + room.avoid_s
             room.avoid_s = min(AVOID_MAX_S, 2 * room.avoid_s)
 
-    def _is_at_fault(self, worker_id: str, job_id: str) -> bool:
+    def _failures_of(self, job_id: str) -> JobFailures:
+        """Return a job's failures; the oldest job's are forgotten at the limit."""
         if job_id not in self._failing_jobs:
             while len(self._failing_jobs) >= FAILING_JOBS_MAX:
                 del self._failing_jobs[next(iter(self._failing_jobs))]
             self._failing_jobs[job_id] = JobFailures()
-        failures = self._failing_jobs[job_id]
-        failures.workers.add(worker_id)
-        workers_min = max(2, min(JOB_WORKERS_MIN, len(self.capacities)))
-        return not failures.succeeded and len(failures.workers) >= workers_min
+        return self._failing_jobs[job_id]
 
-    def _take_back(self, job_id: str) -> None:
+    def _take_back(self, job_id: str, failures: JobFailures) -> None:
         """Stop avoiding the workers that are avoided for failures of one job only."""
-        for worker_id in self._failing_jobs[job_id].workers:
+        for worker_id in failures.workers:
             room = self.capacities.get(worker_id)
             if room is None or job_id not in room.failed_jobs:
                 continue
