Look up a run's step only when it may stand still

Each running row of each report looked up its step twice on the way to the time that it may show no progress. Most rows have shown some within the shortest time allowed, and end there now; the step is looked up once.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/stalls.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/stalls.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from .progress import Run, RunPhase
+from .settings import CellSettings
 from .workers import WorkerState
 
 if TYPE_CHECKING:
@@ -33,9 +34,13 @@
         run.progressed_at_s = now_s
     if run.progress_percent >= NEARLY_DONE_PERCENT:
         return
-    if now_s - run.progressed_at_s <= _patience_s(cell, run):
+    still_s = now_s - run.progressed_at_s
+    if still_s <= cell.settings.stall_s:
         return
     step = cell.step(run.key)
+    ratio = step.patience_ratio if step is not None else 1.0
+    if still_s <= ratio * _shortest_patience_s(run, cell.settings):
+        return
     if step is not None and cell.health.at_fault(step.key):
         # It stands still on any worker, so this one would only lose what it has done.
         step.patience_ratio = min(PATIENCE_RATIO_MAX, 2 * step.patience_ratio)
@@ -44,9 +49,6 @@
     cell.stop(run, "no_progress")
 
 
-def _patience_s(cell: "Scheduler", run: Run) -> float:
-    """Return how long a run may show no progress."""
-    percent_s = run.step.estimate_s / 100
-    patience_s = max(cell.settings.stall_s, PERCENT_MARGIN * percent_s)
-    step = cell.step(run.key)
-    return patience_s * (step.patience_ratio if step is not None else 1.0)
+def _shortest_patience_s(run: Run, settings: CellSettings) -> float:
+    """Return how long a run may show no progress, by its estimate alone."""
+    return max(settings.stall_s, PERCENT_MARGIN * run.step.estimate_s / 100)
