--- a/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/demand.py
+++ b/packages/hornbeampaddle-standins/hornbeampaddle_standins/cell/demand.py
@@ -24,10 +24,10 @@
 URGENT = Queue("urgent", "compute", 0, 3, 1.5, 0.25)
 BATCH = Queue("batch", "compute", 2, 3, 2.0, 1.0)
 # The fraction of each load swing for which a shrinking worker has half its CPU.
+SHRUNK_FRACTION = 0.4
 # When the grey workers fail part of what they start, after the load began.
 GREY_FROM_S = 10.0
 GREY_TO_S = 40.0
-SHRUNK_FRACTION = 0.4
 # When a burst of batch jobs begins after the start of the day, and how long it lasts.
 BURST_AT_S = 10.0
 BURST_S = 6.0
