--- a/features/support/mutations.py
+++ b/features/support/mutations.py
@@ -9,16 +9,19 @@
 # Stands for lists that are nested more deeply than a decoder can follow.
 NESTED = "nested lists"
 NESTING_LEVELS = 5000
+# Longer than a key may be.
+LONG_TEXT = 300 * "k"
 # A field that no reader knows.
 UNKNOWN_FIELD = "fieldOfAnotherWriter"
 # What stands in the place of a field: other types, numbers that are huge or negative,
-# a text that cannot be encoded as UTF-8, and lists that are nested too deep.
+# texts that are long or cannot be encoded as UTF-8, and lists that are nested too deep.
 WRONG_VALUES = (
     MISSING,
     None,
     True,
     "",
     "text",
+    LONG_TEXT,
     "\udcff",
     -1,
     -(2**70),
