--- a/bench/processes.py
+++ b/bench/processes.py
@@ -33,6 +33,7 @@
     process: subprocess.Popen
     callers: int
     operators: int
+    peers: int
 
     def look(self, path: str) -> Any:
         """Return the decoded JSON of an operators' GET endpoint."""
@@ -174,7 +175,9 @@
                 process = subprocess.Popen([BINARY, "--settings", path])
                 listen = raw["listen"]
                 callers, operators = listen["callers"], listen["operators"]
-                entry = Entry(name, process, callers["port"], operators["port"])
+                entry = Entry(
+                    name, process, callers["port"], operators["port"], peers[name]
+                )
                 started.append(entry)
             for entry in started:
                 _wait_until_up(entry)
--- /dev/null
+++ b/features/crowds.feature
@@ -0,0 +1,35 @@
+Feature: Clients that do not behave end no process
+  Real processes on loopback, with little memory and few descriptors in their settings. A
+  crowd of clients sends more than it may and holds on. The process lives, what it holds
+  stays within its settings, and ordinary callers get answers. Of its descriptors, 200
+  are kept for files, as on the machines.
+
+  Scenario Outline: An entry outlives <count> <crowd>
+    # Guards against an entry that is ended for its memory by the sum of what clients send.
+    Given an entry of 120 MB and 400 descriptors whose operator allows bodies of <allowed> bytes
+    When a crowd of <count> "<crowd>" has come to the "<listener>"
+    Then an ordinary request is answered after the crowd has left
+    And the process lives and has stayed within its settings
+
+    Examples:
+      | count | crowd                      | listener  | allowed |
+      | 40    | unfinished bodies          | callers   | 4194304 |
+      | 40    | unfinished chunked bodies  | callers   | 4194304 |
+      | 40    | unfinished bodies          | readiness | 262144  |
+      | 40    | unfinished bodies          | metrics   | 262144  |
+
+  Scenario Outline: Ordinary callers are answered beside <count> <crowd> on <listener>
+    # Guards against a crowd that takes the loop, the connections or the descriptors of
+    # an entry from all others, for as long as it stays.
+    Given an entry of 120 MB and 400 descriptors whose operator allows bodies of 4194304 bytes
+    When a crowd of <count> "<crowd>" has come to the "<listener>"
+    Then ordinary requests are answered beside the crowd
+    And an ordinary request is answered after the crowd has left
+    And the process lives and has stayed within its settings
+
+    Examples:
+      | count | crowd                    | listener  |
+      | 250   | silent connections       | callers   |
+      | 250   | silent connections       | readiness |
+      | 250   | silent connections       | metrics   |
+      | 250   | halves of a head         | callers   |
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/metrics.py
@@ -67,6 +67,11 @@
             "Jobs that were refused, by reason and queue",
             ("reason", "queue"),
         )
+        self.clients_ended = self._counter(
+            "hornbeampaddle_clients_ended_total",
+            "Connections and requests of clients that were ended, refused or cut off",
+            ("listener", "reason"),
+        )
         self.backlog_seconds = self._gauge(
             "hornbeampaddle_backlog_seconds",
             "Time until all that waits has had its turn, where callers may be refused",
@@ -167,6 +172,10 @@
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
 
+    def client_ended(self, listener: str, reason: str) -> None:
+        """Count a connection or request of a client that was ended or refused."""
+        self.clients_ended.labels(listener, reason).inc()
+
     def answered(self, call: str, outcome: str, took_s: float) -> None:
         """Count an answer to a caller and its duration."""
         self.requests.labels(call, outcome).inc()
