Share the event loop between what a crowd sends and all else

Cause: work in proportion to parts, not bytes, and no pause in it. A read of data that has arrived already does not give way to the event loop, so one connection decoded tens of thousands of parts, or answered a thousand requests, while nothing else ran.

Mend: hornbeampaddle_wire.turns.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -29,6 +29,9 @@
 
     Examples:
       | count | crowd                    | listener  |
+      | 8     | bodies of smallest parts | callers   |
+      | 40    | callers that never read  | callers   |
+      | 40    | callers that never read  | metrics   |
       | 250   | silent connections       | callers   |
       | 250   | silent connections       | readiness |
       | 250   | silent connections       | metrics   |
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_connection.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_connection.py
@@ -3,7 +3,8 @@
 
 A connection is one task that owns its stream and its h11 state. A request is read
 completely and passed to the handler, and its response is sent before the next request
-is read. What the connection holds is charged to the account of the process.
+is read. The work on what arrives is done in bounded pieces, a turn of the event loop
+each, and what the connection holds is charged to the account of the process.
 """
 
 import asyncio
@@ -19,10 +20,13 @@
 from .http_limits import Handler, HttpLimits, error_response
 from .http_messages import Request, Response
 from .stream import Stream, StreamClosed
+from .turns import Turns
 
 HEAD_END = b"\r\n\r\n"
 BARE_LF = re.compile(rb"(?<!\r)\n")
 FOLDED_LINE = re.compile(rb"\r\n[ \t]")
+# Parts of a body that are decoded in one turn, however small they are.
+PARTS_PER_TURN = 32
 # Another instance most likely has room; this one has, once those that hold most end.
 RETRY_AFTER_S = 1
 
@@ -47,6 +51,7 @@
     limits: HttpLimits
     handler: Handler
     account: Account
+    turns: Turns
     stopping: bool
     close_after_response: bool
 
@@ -127,6 +132,7 @@
 
     async def _read_request(self, state: h11.Connection) -> Request:
         head = await self._read_head()
+        await self.server.turns.take()
         _check_head(head)
         state.receive_data(self.buffer)
         self.buffer = b""
@@ -211,14 +217,20 @@
 
     async def _read_parts(self, state: h11.Connection) -> bytes:
         body = bytearray()
+        parts = 0
         while True:
             event = state.next_event()
             if event is h11.NEED_DATA:
                 state.receive_data(await self.stream.read())
+                await self.server.turns.take()
+                parts = 0
             elif isinstance(event, h11.Data):
                 body += event.data
                 self._check_body_size(len(body))
                 self._charge(len(body))
+                parts += 1
+                if parts % PARTS_PER_TURN == 0:
+                    await self.server.turns.take()
             else:
                 return bytes(body)
 
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_server.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_server.py
@@ -15,12 +15,16 @@
 from .http_connection import HttpConnection
 from .http_limits import Handler, HttpLimits, error_response
 from .stream import Stream, bind, serve
+from .turns import Turns
 
 __all__ = ["Handler", "HttpLimits", "HttpServer", "error_response"]
 
 # Delay before the listener is closed, and again before idle connections are closed:
 # several iterations of the event loop, in which data that has arrived is read.
 DRAIN_READ_WINDOW_S = 0.05
+# Turns of one listener's connections in an iteration of the event loop; each takes
+# about as long as a short request.
+TURNS_PER_ITERATION = 8
 
 
 class HttpServer:
@@ -43,6 +47,7 @@
         self.handler = handler
         self.account = account or Account(_unshared(limits))
         self.account.register(name, limits.connections)
+        self.turns = Turns(TURNS_PER_ITERATION)
         self.stopping = False
         # Set during shutdown: requests are still served, but each connection is closed
         # after its response, so that callers have moved on before the process ends.
