Go on reading for a short while after a refusal

What callers saw: a caller whose body or head was far over the limit got a reset connection while it was still sending, and no answer; it could not know that its request never runs.

Cause: the connection was closed at once. Closing with unread bytes resets it.

Mend: after a refusal the sending side is closed, and what still arrives is dropped, without being kept, for at most 2 s or until the client closes. Such a connection makes room for new ones like any that waits for its client, and a shutdown does not wait for it.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -36,3 +36,17 @@
       | 250   | silent connections       | readiness |
       | 250   | silent connections       | metrics   |
       | 250   | halves of a head         | callers   |
+
+  Scenario Outline: A caller that sends <what> reads the refusal
+    # Guards against a refusal that is lost, as closing with unread bytes resets the
+    # connection.
+    Given an entry of 120 MB and 400 descriptors whose operator allows bodies of 262144 bytes
+    When a caller sends <what> and then reads
+    Then it has read a whole answer of status <status>
+    And the process lives and has stayed within its settings
+
+    Examples:
+      | what                                  | status |
+      | a body far over the limit             | 413    |
+      | chunks far over the limit             | 413    |
+      | a head far over the limit             | 431    |
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_connection.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_connection.py
@@ -27,6 +27,8 @@
 FOLDED_LINE = re.compile(rb"\r\n[ \t]")
 # Parts of a body that are decoded in one turn, however small they are.
 PARTS_PER_TURN = 32
+# How long a client may go on sending after a refusal: it reads the refusal meanwhile.
+LINGER_S = 2.0
 # Another instance most likely has room; this one has, once those that hold most end.
 RETRY_AFTER_S = 1
 
@@ -251,6 +253,8 @@
         self.buffer = b""
         self.account.charge(self.holding, self.stream.unsent_bytes)
         self.account.sending(self.holding)
+        self.server.mark_idle(True)
+        await self.stream.discard(LINGER_S)
 
     async def _write(
         self, state: h11.Connection, response: Response, keep_alive: bool
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/stream.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/stream.py
@@ -33,10 +33,12 @@
         self._buffer = bytearray()
         self._received = bytearray()
         self._paused = False
+        self._discarding = False
         self._ended = False
         self._can_read = asyncio.Event()
         self._can_write = asyncio.Event()
         self._can_write.set()
+        self._lost = asyncio.Event()
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -54,6 +56,8 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Keep what was received; stop receiving when nobody reads it."""
+        if self._discarding:
+            return
         self._received += memoryview(self._buffer)[:nbytes]
         self._buffer = bytearray()
         if len(self._received) >= READ_AHEAD_BYTES:
@@ -65,6 +69,7 @@
         """Keep the connection open for the answer after the last request."""
         self._ended = True
         self._can_read.set()
+        self._lost.set()
         return True
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -72,6 +77,7 @@
         self._ended = True
         self._can_read.set()
         self._can_write.set()
+        self._lost.set()
 
     def pause_writing(self) -> None:
         """Note that the client has not read all of the answer."""
@@ -110,6 +116,28 @@
         if self.transport.is_closing():
             raise StreamClosed
 
+    async def discard(self, timeout_s: float) -> None:
+        """
+        Send what is left, and drop what arrives until the client has closed.
+
+        Guards against an answer that is lost: closing a connection with unread bytes
+        resets it.
+        """
+        self._discarding = True
+        self._received.clear()
+        if self.transport.is_closing():
+            return
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        if self._paused:
+            self._paused = False
+            self.transport.resume_reading()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._lost.wait()
+        except TimeoutError:
+            pass
+
     def close(self) -> None:
         """Close the connection once what was written is sent."""
         self.transport.close()
