Apply the operator's limits on callers

What callers saw: bodies of up to 4 MB were read where the operator allows 262,144 bytes.

Cause: limits of the configuration were decoded into CallerLimits, and nothing read that; the listener took constants.

Evidence, on: a body of 262,145 bytes is decoded (400 for what is in it, not 413); 40 unfinished bodies of 4,000,000 bytes where 262,144 are allowed: 195 MB in an entry of 120 MB.

Mend: the callers' listener takes maxHeaderBytes, maxBodyBytes, headerTimeoutMs and idleTimeoutMs of each configuration that comes into force, for the requests that begin after it; before the first one the pages' defaults hold. The largest request inside the pages' limits (head of 16,384 bytes, body of 262,144, payload of 4,000) is served in an entry of 120 MB: a scenario shows it.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -15,6 +15,7 @@
       | count | crowd                      | listener  | allowed |
       | 40    | unfinished bodies          | callers   | 4194304 |
       | 40    | unfinished chunked bodies  | callers   | 4194304 |
+      | 40    | unfinished bodies          | callers   | 262144  |
       | 40    | unfinished bodies          | readiness | 262144  |
       | 40    | unfinished bodies          | metrics   | 262144  |
 
@@ -47,6 +48,20 @@
 
     Examples:
       | what                                  | status |
+      | a body just over the operator's limit | 413    |
       | a body far over the limit             | 413    |
       | chunks far over the limit             | 413    |
       | a head far over the limit             | 431    |
+
+  Scenario: The largest requests inside the pages' limits are served
+    # Guards against limits that ordinary clients meet.
+    Given an entry of 120 MB and 400 descriptors whose operator allows bodies of 262144 bytes
+    When a payload of 4000 bytes is handed in in the largest head and body
+    Then it is accepted
+    And the process lives and has stayed within its settings
+
+  Scenario: The operator's limits are in force when the configuration is
+    # Guards against limits that the operator sets and nobody applies.
+    Given a process on the platform
+    When a configuration allows heads of 2000 bytes in 1 s, bodies of 3000 and 4 s of idleness
+    Then these are the limits of the callers' listener, and its other limits are unchanged
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -1,10 +1,13 @@
 """Steps that let crowds of clients come to real processes, and watch these."""
 
+import asyncio
 import http.client
 import json
 import socket
+import sys
 import tempfile
 from contextlib import ExitStack
+from dataclasses import replace
 
 from behave import given, then, when
 from support import crowds
@@ -12,6 +15,7 @@
     HOST,
     LOOPBACK,
     MIB,
+    PLATFORM,
     START_TIMEOUT_S,
     Watch,
     free_port,
@@ -22,6 +26,17 @@
 
 from bench.processes import entries, standins, wait_for_workers
 
+sys.path.insert(0, str(PLATFORM))
+
+from hornbeampaddle_cell.overrides import Overrides  # noqa: E402
+from hornbeampaddle_cell.ports import Keyed  # noqa: E402
+from hornbeampaddle_platform.boot import (  # noqa: E402
+    Boot,
+    ListenAddresses,
+    StoreSettings,
+)
+from hornbeampaddle_platform.main import Daemon  # noqa: E402
+
 QUEUE_HOST = "jobs.example"
 PREFIX = "/checks/"
 # Of a process's descriptors, those that are kept for files.
@@ -31,6 +46,9 @@
 # How often an ordinary caller tries again, as the pages say it does.
 TRIES = 5
 CROWD_BODY_BYTES = 4_000_000
+# The largest head and body that the operator's limits on the pages allow.
+HEAD_MAX_BYTES = 16_384
+BODY_MAX_BYTES = 262_144
 # What a sender of messages sends first, by the protocol of the peers' sockets.
 PEER_GREETING = b"\x00SP\x00\x00\x50\x00\x00"
 OWN_SERVICE = {
@@ -330,6 +348,64 @@
         context.site.call("DELETE", PREFIX + job_id)
 
 
+@when("a payload of {payload:d} bytes is handed in in the largest head and body")
+def hand_in_largest(context, payload):
+    site = context.site
+    start = json.dumps({**ORDINARY_JOB, "spec": payload * "x", "more": ""}).encode()
+    body = start[:-2] + (BODY_MAX_BYTES - len(start)) * b"x" + start[-2:]
+    length = f"Content-Length: {len(body)}"
+    shortest = len(crowds.head("POST", site.path, QUEUE_HOST, length, "A: "))
+    padding = f"A: {(HEAD_MAX_BYTES - shortest) * 'x'}"
+    head = crowds.head("POST", site.path, QUEUE_HOST, length, padding)
+    assert (len(head), len(body)) == (HEAD_MAX_BYTES, BODY_MAX_BYTES)
+    _send_then_read(context, [head, body])
+
+
+@then("it is accepted")
+def check_accepted(context):
+    assert context.answer[0] == 200, context.answer
+
+
+@given("a process on the platform")
+def build_process(context):
+    boot = Boot("edge-1", "dc-1", StoreSettings("127.0.0.1:1"), ListenAddresses())
+
+    async def build():
+        return Daemon(boot, Overrides())
+
+    context.daemon = asyncio.run(build())
+    context.limits_before = context.daemon.callers.limits
+
+
+@when(
+    "a configuration allows heads of {header:d} bytes in {head_s:d} s, "
+    "bodies of {body:d} and {idle_s:d} s of idleness"
+)
+def configure_limits(context, header, head_s, body, idle_s):
+    limits = {
+        "maxHeaderBytes": header,
+        "maxBodyBytes": body,
+        "headerTimeoutMs": 1000 * head_s,
+        "idleTimeoutMs": 1000 * idle_s,
+    }
+    context.expected = replace(
+        context.limits_before,
+        header_bytes=header,
+        head_timeout_s=head_s,
+        body_bytes=body,
+        idle_timeout_s=idle_s,
+    )
+    value = json.dumps({"version": 1, "routes": [], "limits": limits}).encode()
+    context.daemon.instance._apply_operator_records([Keyed("config", value)])
+
+
+@then(
+    "these are the limits of the callers' listener, and its other limits are unchanged"
+)
+def check_limits(context):
+    assert context.daemon.callers.limits == context.expected
+
+
 def _request(site, what):
     """Return a request that is refused, as the pieces that are sent."""
     match what:
@@ -348,11 +424,15 @@
 
 @when("a caller sends {what} and then reads")
 def send_then_read(context, what):
+    _send_then_read(context, _request(context.site, what))
+
+
+def _send_then_read(context, pieces):
     site = context.site
     with socket.create_connection(
         (site.host, site.ports["callers"]), timeout=PATIENCE_S
     ) as connection:
-        for piece in _request(site, what):
+        for piece in pieces:
             connection.sendall(piece)
         response = http.client.HTTPResponse(connection)
         response.begin()
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 import structlog
@@ -97,6 +97,8 @@
         # The epoch of the last term in which this instance held the cell.
         self._ended_epoch = 0
         self.stopping = False
+        # Called with each configuration that comes into force.
+        self.on_configuration: Callable[[Configuration], None] = lambda _: None
         # The reason for not being ready that was logged last; empty if ready.
         self._logged_unready_reason = "starting"
         self.jobs = self._follow(Topic.JOBS, self._apply_job_records)
@@ -328,6 +330,7 @@
             version=configuration.version,
             routes=len(configuration.routes),
         )
+        self.on_configuration(configuration)
         if self.holder is not None:
             self.holder.configure(configuration)
 
