Receive peers' messages within the account of the process

What callers saw: nothing yet; found by looking at each listener. Whoever reaches the port for peers' messages ended the process for its memory, or took its descriptors.

Cause: pynng's receiving socket takes any number of connections, and a message of up to 4 MB from each of them, before the product hears of it.

Mend: hornbeampaddle_wire.peer_listener speaks the receiving side of the protocol (a greeting, and a length before each message) on the streams that callers have, and charges messages to the account of the process; peers go on pushing with pynng. One message waits at a time, the others with their connections. pynng has no option for either bound: closing its pipes as they connect comes too late for connections that say nothing.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -18,6 +18,7 @@
       | 40    | unfinished bodies          | callers   | 262144  |
       | 40    | unfinished bodies          | readiness | 262144  |
       | 40    | unfinished bodies          | metrics   | 262144  |
+      | 40    | unfinished messages        | peers     | 262144  |
 
   Scenario Outline: Ordinary callers are answered beside <count> <crowd> on <listener>
     # Guards against a crowd that takes the loop, the connections or the descriptors of
@@ -36,8 +37,22 @@
       | 250   | silent connections       | callers   |
       | 250   | silent connections       | readiness |
       | 250   | silent connections       | metrics   |
+      | 250   | silent connections       | peers     |
+      | 250   | silent peers             | peers     |
       | 250   | halves of a head         | callers   |
 
+  Scenario: A crowd on all listeners together leaves room for ordinary callers
+    # Guards against listeners whose limits are kept one by one and pass the process's
+    # descriptors together.
+    Given an entry of 120 MB and 400 descriptors whose operator allows bodies of 262144 bytes
+    When a crowd of 80 "silent connections" has come to the "callers"
+    And a crowd of 80 "silent connections" has come to the "readiness"
+    And a crowd of 80 "silent connections" has come to the "metrics"
+    And a crowd of 80 "silent connections" has come to the "peers"
+    Then ordinary requests are answered beside the crowd
+    And an ordinary request is answered after the crowd has left
+    And the process lives and has stayed within its settings
+
   Scenario Outline: A caller that sends <what> reads the refusal
     # Guards against a refusal that is lost, as closing with unread bytes resets the
     # connection.
--- /dev/null
+++ b/features/peer_listener.feature
@@ -0,0 +1,22 @@
+Feature: Messages of peers arrive within the account of the process
+  A peer pushes its messages over pynng to the listener of an instance.
+
+  Scenario Outline: A message of <size> bytes arrives whole
+    # Guards against a listener that its own peers cannot talk to.
+    Given a listener for messages of up to 4194304 bytes
+    When a peer pushes messages of 1, <size> and 2 bytes
+    Then the messages of 1, <size> and 2 bytes arrive whole
+
+    Examples:
+      | size    |
+      | 0       |
+      | 16384   |
+      | 70000   |
+      | 4194304 |
+
+  Scenario: A message that is too large ends its connection, and the peer goes on
+    # Guards against a peer that is never heard again after one message too large.
+    Given a listener for messages of up to 1000 bytes
+    When a peer pushes messages of 1, 1001 and 2 bytes
+    And the peer pushes messages of 3 bytes until one arrives
+    Then the first message has 1 byte, and the last one 3
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/peer_requests.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/peer_requests.py
@@ -1,7 +1,7 @@
 """
 Send requests to peers and respond to theirs, over pynng.
 
-Each process has a pull socket at one address and pushes to the addresses of its peers.
+Each process listens at one address and pushes to the addresses of its peers.
 A request contains its number and the address for the response. pynng's request sockets
 provide this, but crash the process when one of their contexts is closed while another
 waits for a response.
@@ -20,6 +20,8 @@
 from hornbeampaddle.machines import Address
 
 from . import background
+from .account import Account, AccountLimits
+from .peer_listener import PeerListener
 
 log = structlog.get_logger()
 
@@ -35,6 +37,8 @@
 # Maximum number of open connections to peers: a relay asks up to eight for one call,
 # and makes a few calls at once.
 PEER_CONNECTIONS_MAX = 24
+# For a channel that shares its account with no other listener.
+UNSHARED_LIMITS = AccountLimits(512, 16 * MESSAGE_BYTES_MAX)
 
 Handler = Callable[[bytes], Awaitable[bytes]]
 
@@ -59,24 +63,24 @@
 
     address: Address
     handler: Handler
-    _pull_socket: pynng.Pull0 | None = None
+    account: Account = field(default_factory=lambda: Account(UNSHARED_LIMITS))
+    _listener: PeerListener | None = None
     _push_sockets: dict[Address, pynng.Push0] = field(default_factory=dict)
     _pending: dict[int, asyncio.Future[bytes]] = field(default_factory=dict)
     _serving: set[asyncio.Task[None]] = field(default_factory=set)
     _numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
     def listen(self) -> None:
-        """Listen for peers; raises ``pynng.AddressInUse``."""
-        self._pull_socket = pynng.Pull0(
-            listen=f"tcp://{self.address}", recv_max_size=MESSAGE_BYTES_MAX
-        )
+        """Listen for peers; raises ``OSError``."""
+        self._listener = PeerListener(self.account, MESSAGE_BYTES_MAX)
+        self._listener.bind(self.address)
 
     async def run(self) -> None:
         """Receive messages until cancelled."""
-        assert self._pull_socket is not None
+        assert self._listener is not None
         try:
             while True:
-                self._handle_message(await self._pull_socket.arecv())
+                self._handle_message(await self._listener.receive())
         finally:
             self.close()
 
@@ -165,6 +169,6 @@
             task.cancel()
         for address in list(self._push_sockets):
             self._disconnect(address)
-        if self._pull_socket is not None:
-            self._pull_socket.close()
-            self._pull_socket = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
