Hold what clients of the own interface send within the same account

What callers saw: nothing yet; found by looking at each listener. The own interface had the same server, with 512 connections of 4 MB for callers and again for operators (whose bodies are read before their token is), requests that wait hold theirs, and peers' messages were of 16 MB.

Mend: one account for callers, operators and peers, from the settings limits.memory_mb and limits.max_fds; requests that wait stay charged until they are answered. Connections to workers share a budget of what is left. A refusal says request-outcome not_run, as the page for callers promises.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -68,6 +68,33 @@
       | chunks far over the limit             | 413    |
       | a head far over the limit             | 431    |
 
+  Scenario Outline: An instance of the own interface outlives <count> <crowd>
+    # Guards against an instance that is ended for its memory by the sum of what clients
+    # send, or by requests that wait.
+    Given an instance of the own interface, of 256 MB and 1024 descriptors
+    When a crowd of <count> "<crowd>" has come to the "<listener>"
+    Then an ordinary request is answered after the crowd has left
+    And the process lives and has stayed within its settings
+
+    Examples:
+      | count | crowd                     | listener  |
+      | 90    | unfinished bodies         | callers   |
+      | 90    | unfinished chunked bodies | callers   |
+      | 90    | unfinished bodies         | operators |
+      | 90    | requests that wait        | callers   |
+      | 90    | unfinished messages       | peers     |
+
+  Scenario: A crowd on all listeners of the own interface leaves room for callers
+    # Guards against listeners whose limits are kept one by one and pass the process's
+    # descriptors together.
+    Given an instance of the own interface, of 256 MB and 1024 descriptors
+    When a crowd of 500 "silent connections" has come to the "callers"
+    And a crowd of 500 "silent connections" has come to the "operators"
+    And a crowd of 100 "silent peers" has come to the "peers"
+    Then ordinary requests are answered beside the crowd
+    And an ordinary request is answered after the crowd has left
+    And the process lives and has stayed within its settings
+
   Scenario: The largest requests inside the pages' limits are served
     # Guards against limits that ordinary clients meet.
     Given an entry of 120 MB and 400 descriptors whose operator allows bodies of 262144 bytes
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/adapters.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/adapters.py
@@ -28,7 +28,7 @@
     order_body,
     report_from,
 )
-from hornbeampaddle_wire.http_client import HttpClient, HttpTraffic
+from hornbeampaddle_wire.http_client import ConnectionBudget, HttpClient, HttpTraffic
 from hornbeampaddle_wire.http_messages import CutShort, NoResponse, Request, Response
 
 from .ports import AnswerCutShort, Answered, Page, RequestAnswer, WorkerRequest
@@ -53,16 +53,20 @@
         timing: Timing,
         limits: Limits,
         traffic: HttpTraffic | None = None,
+        budget: ConnectionBudget | None = None,
     ) -> None:
         """
         Create the pools; connections are opened on demand.
 
-        ``traffic`` counts control calls only.
+        ``traffic`` counts control calls only. Workers may share a ``budget``.
         """
         self.timing = timing
         counted = traffic or HttpTraffic()
         self.control = HttpClient(address, CONTROL_CONNECTIONS_MAX, traffic=counted)
         self.requests = HttpClient(address, limits.connections_per_worker)
+        if budget is not None:
+            self.control.budget = budget
+            self.requests.budget = budget
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/instance.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/instance.py
@@ -9,7 +9,7 @@
 import structlog
 from result import Err, Ok
 
-from hornbeampaddle.defaults import Limits
+from hornbeampaddle.defaults import MIB, Limits
 from hornbeampaddle.identity import new_incarnation
 from hornbeampaddle.machines import Address, Worker
 from hornbeampaddle.membership import Membership
@@ -21,8 +21,10 @@
     home_stream,
 )
 from hornbeampaddle_wire import background
-from hornbeampaddle_wire.http_client import HttpTraffic
-from hornbeampaddle_wire.http_server import HttpLimits, HttpServer
+from hornbeampaddle_wire.account import Account, account_limits
+from hornbeampaddle_wire.descriptors import DescriptorPlan, plan_descriptors
+from hornbeampaddle_wire.http_client import ConnectionBudget, HttpTraffic
+from hornbeampaddle_wire.http_server import Handler, HttpLimits, HttpServer
 from hornbeampaddle_wire.peers import PeerSockets, Receiver
 
 from .adapters import HttpList, HttpLog, HttpWorker
@@ -38,6 +40,10 @@
 from .telemetry import Metrics, Traces
 
 TICK_INTERVAL_S = 0.1
+# Share of the sockets for connections of callers, operators and peers.
+CLIENT_SOCKETS_RATIO = 1 / 2
+# Headers of a refusal: the request did not run.
+NOT_RUN_HEADERS = {"request-outcome": "not_run"}
 
 log = structlog.get_logger()
 
@@ -54,19 +60,23 @@
     traffic: HttpTraffic = field(default_factory=HttpTraffic)
 
 
-def http_ports(settings: Settings) -> Ports:
+def http_ports(settings: Settings, account: Account) -> Ports:
     """Return the HTTP ports for the addresses in the settings."""
     timing, limits = settings.timing.timing(), settings.limits.limits()
     traffic = HttpTraffic()
+    budget = ConnectionBudget(descriptor_plan(limits).workers)
     return Ports(
         log=HttpLog(settings.platform.log.address(), timing, traffic),
         instances=HttpList(settings.platform.instances.address(), timing, traffic),
-        worker=lambda worker: HttpWorker(worker.address, timing, limits, traffic),
+        worker=lambda worker: HttpWorker(
+            worker.address, timing, limits, traffic, budget
+        ),
         peers=lambda incarnation, receiver: PeerSockets(
             settings.data_centre,
             incarnation,
             settings.peer_key.get_secret_value().encode(),
             receiver,
+            account=account,
         ),
         traffic=traffic,
     )
@@ -80,10 +90,23 @@
         head_timeout_s=limits.head_timeout_s,
         body_timeout_s=limits.body_timeout_s,
         idle_timeout_s=limits.idle_timeout_s,
+        send_timeout_s=limits.send_timeout_s,
         connections=limits.caller_connections,
     )
 
 
+def descriptor_plan(limits: Limits) -> DescriptorPlan:
+    """Return how many connections the process may have, of each kind."""
+    return plan_descriptors(limits.max_fds, CLIENT_SOCKETS_RATIO)
+
+
+def client_account(limits: Limits) -> Account:
+    """Return the account of what all clients of the process hold."""
+    return Account(
+        account_limits(limits.memory_mb * MIB, descriptor_plan(limits).clients)
+    )
+
+
 @dataclass(slots=True)
 class Addresses:
     """The addresses that the listeners are bound to."""
@@ -122,9 +145,10 @@
         With a seed and an incarnation given, all random choices are reproducible.
         """
         self.settings = settings
-        self.ports = ports or http_ports(settings)
-        self.timing = settings.timing.timing()
         limits = settings.limits.limits()
+        self.account = client_account(limits)
+        self.ports = ports or http_ports(settings, self.account)
+        self.timing = settings.timing.timing()
         self.incarnation = incarnation or new_incarnation(settings.instance_id)
         self.rng = random.Random(seed)
         self.traces = Traces(settings.telemetry, settings.instance_id)
@@ -159,13 +183,20 @@
         )
         self.operator_api = OperatorApi(self.control, self.post, self.traffic)
         bounds = http_limits(limits)
-        self.callers = HttpServer("callers", bounds, self.caller_api.handle)
-        self.operators = HttpServer("operators", bounds, self.operator_api.handle)
+        self.account.on_ended = self._count_ended
+        self.callers = self._server("callers", bounds, self.caller_api.handle)
+        self.operators = self._server("operators", bounds, self.operator_api.handle)
         self.addresses: Addresses | None = None
         self._tasks = _Tasks()
         # Set when a part without which the instance must not go on has failed.
         self.failed = asyncio.Event()
 
+    def _server(self, name: str, limits: HttpLimits, handler: Handler) -> HttpServer:
+        return HttpServer(name, limits, handler, self.account, NOT_RUN_HEADERS)
+
+    def _count_ended(self, listener: str, reason: str) -> None:
+        self.context.metrics.count(f"clients_ended.{listener}.{reason}")
+
     def _link(self, stream: str, record_type: Any) -> StreamLink:
         limits = self.settings.limits.limits()
         return StreamLink(
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_connection.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_connection.py
@@ -53,6 +53,7 @@
     limits: HttpLimits
     handler: Handler
     account: Account
+    refusal_headers: dict[str, str]
     turns: Turns
     stopping: bool
     close_after_response: bool
@@ -238,7 +239,7 @@
 
     async def _refuse(self, state: h11.Connection, error: BadRequest) -> None:
         self.account.count(self.server.name, error.reason)
-        headers = {}
+        headers = dict(self.server.refusal_headers)
         if error.status == 503:
             headers["retry-after"] = str(RETRY_AFTER_S)
         response = error_response(error.status, error.reason, error.detail, headers)
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_server.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_server.py
@@ -36,17 +36,20 @@
         limits: HttpLimits,
         handler: Handler,
         account: Account | None = None,
+        refusal_headers: dict[str, str] | None = None,
     ) -> None:
         """
         Create a server; ``name`` is its name in the account and in log messages.
 
         ``limits`` may be replaced at any time, for the requests that begin after that.
+        ``refusal_headers`` are those of requests that are refused unhandled.
         """
         self.name = name
         self.limits = limits
         self.handler = handler
         self.account = account or Account(_unshared(limits))
         self.account.register(name, limits.connections)
+        self.refusal_headers = refusal_headers or {}
         self.turns = Turns(TURNS_PER_ITERATION)
         self.stopping = False
         # Set during shutdown: requests are still served, but each connection is closed
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/peers.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/peers.py
@@ -24,6 +24,8 @@
 )
 
 from . import background
+from .account import Account, AccountLimits
+from .peer_listener import PeerListener
 
 MAC_BYTES = 16
 DIGEST = "blake2s"
@@ -31,6 +33,8 @@
 RECEIVE_BYTES_MAX = 16 * 1024 * 1024
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 1000
+# For sockets that share their account with no other listener.
+UNSHARED_LIMITS = AccountLimits(512, 16 * RECEIVE_BYTES_MAX)
 
 log = structlog.get_logger()
 
@@ -57,7 +61,8 @@
     key: bytes
     receiver: Receiver
     traffic: PeerTraffic = field(default_factory=PeerTraffic)
-    _listener: pynng.Pull0 | None = None
+    account: Account = field(default_factory=lambda: Account(UNSHARED_LIMITS))
+    _listener: PeerListener | None = None
     _dialers: dict[str, pynng.Push0] = field(default_factory=dict)
     _numbers: dict[str, int] = field(default_factory=dict)
     _last_numbers: dict[str, int] = field(default_factory=dict)
@@ -65,10 +70,9 @@
     _logged_refusals: set[str] = field(default_factory=set)
 
     def listen(self, address: Address) -> None:
-        """Listen and start to receive messages."""
-        self._listener = pynng.Pull0(
-            listen=f"tcp://{address}", recv_max_size=RECEIVE_BYTES_MAX
-        )
+        """Listen and start to receive messages; raises ``OSError``."""
+        self._listener = PeerListener(self.account, RECEIVE_BYTES_MAX)
+        self._listener.bind(address)
         self._task = background.start(self._receive(), "messages of peers")
 
     def dial(self, instance_id: str, address: Address) -> None:
@@ -110,13 +114,7 @@
     async def _receive(self) -> None:
         assert self._listener is not None
         while True:
-            try:
-                data = await self._listener.arecv()
-            except pynng.exceptions.Closed:
-                return
-            except pynng.exceptions.NNGException as error:
-                log.warning("peers: Receive failed.", error=repr(error))
-                continue
+            data = await self._listener.receive()
             self.traffic.received += 1
             self.traffic.received_bytes += len(data)
             self.take(data)
--- a/packages/hornbeampaddle/hornbeampaddle/defaults.py
+++ b/packages/hornbeampaddle/hornbeampaddle/defaults.py
@@ -39,7 +39,11 @@
     head_timeout_s: float = 5.0
     body_timeout_s: float = 20.0
     idle_timeout_s: float = 60.0
+    send_timeout_s: float = 20.0
     caller_connections: int = 512
+    # Memory and descriptors of the process, which its clients share with the rest.
+    memory_mb: int = 256
+    max_fds: int = 1024
     queued_requests: int = 1000
     request_deadline_max_s: float = 60.0
     keys_per_call: int = 100
