--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -19,6 +19,8 @@
       | 40    | unfinished bodies          | readiness | 262144  |
       | 40    | unfinished bodies          | metrics   | 262144  |
       | 40    | unfinished messages        | peers     | 262144  |
+      | 8     | bodies of many steps       | callers   | 262144  |
+      | 2     | large bodies of many steps | callers   | 4194304 |
 
   Scenario Outline: Ordinary callers are answered beside <count> <crowd> on <listener>
     # Guards against a crowd that takes the loop, the connections or the descriptors of
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
@@ -30,6 +30,8 @@
     # Read rate of the store in calls per second, shared by all instances: those that do
     # not hold the cell read less often as the number of instances grows.
     store_reads_per_s: float = 2000.0
+    # Number of steps of a job: more of them would not fit a record of the store.
+    job_steps_max: int = 1024
     # Pause between the holder's reads of the list of workers: drains must take effect
     # within 2 s.
     workers_read_s: float = 0.4
