Judge a job by what it costs before it is stored

Cause: a job is a short record that becomes an object for each of its tasks, in each occurrence that is due, on whoever holds the cell; nothing judged it when it was handed in.

Evidence, on (features/crowds.feature): a job of a million tasks, one of a million occurrences that are all due, and one with a payload of 200,000 bytes: 200, stored.

Mend: hornbeampaddle_cell.job_costs. The record of progress is estimated by 64 bytes for each task that may be at work at once, one for every other: 4,095 tasks at once with recordBytes 262,144. The largest step of the users' deployments has 80 tasks, the largest job 5 steps.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -55,6 +55,20 @@
     And an ordinary request is answered after the crowd has left
     And the process lives and has stayed within its settings
 
+  Scenario Outline: A small request for <what> is refused, and nothing is stored
+    # Guards against one small job that ends every instance that holds the cell after it.
+    Given an entry of 120 MB and 400 descriptors whose operator allows bodies of 262144 bytes
+    When a caller hands in <what>
+    Then it is refused with status 400, and its state with status 410
+    And an ordinary request is answered after the crowd has left
+    And the process lives and has stayed within its settings
+
+    Examples:
+      | what                               |
+      | a job of a million tasks           |
+      | a job of a million occurrences     |
+      | a job of a payload of 200000 bytes |
+
   Scenario Outline: A caller that sends <what> reads the refusal
     # Guards against a refusal that is lost, as closing with unread bytes resets the
     # connection.
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
@@ -16,6 +16,7 @@
 from .admission import Refuse
 from .appender import Appender
 from .follower import Follower
+from .job_costs import TooCostly, excess
 from .ledger import Ledger, cancel_record, job_record
 from .load_gate import LoadGate
 from .metrics import Metrics
@@ -56,7 +57,7 @@
     """No such job exists."""
 
 
-Submitted = Accepted | NotAccepted | Unknown
+Submitted = Accepted | NotAccepted | TooCostly | Unknown
 Queried = JobStatus | Gone | NotAccepted
 Cancelled = Accepted | Gone | NotAccepted | Unknown
 
@@ -104,6 +105,9 @@
             log.info("submit: repeated", job=job.job_id)
             self._record_answer("submit", Accepted(), started_s)
             return Accepted()
+        if too_costly := self._refuse_for_cost(job):
+            self._record_answer("submit", too_costly, started_s)
+            return too_costly
         if self.operator.age_s() >= self.settings.configuration_recent_s:
             # The queue may have been closed, or moved to another service, while this
             # instance could not read the operator's log; the job must not run then.
@@ -129,6 +133,15 @@
         self._record_answer("submit", outcome, started_s)
         return outcome
 
+    def _refuse_for_cost(self, job: Job) -> TooCostly | None:
+        """Return the answer to a job that can't be kept, None if it can."""
+        too_costly = excess(job, job_record(job), self.settings)
+        if too_costly is None:
+            return None
+        self.metrics.refusals.labels(too_costly.what, job.queue.name).inc()
+        log.info("submit: refused for cost", job=job.job_id, outcome=repr(too_costly))
+        return too_costly
+
     async def _refuse_for_load(self, job: Job) -> Submitted | None:
         """
         Return the answer to a job without a chance, None if it is to be stored.
@@ -215,7 +228,7 @@
         """Count a queue's jobs without a start; ``None`` if the view is too old."""
         return self.ledger.pending(queue_name) if self.fresh() else None
 
-    def _submitted(self, stored: Stored) -> Submitted:
+    def _submitted(self, stored: Stored) -> Accepted | NotAccepted | Unknown:
         """Return the answer to a caller whose record was given to the appender."""
         match stored:
             case Stored.YES:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
@@ -30,8 +30,14 @@
     # Read rate of the store in calls per second, shared by all instances: those that do
     # not hold the cell read less often as the number of instances grows.
     store_reads_per_s: float = 2000.0
-    # Number of steps of a job: more of them would not fit a record of the store.
+    # Largest record that the store takes.
+    record_bytes: int = 262_144
+    # Largest payload of a job.
+    job_payload_bytes: int = 16_384
+    # Number of steps of a job: more of them would not fit a record.
     job_steps_max: int = 1024
+    # Memory for the jobs that are kept, on this instance; the smallest one's counts.
+    jobs_memory_bytes: int = 120 * 2**20
     # Pause between the holder's reads of the list of workers: drains must take effect
     # within 2 s.
     workers_read_s: float = 0.4
