Keep no more jobs than the smallest instance has memory for

What callers saw: jobs that are each small enough, handed in one after the other, ended an instance together.

Cause: every instance keeps every job, and the holder its tasks, until 130 s after its end; nothing bounded their sum.

Mend: the ledger counts what its jobs cost. A job for which there is no room is refused with 503 no_room_for_jobs and Retry-After 2: it did not run. The room is what the smallest instance has: each states it in its record in the log of peers (a field that older versions ignore and leave out). Each instance gives away its part of the room that its view shows until it has read the jobs it accepted, so that all together pass it by one job each at most.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -69,6 +69,14 @@
       | a job of a million occurrences     |
       | a job of a payload of 200000 bytes |
 
+  Scenario: Jobs that are each small enough do not end an instance together
+    # Guards against an instance that is ended for its memory by the sum of the jobs.
+    Given an entry of 120 MB and 400 descriptors whose operator allows bodies of 262144 bytes
+    When callers hand in 100 jobs of 4000 tasks that no worker can hold
+    And the crowd's jobs are cancelled
+    Then an ordinary request is answered after the crowd has left
+    And the process lives and has stayed within its settings
+
   Scenario Outline: A caller that sends <what> reads the refusal
     # Guards against a refusal that is lost, as closing with unread bytes resets the
     # connection.
--- a/features/job_costs.feature
+++ b/features/job_costs.feature
@@ -18,3 +18,16 @@
       | as many at once                 | 1     | 1       | 8760        | 0        | refused for its tasks    |
       | a job of the largest count      | 1     | 2000000000 | 1        | 0        | refused for its tasks    |
       | a large job each day, for ever  | 1     | 4000    | 2000000000  | 86400    | refused for its progress_bytes |
+
+  Scenario: Instances together give away no more than the smallest one has
+    # Guards against a holder that is ended for its memory by jobs that larger instances
+    # have accepted, and against instances that all give the same room away.
+    Given an instance with 40 MB for jobs, among 4, of which the smallest has 20 MB
+    When callers hand in 20 jobs of 4000 tasks at once
+    Then 2 of them find room
+    When the log shows them, and 20 further jobs are handed in
+    Then 2 of them find room
+    When the log shows them, and 20 further jobs are handed in
+    Then 1 of them find room
+    When the log shows them, and the first is forgotten
+    Then a job of 1000 tasks finds room
--- a/features/steps/job_cost_steps.py
+++ b/features/steps/job_cost_steps.py
@@ -1,15 +1,20 @@
 """Steps that judge jobs by what they cost."""
 
-from behave import given, then
+from types import SimpleNamespace
+
+from behave import given, then, when
 
 from hornbeampaddle.cell.jobs import Job, Queue, Step
+from hornbeampaddle.machines import Address
 from hornbeampaddle.resources import Resources
-from hornbeampaddle_cell.job_costs import excess
+from hornbeampaddle_cell.job_costs import CostGate, JobCosts, excess
 from hornbeampaddle_cell.ledger import job_record
+from hornbeampaddle_cell.peers import PeerDirectory, peer_record
 from hornbeampaddle_cell.settings import InstanceSettings
 
 MIB = 2**20
 QUEUE = Queue("checks", "compute")
+CLOCK = SimpleNamespace(now_s=lambda: 0.0)
 
 
 def _job(number, steps, tasks, occurrences=0, interval_s=0.0):
@@ -47,3 +52,62 @@
 def check_refused(context, what):
     assert context.excess.what == what, context.excess
     assert context.excess.size > context.excess.limit, context.excess
+
+
+@given(
+    "an instance with {own:d} MB for jobs, among {count:d}, "
+    "of which the smallest has {least:d} MB"
+)
+def make_gate(context, own, count, least):
+    directory = PeerDirectory("i0")
+    for number in range(1, count):
+        memory_bytes = (least if number == 1 else own) * MIB
+        address = Address("127.0.0.1", number)
+        directory.apply(peer_record(f"i{number}", address, 0.0, "dc-1", memory_bytes))
+    context.costs = JobCosts()
+    context.gate = CostGate(
+        CLOCK,
+        context.costs,
+        lambda: directory.least_jobs_memory_bytes(own * MIB),
+        lambda: len(directory) + 1,
+    )
+    context.numbers = iter(range(1000))
+    context.stored = []
+
+
+@when("callers hand in {count:d} jobs of {tasks:d} tasks at once")
+def hand_in(context, count, tasks):
+    context.admitted = []
+    for _ in range(count):
+        job = _job(next(context.numbers), 1, tasks)
+        if context.gate.admits(job):
+            context.gate.storing(job)
+            context.admitted.append(job)
+
+
+@then("{count:d} of them find room")
+def check_admitted(context, count):
+    assert len(context.admitted) == count, len(context.admitted)
+
+
+@when("the log shows them, and {count:d} further jobs are handed in")
+def read_and_hand_in(context, count):
+    _read(context)
+    hand_in(context, count, 4000)
+
+
+def _read(context):
+    for job in context.admitted:
+        context.costs.add(job)
+    context.stored += context.admitted
+
+
+@when("the log shows them, and the first is forgotten")
+def read_and_forget(context):
+    _read(context)
+    context.costs.remove(context.stored[0].job_id)
+
+
+@then("a job of {tasks:d} tasks finds room")
+def check_room(context, tasks):
+    assert context.gate.admits(_job(next(context.numbers), 1, tasks))
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/callers.py
@@ -16,13 +16,13 @@
 from .admission import Refuse
 from .appender import Appender
 from .follower import Follower
-from .job_costs import TooCostly, excess
+from .job_costs import CostGate, TooCostly, excess
 from .ledger import Ledger, cancel_record, job_record
 from .load_gate import LoadGate
 from .metrics import Metrics
 from .ports import Clock
 from .relay_messages import Stored
-from .retries import retry_after_s
+from .retries import RETRY_LATER_S, retry_after_s
 from .settings import InstanceSettings
 
 log = structlog.get_logger()
@@ -76,6 +76,7 @@
         appender: Appender,
         metrics: Metrics,
         load_gate: LoadGate,
+        cost_gate: CostGate,
     ) -> None:
         """Store the components that answers are computed from."""
         self.settings = settings
@@ -87,6 +88,7 @@
         self.appender = appender
         self.metrics = metrics
         self.load_gate = load_gate
+        self.cost_gate = cost_gate
 
     def fresh(self) -> bool:
         """Return whether the views of jobs and progress are recent."""
@@ -105,9 +107,9 @@
             log.info("submit: repeated", job=job.job_id)
             self._record_answer("submit", Accepted(), started_s)
             return Accepted()
-        if too_costly := self._refuse_for_cost(job):
-            self._record_answer("submit", too_costly, started_s)
-            return too_costly
+        if refused := await self._refuse_for_cost(job):
+            self._record_answer("submit", refused, started_s)
+            return refused
         if self.operator.age_s() >= self.settings.configuration_recent_s:
             # The queue may have been closed, or moved to another service, while this
             # instance could not read the operator's log; the job must not run then.
@@ -120,7 +122,10 @@
             self._record_answer("submit", refused, started_s)
             return refused
         job = replace(job, accepted_at_s=self.clock.wall_s())
+        self.cost_gate.storing(job)
         stored = await self.appender.put(job_record(job), deadline_s)
+        if stored is Stored.NO:
+            self.cost_gate.not_stored(job.job_id)
         took_s = round(self.clock.now_s() - started_s, 4)
         log.info(
             "submit: answered",
@@ -133,14 +138,31 @@
         self._record_answer("submit", outcome, started_s)
         return outcome
 
-    def _refuse_for_cost(self, job: Job) -> TooCostly | None:
-        """Return the answer to a job that can't be kept, None if it can."""
+    async def _refuse_for_cost(self, job: Job) -> Submitted | None:
+        """
+        Return the answer to a job that can't be kept, None if it can.
+
+        As for load, a job that is stored already is not refused for want of room.
+        """
         too_costly = excess(job, job_record(job), self.settings)
-        if too_costly is None:
+        if too_costly is not None:
+            return self._refuse_costly(job, too_costly.what, too_costly)
+        if self.cost_gate.admits(job) or self.appender.has(job.job_id):
             return None
-        self.metrics.refusals.labels(too_costly.what, job.queue.name).inc()
-        log.info("submit: refused for cost", job=job.job_id, outcome=repr(too_costly))
-        return too_costly
+        if not await self.jobs.catch_up(FRESH_READ_TIMEOUT_S):
+            return self._refused("view_too_old")
+        if job.job_id in self.ledger.jobs:
+            log.info("submit: repeated", job=job.job_id)
+            return Accepted()
+        no_room = NotAccepted("no_room_for_jobs", RETRY_LATER_S)
+        return self._refuse_costly(job, no_room.reason, no_room)
+
+    def _refuse_costly(
+        self, job: Job, reason: str, outcome: TooCostly | NotAccepted
+    ) -> TooCostly | NotAccepted:
+        self.metrics.refusals.labels(reason, job.queue.name).inc()
+        log.info("submit: refused for cost", job=job.job_id, outcome=repr(outcome))
+        return outcome
 
     async def _refuse_for_load(self, job: Job) -> Submitted | None:
         """
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -21,6 +21,7 @@
 from .follower import Follower, Handler
 from .group_commit import GroupCommit
 from .holder import Holder
+from .job_costs import CostGate
 from .leadership import HOLDER_KEY, HolderRecord, Leadership, encode_holder
 from .ledger import Ledger
 from .load_gate import LoadGate
@@ -130,8 +131,18 @@
             LoadGate(
                 settings, clock, self.ledger, self.leadership, self.peer_directory
             ),
+            CostGate(
+                clock,
+                self.ledger.costs,
+                self._jobs_memory_bytes,
+                lambda: len(self.peer_directory) + 1,
+            ),
         )
 
+    def _jobs_memory_bytes(self) -> int:
+        own_bytes = self.settings.jobs_memory_bytes
+        return self.peer_directory.least_jobs_memory_bytes(own_bytes)
+
     def _follow(self, topic: Topic, handler: Handler) -> Follower:
         follower = Follower(self.store, topic, self.clock, handler)
         follower.wait_s = self.settings.read_wait_s
@@ -182,7 +193,8 @@
         while True:
             wall_s = self.clock.wall_s()
             name, data_centre = self.settings.name, self.settings.data_centre
-            records = [peer_record(name, address, wall_s, data_centre)]
+            memory_bytes = self.settings.jobs_memory_bytes
+            records = [peer_record(name, address, wall_s, data_centre, memory_bytes)]
             if self.holder is not None:
                 records += [
                     Keyed(name, None) for name in self.peer_directory.outdated(wall_s)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -18,6 +18,7 @@
 from hornbeampaddle.decoding import UnreadableError, decode
 
 from .backlog_record import BACKLOG_KEY, PublishedBacklog, decode_backlog
+from .job_costs import JobCosts
 from .ports import Keyed
 from .unreadable import UnreadableRecords
 
@@ -102,6 +103,8 @@
     lease_expiry_at_s: dict[WorkerId, float] = field(default_factory=dict)
     # Births of workers by name, of the incarnations that records of runs mean.
     births_ms: dict[str, int] = field(default_factory=dict)
+    # What the jobs cost whoever holds the cell.
+    costs: JobCosts = field(default_factory=JobCosts)
     by_queue: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     unreadable_jobs: UnreadableRecords = field(
         default_factory=lambda: UnreadableRecords("jobs")
@@ -133,11 +136,13 @@
             self.unreadable_jobs.mark_unreadable(job_id, str(error))
             return JobChange.UNREADABLE, job_id
         self.jobs[job_id] = job
+        self.costs.add(job)
         self.by_queue[job.queue.name].add(job_id)
         return JobChange.ACCEPTED, job_id
 
     def _remove_job(self, job_id: str) -> None:
         job = self.jobs.pop(job_id, None)
+        self.costs.remove(job_id)
         if job is not None:
             self.by_queue[job.queue.name].discard(job_id)
         self._remove_progress(job_id)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/peers.py
@@ -31,23 +31,31 @@
     """
     Where an instance listens for its peers; ``renewed_at_s`` is Unix time.
 
-    ``data_centre`` is empty in records of earlier versions.
+    ``data_centre`` is empty in records of earlier versions, ``jobs_memory_bytes``, what
+    the instance has for jobs, 0.
     """
 
     host: str
     port: int
     renewed_at_s: float
     data_centre: str = ""
+    jobs_memory_bytes: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(PeerRecord)
 
 
 def peer_record(
-    name: str, address: Address, renewed_at_s: float, data_centre: str = ""
+    name: str,
+    address: Address,
+    renewed_at_s: float,
+    data_centre: str = "",
+    jobs_memory_bytes: int = 0,
 ) -> Keyed:
     """Return the record of an instance's own address."""
-    value = PeerRecord(address.host, address.port, renewed_at_s, data_centre)
+    value = PeerRecord(
+        address.host, address.port, renewed_at_s, data_centre, jobs_memory_bytes
+    )
     return Keyed(name, msgspec.msgpack.encode(value))
 
 
@@ -90,6 +98,11 @@
         others = [record.data_centre for record in self._records.values()]
         return Competitors(len({data_centre, *others}), 1 + others.count(data_centre))
 
+    def least_jobs_memory_bytes(self, own_bytes: int) -> int:
+        """Return what the smallest instance has for jobs, this one with its own."""
+        known = [r.jobs_memory_bytes for r in self._records.values()]
+        return min([own_bytes, *(size for size in known if size > 0)])
+
     def shuffled(self) -> list[Address]:
         """Return all addresses in random order, to spread calls over the peers."""
         addresses = [Address(r.host, r.port) for r in self._records.values()]
