Keep no more jobs on the own interface than there is memory for

What callers saw: nothing yet; found by looking at what a body becomes. Each job of the own interface is bounded (10,000 tasks), their sum was not.

Mend: limits.kept_tasks, 160,000 by default (0.4 of the default memory at 640 bytes a task): a job for which there is no room is answered 503 no_room_for_jobs, not_run, with retry-after. Jobs whose records are on their way count.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -119,6 +119,13 @@
     And an ordinary request is answered after the crowd has left
     And the process lives and has stayed within its settings
 
+  Scenario: Jobs that are each small enough do not end an instance of the own interface
+    # Guards against an instance that is ended for its memory by the sum of the jobs.
+    Given an instance of the own interface, of 256 MB and 1024 descriptors
+    When callers hand in 60 jobs of 10000 tasks to the own interface
+    Then an ordinary request is answered after the crowd has left
+    And the process lives and has stayed within its settings
+
   Scenario: The largest requests inside the pages' limits are served
     # Guards against limits that ordinary clients meet.
     Given an entry of 120 MB and 400 descriptors whose operator allows bodies of 262144 bytes
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -58,6 +58,12 @@
     "needs": {"cpu_millis": 1000, "memory_bytes": 0, "accelerators": 0},
     "team": "dispatch",
 }
+OWN_JOB = {
+    "team": "dispatch",
+    "kind": "archive",
+    "run_s": 60.0,
+    "needs": {"cpu_millis": 1000, "memory_bytes": 0, "accelerators": 0},
+}
 ORDINARY_JOB = {"spec": "work", "phases": [{"count": 1, "cpu": 1000, "memMb": 64}]}
 # The operator's limits of the pages, but for the size of a body.
 OPERATOR_LIMITS = {
@@ -177,21 +183,26 @@
         self.watch.start()
         stack.callback(self.watch.stop)
 
-    def ordinary_answered(self):
-        """Return whether an ordinary request for a key is answered."""
+    def call(self, method, path, body):
+        """Send one request on a connection of its own; return its status."""
         connection = http.client.HTTPConnection(
             LOOPBACK, self.ports["callers"], timeout=PATIENCE_S
         )
         try:
-            connection.request("POST", "/v1/keys", b'{"count": 1}')
+            connection.request(method, path, body)
             response = connection.getresponse()
             response.read()
-            return response.status == 200
-        except (OSError, http.client.HTTPException):
-            return False
+            return response.status
         finally:
             connection.close()
 
+    def ordinary_answered(self):
+        """Return whether an ordinary request for a key is answered."""
+        try:
+            return self.call("POST", "/v1/keys", b'{"count": 1}') == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
 
 # Other processes of a test run listen on the loopback address of the own interface, so
 # what the kernel holds there is not counted.
@@ -342,6 +353,13 @@
     context.job_ids = [context.site.submit(job)[0] for _ in range(count)]
 
 
+@when("callers hand in {count:d} jobs of {tasks:d} tasks to the own interface")
+def hand_in_own(context, count, tasks):
+    for number in range(count):
+        job = {**OWN_JOB, "job_id": f"crowd-{number}", "tasks": tasks}
+        context.site.call("POST", "/v1/jobs", json.dumps(job))
+
+
 @when("the crowd's jobs are cancelled")
 def cancel_jobs(context):
     for job_id in context.job_ids:
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/callers.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/callers.py
@@ -47,7 +47,10 @@
     "unknown": 502,
     "log_unavailable": 503,
     "instance_stopping": 503,
+    "no_room_for_jobs": 503,
 }
+# When a job for which there was no room may come back.
+NO_ROOM_RETRY_AFTER_S = 2
 STATUS_REFUSED = 422
 
 Handler = Callable[[Request], Any]
@@ -262,7 +265,10 @@
     if outcome == "unknown":
         body["detail"] = "it may be accepted later; submit the same job again"
     code = STATUS_OF_REFUSAL.get(name, STATUS_REFUSED)
-    return Response(code, msgspec.json.encode(body))
+    headers = {}
+    if name == "no_room_for_jobs":
+        headers["retry-after"] = str(NO_ROOM_RETRY_AFTER_S)
+    return Response(code, msgspec.json.encode(body), headers=headers)
 
 
 def outcome_response(outcome: Outcome, key: str) -> Response:
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/job_manager.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/job_manager.py
@@ -79,6 +79,8 @@
         self.caught_up = False
         self._numbers = itertools.count(1)
         self._waiters: dict[str, list[asyncio.Future[JobAnswer]]] = {}
+        # Tasks of the jobs that are being accepted, by job id.
+        self._accepting: dict[str, int] = {}
         self._ended: dict[str, TaskEnd] = {}
         self._advanced: dict[str, tuple[int, int]] = {}
         self._setbacks: dict[str, Setbacks] = {}
@@ -124,9 +126,11 @@
         if refusal:
             mail.done.set_result(JobAnswer(False, refusal))
             return
+        self._accepting[spec.job_id] = spec.tasks
         record = JobAccepted(f"job/{spec.job_id}", spec, self.name)
         self._waiters.setdefault(spec.job_id, []).append(mail.done)
         if not self.link.append(record):
+            self._accepting.pop(spec.job_id, None)
             self._answer_waiters(spec.job_id, JobAnswer(False, "log_unavailable"))
 
     def _answer_known(self, known: Job | FinishedJob, mail: JobMail) -> None:
@@ -142,6 +146,8 @@
             return "log_unavailable"
         if spec.tasks > self.context.limits.job_tasks:
             return f"too_many_tasks: at most {self.context.limits.job_tasks}"
+        if self._kept_tasks() + spec.tasks > self.context.limits.kept_tasks:
+            return "no_room_for_jobs"
         workers = list(self.context.workers.values())
         match never_fits(resources_of(spec.needs), workers):
             case NeverFits() as never:
@@ -149,9 +155,17 @@
             case _:
                 return ""
 
+    def _kept_tasks(self) -> int:
+        """Return the tasks of all jobs, with those whose records are on their way."""
+        for job_id in [j for j in self._accepting if self.table.knows(j)]:
+            del self._accepting[job_id]
+        kept = sum(job.spec.tasks for job in self.table.jobs.values())
+        return kept + sum(self._accepting.values())
+
     def on_timeout(self, job_id: str) -> JobAnswer:
         """Return the result of a submission whose caller's wait timed out."""
         if self.link.withdraw(f"job/{job_id}"):
+            self._accepting.pop(job_id, None)
             return JobAnswer(False, "log_unavailable")
         return JobAnswer(False, "unknown")
 
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/settings.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/settings.py
@@ -145,6 +145,7 @@
     keys_per_call: int | None = Field(None, ge=1)
     keys_remembered: int | None = Field(None, ge=1)
     job_tasks: int | None = Field(None, ge=1)
+    kept_tasks: int | None = Field(None, ge=1)
     connections_per_worker: int | None = Field(None, ge=1)
     unsent_log_records: int | None = Field(None, ge=1)
     config_snapshot_records: int | None = Field(None, ge=1)
--- a/packages/hornbeampaddle/hornbeampaddle/defaults.py
+++ b/packages/hornbeampaddle/hornbeampaddle/defaults.py
@@ -49,6 +49,8 @@
     keys_per_call: int = 100
     keys_remembered: int = 100_000
     job_tasks: int = 10_000
+    # Tasks of all jobs that are not over; each takes about 640 bytes.
+    kept_tasks: int = 160_000
     connections_per_worker: int = 8
     unsent_log_records: int = 5_000
     config_snapshot_records: int = 500
