Cut long texts in log lines

What callers saw: nothing; people on call lost lines. Callers choose the path and the host of a request, up to 16 KB, and an unknown queue is logged with both.

Cause: the buffer of the log is bounded in bytes, and its lines were not: 64 such lines within 0.2 s fill it, and the lines of all others are dropped.

Mend: a text in a line has 500 characters at most, an error's place 8,000.

Measured: no line is dropped; trace passes.

--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -8,6 +8,7 @@
 import time
 from unittest.mock import patch
 
+import structlog
 from behave import given, then, when
 
 from hornbeampaddle_cell import logs
@@ -99,6 +100,28 @@
     assert sum(noted[0]["by_event"].values()) == noted[0]["lines"], noted
 
 
+@when(
+    "{count:d} lines with a path of {size:d} characters are logged, "
+    "and one of another event"
+)
+def log_long_paths(context, count, size):
+    before = structlog.get_config()
+    context.add_cleanup(structlog.configure, **before)
+    context.log = logs.set_up("i0", context.log.descriptor)
+    log = structlog.get_logger()
+    for _ in range(count):
+        log.info("queue: unknown", path="/nothing/" + size * "x")
+    log.info("submit: answered", job="aa")
+
+
+@then("no line was dropped, and the path's beginning is in each")
+def check_long_paths(context):
+    assert not context.log.dropped, context.log.dropped
+    *long, last = [json.loads(line) for line in context.log._lines]
+    assert all(line["path"].startswith("/nothing/xxx") for line in long)
+    assert last["event"] == "submit: answered", last
+
+
 @given("a log writer with a reader that {how}")
 def faulty_reader(context, how):
     slow_reader(context)
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -90,6 +90,13 @@
     When the budget is read from the lines of such a job, the last first
     Then its stages are 0.01, 0.2, 1, 0.5, 0.1 and 3.81 s
 
+  Scenario: Long texts of callers leave room for other log lines
+    # Guards against a crowd whose long paths fill the buffer of the log, so that the
+    # lines of others are dropped.
+    Given a log writer with a stalled reader
+    When 100 lines with a path of 16000 characters are logged, and one of another event
+    Then no line was dropped, and the path's beginning is in each
+
   Scenario Outline: No log line is torn or lost by a reader that <how>
     # Guards against logs in which half of the lines about a job are missing and the
     # last one before each gap is torn. This happens if a write of 16 KiB is reported as
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/logs.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/logs.py
@@ -29,6 +29,11 @@
 # for refusals and failures stay below it.
 EVENT_LINES_PER_S_MAX = 600
 
+# Longest text of a field: callers choose some of them, such as paths. An error's place is
+# longer.
+TEXT_MAX_CHARS = 500
+EXCEPTION_MAX_CHARS = 8000
+
 _encode = msgspec.json.Encoder(enc_hook=repr).encode
 
 
@@ -138,6 +143,9 @@
         for name, value in fields.items():
             if isinstance(value, WorkerId):
                 fields[name] = str(value)
+            elif isinstance(value, str):
+                size = EXCEPTION_MAX_CHARS if name == "exception" else TEXT_MAX_CHARS
+                fields[name] = value[:size]
         line = {"event": event, "level": level, "instance": instance, **fields}
         return (event, _encode(line) + b"\n"), {}
 
