Bound the bytes of peers' requests that are at work

What callers saw: nothing yet; found by looking at the peers' port. 32 requests of 4 MB that wait for the store are 128 MB, which the listener's account no longer counts.

Evidence: 32 requests of 4,000,000 bytes are all at work (the new scenario of features/peer_listener.feature, before this change).

Mend: requests at work hold half of what clients may hold at most; larger ones are dropped, as those beyond the 32nd are, and the peer asks another instance. Small ones go on.

Measured: two of the 32 are at work, and a small one; relay, parsers and background pass.

--- a/features/steps/peer_listener_steps.py
+++ b/features/steps/peer_listener_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pynng
 from behave import given, then, when
 from support.watched import LOOPBACK, free_port
@@ -9,6 +10,7 @@
 from hornbeampaddle.machines import Address
 from hornbeampaddle_wire.account import Account, AccountLimits
 from hornbeampaddle_wire.peer_listener import PeerListener
+from hornbeampaddle_wire.peer_requests import Envelope, PeerChannel
 
 PATIENCE_S = 20.0
 ACCOUNT = AccountLimits(8, 16 * 2**20)
@@ -70,3 +72,40 @@
 def check_ends(context, first, last):
     sizes = [len(message) for message in context.received]
     assert (sizes[0], sizes[-1]) == (first, last), sizes
+
+
+@given("an instance whose clients may hold {size:d} bytes")
+def make_account(context, size):
+    context.account = Account(AccountLimits(8, size))
+
+
+@when(
+    "{count:d} requests of {size:d} bytes come from peers, none of which gets an answer"
+)
+def send_requests(context, count, size):
+    context.at_work = []
+
+    async def wait(data):
+        context.at_work.append(len(data))
+        await asyncio.Event().wait()
+
+    async def send():
+        address = Address(LOOPBACK, 1)
+        channel = PeerChannel(address, wait, context.account)
+        for data in [*(count * [size * b"x"]), 100 * b"x"]:
+            message = Envelope(1, LOOPBACK, 1, False, data)
+            channel._handle_message(msgspec.msgpack.encode(message))
+            await asyncio.sleep(0)
+        channel.close()
+
+    asyncio.run(send())
+
+
+@then("at most {size:d} bytes of them are at work")
+def check_at_work(context, size):
+    assert sum(context.at_work) - 100 <= size, context.at_work
+
+
+@then("a request of {size:d} bytes is at work, too")
+def check_small(context, size):
+    assert context.at_work[-1] == size, context.at_work
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/peer_requests.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/peer_requests.py
@@ -11,6 +11,7 @@
 import itertools
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import msgspec
 import pynng
@@ -68,6 +69,7 @@
     _push_sockets: dict[Address, pynng.Push0] = field(default_factory=dict)
     _pending: dict[int, asyncio.Future[bytes]] = field(default_factory=dict)
     _serving: set[asyncio.Task[None]] = field(default_factory=set)
+    _serving_bytes: int = 0
     _numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
     def listen(self) -> None:
@@ -95,15 +97,25 @@
             if asked is not None and not asked.done():
                 asked.set_result(envelope.data)
             return
-        if len(self._serving) >= CONCURRENT_REQUESTS_MAX:
+        served_bytes = self._serving_bytes + len(envelope.data)
+        if (
+            len(self._serving) >= CONCURRENT_REQUESTS_MAX
+            or served_bytes > self.account.limits.request_bytes
+        ):
             log.warning(
                 "peer: request dropped, too many in progress",
                 serving=len(self._serving),
+                size_bytes=served_bytes,
             )
             return
+        self._serving_bytes = served_bytes
         task = background.start(self._serve(envelope), "request of a peer")
         self._serving.add(task)
-        task.add_done_callback(self._serving.discard)
+        task.add_done_callback(partial(self._served, len(envelope.data)))
+
+    def _served(self, size_bytes: int, task: asyncio.Task[None]) -> None:
+        self._serving.discard(task)
+        self._serving_bytes -= size_bytes
 
     async def _serve(self, request: Envelope) -> None:
         data = await self.handler(request.data)
