--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/logs.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/logs.py
@@ -29,8 +29,8 @@
 # for refusals and failures stay below it.
 EVENT_LINES_PER_S_MAX = 600
 
-# Longest text of a field: callers choose some of them, such as paths. An error's place is
-# longer.
+# Longest text of a field: callers choose some of them, such as paths. The place of an
+# error is longer.
 TEXT_MAX_CHARS = 500
 EXCEPTION_MAX_CHARS = 8000
 
