--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -53,5 +53,7 @@
       | two errors        | {"cell": {"lease": 8}, "instance": {"stale_s": 0}}       | the file is refused for "cell.lease is not known; instance.stale" |
       | an unknown part   | {"cells": {}}                                            | the file is refused for "cells"                                  |
       | a text            | {"cell": {"lease_s": "8"}}                               | the file is refused for "Expected"                               |
+      | more than all     | {"instance": {"jobs_memory_ratio": 0.7}}                 | the file is refused for "0.95 of the whole, above 0.9"           |
+      | too many clients  | {"instance": {"client_sockets_ratio": 1}}                | the file is refused for "client_sockets_ratio: 1 of the whole"   |
       | what is told      | {"instance": {"cores": 8}}                               | the file is refused for "instance.cores is not known"            |
       | no JSON           | {                                                        | the file is refused for "truncated"                              |
--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -55,6 +55,20 @@
     And an ordinary request is answered after the crowd has left
     And the process lives and has stayed within its settings
 
+  Scenario Outline: A process beside <count> <crowd> ends when it is told to
+    # Guards against a process that is killed at the end of its grace, as it waits for
+    # clients that never finish.
+    Given an entry of 120 MB and 400 descriptors whose operator allows bodies of 262144 bytes
+    When a crowd of <count> "<crowd>" has come to the "callers"
+    And the process gets SIGTERM
+    Then it ends with status 0
+
+    Examples:
+      | count | crowd                    |
+      | 40    | unfinished bodies        |
+      | 40    | callers that never read  |
+      | 250   | halves of a head         |
+
   Scenario Outline: A small request for <what> is refused, and nothing is stored
     # Guards against one small job that ends every instance that holds the cell after it.
     Given an entry of 120 MB and 400 descriptors whose operator allows bodies of 262144 bytes
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import http.client
 import json
+import signal
 import socket
 import sys
 import tempfile
@@ -315,6 +316,16 @@
     return f"{memory_mb} MB, {watch.sockets_peak} sockets, ran away: {watch.ran_away}"
 
 
+@when("the process gets SIGTERM")
+def terminate(context):
+    context.site.process.send_signal(signal.SIGTERM)
+
+
+@then("it ends with status {status:d}")
+def check_ended(context, status):
+    assert context.site.process.wait(PATIENCE_S) == status
+
+
 @then("the process lives and has stayed within its settings")
 def check_bounds(context):
     site = context.site
--- a/features/steps/job_cost_steps.py
+++ b/features/steps/job_cost_steps.py
@@ -38,7 +38,7 @@
 def make_job(context, steps, tasks, occurrences, interval):
     context.job = _job(1, steps, tasks, occurrences, float(interval))
     settings = InstanceSettings(
-        "i-1", "i", "dc-1", 1.0, record_bytes=262_144, jobs_memory_bytes=64 * MIB
+        "i-1", "i", "dc-1", 1.0, record_bytes=262_144, memory_bytes=160 * MIB
     )
     context.excess = excess(context.job, job_record(context.job), settings)
 
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/overrides.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/overrides.py
@@ -21,6 +21,11 @@
 # A threshold may be set to between a tenth and ten times its default: a value beyond
 # that is most likely given in the wrong unit.
 RANGE_FACTOR = 10.0
+# Parts of one whole: together they may not be more than this.
+WHOLES = {
+    ("clients_memory_ratio", "jobs_memory_ratio"): 0.9,
+    ("client_sockets_ratio",): 0.9,
+}
 # Fields that describe the machine and the process; the platform sets them.
 NOT_OVERRIDABLE = {
     "instance_id",
@@ -28,6 +33,9 @@
     "data_centre",
     "cores",
     "peer_address",
+    "memory_bytes",
+    "descriptors",
+    "record_bytes",
     "cell",
 }
 
@@ -57,6 +65,7 @@
     errors = [
         *_errors("cell", overrides.cell, thresholds(CellSettings)),
         *_errors("instance", overrides.instance, thresholds(InstanceSettings)),
+        *_whole_errors(overrides.instance, thresholds(InstanceSettings)),
     ]
     if errors:
         raise OverrideError(f"{path}: " + "; ".join(errors))
@@ -93,6 +102,18 @@
     return errors
 
 
+def _whole_errors(
+    given: dict[str, float | bool], known: dict[str, float | bool]
+) -> list[str]:
+    errors = []
+    for names, whole in WHOLES.items():
+        total = sum(given.get(name, known[name]) for name in names)
+        if total > whole:
+            parts = " and ".join(f"instance.{name}" for name in names)
+            errors.append(f"{parts}: {total:g} of the whole, above {whole}")
+    return errors
+
+
 def apply(settings: InstanceSettings, overrides: Overrides) -> InstanceSettings:
     """Return the settings with the operator's overrides applied."""
     cell = _with_overrides(settings.cell, overrides.cell)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
@@ -12,7 +12,8 @@
     The settings that one instance gets at its start.
 
     ``instance_id`` is unique for each run of the process. ``cores`` is the number of
-    CPU cores of its machine.
+    CPU cores of its machine, ``memory_bytes`` and ``descriptors`` are what the process
+    may use at most, ``record_bytes`` is the largest record that the store takes.
     """
 
     instance_id: str
@@ -30,14 +31,22 @@
     # Read rate of the store in calls per second, shared by all instances: those that do
     # not hold the cell read less often as the number of instances grows.
     store_reads_per_s: float = 2000.0
-    # Largest record that the store takes.
+    memory_bytes: int = 300 * 2**20
+    descriptors: int = 4096
     record_bytes: int = 262_144
+    # Share of the memory that clients may hold with what they send and do not read.
+    clients_memory_ratio: float = 0.25
+    # Share of the sockets for connections of clients; most are for workers.
+    client_sockets_ratio: float = 0.125
+    # How long a caller may take to send a body, and leave its answer unread.
+    body_timeout_s: float = 20.0
+    send_timeout_s: float = 20.0
     # Largest payload of a job.
     job_payload_bytes: int = 16_384
     # Number of steps of a job: more of them would not fit a record.
     job_steps_max: int = 1024
-    # Memory for the jobs that are kept, on this instance; the smallest one's counts.
-    jobs_memory_bytes: int = 120 * 2**20
+    # Share of the memory for the jobs that are kept; the smallest instance's counts.
+    jobs_memory_ratio: float = 0.4
     # Pause between the holder's reads of the list of workers: drains must take effect
     # within 2 s.
     workers_read_s: float = 0.4
@@ -71,3 +80,8 @@
     # It exceeds the 0.1 s after which other instances see a claim.
     claim_delay_core_s: float = 0.25
     claim_jitter_s: float = 0.1
+
+    @property
+    def jobs_memory_bytes(self) -> int:
+        """Return the memory for the jobs that are kept."""
+        return int(self.memory_bytes * self.jobs_memory_ratio)
--- a/packages/hornbeampaddle-entry/hornbeampaddle_entry/instance.py
+++ b/packages/hornbeampaddle-entry/hornbeampaddle_entry/instance.py
@@ -40,8 +40,9 @@
 from .telemetry import Metrics, Traces
 
 TICK_INTERVAL_S = 0.1
-# Share of the sockets for connections of callers, operators and peers.
-CLIENT_SOCKETS_RATIO = 1 / 2
+# Shares of the memory and of the sockets for callers, operators and peers.
+CLIENTS_MEMORY_RATIO = 0.25
+CLIENT_SOCKETS_RATIO = 0.5
 # Headers of a refusal: the request did not run.
 NOT_RUN_HEADERS = {"request-outcome": "not_run"}
 
@@ -102,9 +103,8 @@
 
 def client_account(limits: Limits) -> Account:
     """Return the account of what all clients of the process hold."""
-    return Account(
-        account_limits(limits.memory_mb * MIB, descriptor_plan(limits).clients)
-    )
+    clients_bytes = int(limits.memory_mb * MIB * CLIENTS_MEMORY_RATIO)
+    return Account(account_limits(clients_bytes, descriptor_plan(limits).clients))
 
 
 @dataclass(slots=True)
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/account.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/account.py
@@ -16,13 +16,11 @@
 
 log = structlog.get_logger()
 
-# The memory of one connection that sends and reads nothing: its buffers in the kernel,
-# what is read ahead, and its objects.
-CONNECTION_BYTES = 64 * 1024
+# The memory of one connection that nobody reads: its buffer in the kernel, what is read
+# ahead, and its objects.
+CONNECTION_BYTES = 72 * 1024
 # What a request may hold without being charged: part of the memory of its connection.
 UNCHARGED_BYTES = 16 * 1024
-# Share of a process's memory that its clients may hold; the instance needs the rest.
-CLIENTS_MEMORY_RATIO = 0.25
 # Share of the clients' memory for connections; the rest is for what they send.
 CONNECTIONS_MEMORY_RATIO = 0.5
 # Share of the account's connections that each listener has for itself, by its name; the
@@ -46,13 +44,12 @@
         return self.held_bytes // 2
 
 
-def account_limits(memory_bytes: int, connections_max: int) -> AccountLimits:
+def account_limits(clients_bytes: int, connections_max: int) -> AccountLimits:
     """
-    Return the limits for a process with this memory.
+    Return the limits for clients that may hold ``clients_bytes`` of the memory.
 
-    ``connections_max`` is the number of descriptors for connections of clients.
+    ``connections_max`` is the number of descriptors for their connections.
     """
-    clients_bytes = int(memory_bytes * CLIENTS_MEMORY_RATIO)
     by_memory = int(clients_bytes * CONNECTIONS_MEMORY_RATIO) // CONNECTION_BYTES
     connections = max(1, min(connections_max, by_memory))
     return AccountLimits(connections, clients_bytes - connections * CONNECTION_BYTES)
