Walk over a job's steps once in a decision

What callers saw: a few jobs of 1,000 steps, 30 KB each, and submissions timed out for 20 s and more; the holder's decisions took seconds, so that it lost the cell for all.

Cause: the sort key of each ready step was computed by walking over all steps of its job, and asking whether the job lasts walked over them again: the square of the steps.

Mend: what the keys of a job's steps share is computed once a decision (job_urgency); the keys are the same. One test orders jobs by due time in its place: it now replaces that part, with the same keys as before.

--- a/features/steps/compared_days_steps.py
+++ b/features/steps/compared_days_steps.py
@@ -32,10 +32,10 @@
 }
 
 
-def due_order(state, step, usual, now_s):
+def due_order(state, usual, now_s):
     """Sort jobs by due time instead of by their value per remaining work."""
-    first = urgency.urgency(state, step, usual, now_s)[:-1]
-    return (*first, state.accepted_at_s + state.job.objective_s())
+    shared = urgency.job_urgency(state, usual, now_s)
+    return shared._replace(order=state.accepted_at_s + state.job.objective_s())
 
 
 def waited_long(step, now_s):
@@ -58,7 +58,9 @@
     "without exchanges": lambda: patch.object(
         separating.Separator, "separate", lambda self, now_s: None
     ),
-    "in the order of due times": lambda: patch.object(dispatch, "urgency", due_order),
+    "in the order of due times": lambda: patch.object(
+        dispatch, "job_urgency", due_order
+    ),
     "without giving up": lambda: patch.object(crashes, "count", lambda *_: []),
     "with lasting tasks moved out": lambda: patch.object(
         Scheduler, "_take_evacuation", move_out
--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -16,7 +16,15 @@
 from .slow_starts import left_idle, may_share_processors, place_slow, set_first_pace
 from .turns import Turn
 from .unplaceable import UnplaceableSteps
-from .urgency import Urgency, by_wait, chance_of, owed, urgency
+from .urgency import (
+    JobUrgency,
+    Urgency,
+    by_wait,
+    chance_of,
+    job_urgency,
+    owed,
+    urgency,
+)
 from .waiting import WaitReason
 from .workers import WorkerState
 
@@ -89,14 +97,17 @@
         if state.status.final:
             continue
         _open_due_occurrences(cell, state, wall_s)
+        shared: JobUrgency | None = None
         for steps in state.occurrences.values():
             for step in steps:
                 if not _is_ready(steps, step):
                     continue
                 if step.ready_at_s is None:
                     step.ready_at_s = now_s
-                key = urgency(state, step, cell.mean_work, now_s)
-                if state.job.lasting and cell.kept_room.active(
+                if shared is None:
+                    shared = job_urgency(state, cell.mean_work, now_s)
+                key = urgency(shared, step, now_s)
+                if shared.lasting and cell.kept_room.active(
                     cell.service_of(state.job), now_s
                 ):
                     key = by_wait(key, step, now_s)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/urgency.py
@@ -12,6 +12,7 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from .progress import JobState, StepState, Task
 from .prospects import prospect, remaining_work_millis_s, work_millis_s
@@ -88,19 +89,33 @@
     return min(RELATIVE_VALUE_MAX, scaled)
 
 
-def urgency(state: JobState, step: StepState, usual: MeanWork, now_s: float) -> Urgency:
-    """Return the sort key of a step; the smallest is placed first."""
+class JobUrgency(NamedTuple):
+    """The part of the sort key that all steps of a job share."""
+
+    priority: int
+    lasting: bool
+    chance: int
+    order: float
+
+
+def job_urgency(state: JobState, usual: MeanWork, now_s: float) -> JobUrgency:
+    """Return what the sort keys of a job's steps share: a walk over all of them."""
     job = state.job
     order = state.accepted_at_s + job.objective_s()
     chance = 0
     if not job.lasting and not job.repeat_count:
         chance = chance_of(state, now_s)
         order = remaining_work_millis_s(state) / usual.relative_value(state)
+    return JobUrgency(job.queue.priority, job.lasting, chance, order)
+
+
+def urgency(shared: JobUrgency, step: StepState, now_s: float) -> Urgency:
+    """Return the sort key of a step; the smallest is placed first."""
     # Prevents starvation of a lasting task that was preempted for an urgent job: while
     # urgent jobs arrive, each of them would be placed before it, including those from
     # queues of higher priority.
     overdue = step.step.lasting and step.interrupted_s(now_s) > LASTING_AWAY_MAX_S
-    return (not overdue, job.queue.priority, job.lasting, chance, order)
+    return (not overdue, *shared)
 
 
 def by_wait(key: Urgency, step: StepState, now_s: float) -> Urgency:
