Keep no more jobs than a decision can walk over

What callers saw: jobs that are each small enough filled the decisions of the holder; and jobs of a crowd that filled the room for jobs turned ordinary ones away for as long as they stayed.

Cause: only memory was bounded, and 120 MB keep 95,000 steps, 1.4 s of a decision. Room was given away to the last byte, to whoever came first.

Evidence (features/crowds.feature): on 40 jobs of 1,000 steps: submissions time out.

Mend: a job also counts 6 decision steps, one for each of its steps, 32 waits or 40 tasks, until it has ended; instance.decision_steps_max, 24,000 of them (about 0.4 s), is the room. A job may take an eighth of the room that is left, in memory and steps, so small jobs still find room when large ones no longer do. The tests' processes have loopback addresses of their own, so that test runs beside one another do not take each other's ports.

Measured: both scenarios pass, the eleven of features/job_costs.feature, and those on small requests and on the sum of jobs.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -91,6 +91,20 @@
     Then an ordinary request is answered after the crowd has left
     And the process lives and has stayed within its settings
 
+  Scenario Outline: Ordinary jobs end beside <count> jobs of <steps> steps
+    # Guards against a holder whose decisions take so long that it loses the cell, for
+    # jobs that are each small enough.
+    Given an entry of 300 MB and 4100 descriptors whose operator allows bodies of 262144 bytes
+    When callers hand in <count> jobs of <steps> steps
+    Then ordinary requests are answered beside the crowd
+    And an ordinary job is completed after the crowd's jobs are cancelled
+    And the process lives and has stayed within its settings
+
+    Examples:
+      | count | steps |
+      | 40    | 1000  |
+      | 250   | 360   |
+
   Scenario Outline: A caller that sends <what> reads the refusal
     # Guards against a refusal that is lost, as closing with unread bytes resets the
     # connection.
--- a/features/job_costs.feature
+++ b/features/job_costs.feature
@@ -1,6 +1,6 @@
 Feature: A job is judged by what it costs before it is stored
   Every instance keeps every job until it is forgotten, and the holder all of its tasks.
-  Here an instance has 64 MB for jobs, and a store whose records have at most 262,144 bytes.
+  Here an instance has 120 MB for jobs, and a store whose records have at most 262,144 bytes.
 
   Scenario Outline: <what> is <outcome>
     # Guards against a small request that becomes more than any instance can hold, and
@@ -26,8 +26,26 @@
     When callers hand in 20 jobs of 4000 tasks at once
     Then 2 of them find room
     When the log shows them, and 20 further jobs are handed in
-    Then 2 of them find room
-    When the log shows them, and 20 further jobs are handed in
     Then 1 of them find room
+    When the log shows them, and 20 further jobs are handed in
+    Then 0 of them find room
     When the log shows them, and the first is forgotten
-    Then a job of 1000 tasks finds room
+    Then a job of 4000 tasks finds room
+
+  Scenario: Small jobs find room when large ones no longer do
+    # Guards against a crowd whose jobs fill all the room and turn ordinary ones away.
+    Given an instance with 40 MB for jobs, among 1, of which the smallest has 40 MB
+    When callers hand in 100 jobs of 4000 tasks at once
+    Then 13 of them find room
+    When callers hand in 100 jobs of 40 tasks at once
+    Then 100 of them find room
+
+  Scenario: Jobs that have ended take no part of the decisions
+    # Guards against a cell that turns jobs away for those it has long finished.
+    Given an instance with 400 MB for jobs, among 1, of which the smallest has 400 MB
+    When callers hand in 40 jobs of 4000 tasks at once
+    Then 30 of them find room
+    When callers hand in 10 jobs of 1 tasks in 400 steps at once
+    Then 0 of them find room
+    When the log shows that all have ended, and 10 such jobs are handed in
+    Then 2 of them find room
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -14,12 +14,13 @@
 from behave import given, then, when
 from support import crowds
 from support.watched import (
-    HOST,
     LOOPBACK,
+    METRICS_PORT,
     MIB,
     PLATFORM,
     START_TIMEOUT_S,
     Watch,
+    free_host,
     free_port,
     platform_entry,
     store_and_workers,
@@ -44,7 +45,6 @@
 PREFIX = "/checks/"
 # Of a process's descriptors, those that are kept for files.
 FILE_DESCRIPTORS = 200
-METRICS_PORT = 9464
 PATIENCE_S = 20.0
 # How often an ordinary caller tries again, as the pages say it does.
 TRIES = 5
@@ -98,20 +98,21 @@
             "limits": {**OPERATOR_LIMITS, "maxBodyBytes": body_bytes},
         }
         store = stack.enter_context(store_and_workers(configuration))
+        self.host = host = free_host()
         self.ports = {
-            "callers": free_port(HOST),
-            "readiness": free_port(HOST),
-            "peers": free_port(HOST),
+            "callers": free_port(host),
+            "readiness": free_port(host),
+            "peers": free_port(host),
             "metrics": METRICS_PORT,
         }
         settings = f"""
             nodeName = "edge-1"
             zone = "dc-1"
-            ip = "{HOST}"
+            ip = "{host}"
             internalPorts = [{self.ports["peers"]}, {self.ports["peers"]}]
             [listenAddrs]
-            frontend = "{HOST}:{self.ports["callers"]}"
-            readiness = "{HOST}:{self.ports["readiness"]}"
+            frontend = "{host}:{self.ports["callers"]}"
+            readiness = "{host}:{self.ports["readiness"]}"
             [limits]
             memoryMb = {memory_mb}
             maxFds = {descriptors}
@@ -121,11 +122,10 @@
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         self.memory_bytes = memory_mb * MIB
         self.sockets_max = descriptors - FILE_DESCRIPTORS
-        self.host = HOST
         self.path = PREFIX + 16 * "f"
         self.queue_host = QUEUE_HOST
         self.process = stack.enter_context(platform_entry(folder, settings))
-        self.watch = Watch(self.process, HOST, self.memory_bytes)
+        self.watch = Watch(self.process, host, self.memory_bytes)
         self.watch.start()
         stack.callback(self.watch.stop)
         self._jobs = 0
@@ -134,7 +134,7 @@
     def call(self, method, path, body=None, listener="callers"):
         """Send one request on a connection of its own; return its status."""
         connection = http.client.HTTPConnection(
-            HOST, self.ports[listener], timeout=PATIENCE_S
+            self.host, self.ports[listener], timeout=PATIENCE_S
         )
         try:
             headers = {"Host": QUEUE_HOST}
@@ -145,6 +145,17 @@
         finally:
             connection.close()
 
+    def state(self, job_id):
+        """Return the state of a job."""
+        connection = http.client.HTTPConnection(
+            self.host, self.ports["callers"], timeout=PATIENCE_S
+        )
+        try:
+            connection.request("GET", PREFIX + job_id, headers={"Host": QUEUE_HOST})
+            return json.loads(connection.getresponse().read()).get("state")
+        finally:
+            connection.close()
+
     def submit(self, job):
         """Hand a job in under a new id; return the id and the status."""
         self._jobs += 1
@@ -373,6 +384,21 @@
         context.site.call("POST", "/v1/jobs", json.dumps(job))
 
 
+@when("callers hand in {count:d} jobs of {steps:d} steps")
+def hand_in_steps(context, count, steps):
+    job = {"spec": "", "phases": steps * [{"cpu": 2_000_000}]}
+    context.job_ids = [context.site.submit(job)[0] for _ in range(count)]
+
+
+@then("an ordinary job is completed after the crowd's jobs are cancelled")
+def check_completed(context):
+    cancel_jobs(context)
+    site = context.site
+    job_id, status = site.submit(ORDINARY_JOB)
+    assert status == 200, status
+    assert wait_until(lambda: site.state(job_id) == "completed", PATIENCE_S)
+
+
 @when("the crowd's jobs are cancelled")
 def cancel_jobs(context):
     for job_id in context.job_ids:
--- a/features/steps/job_cost_steps.py
+++ b/features/steps/job_cost_steps.py
@@ -7,12 +7,13 @@
 from hornbeampaddle.cell.jobs import Job, Queue, Step
 from hornbeampaddle.machines import Address
 from hornbeampaddle.resources import Resources
-from hornbeampaddle_cell.job_costs import CostGate, JobCosts, excess
+from hornbeampaddle_cell.job_costs import Cost, CostGate, JobCosts, excess
 from hornbeampaddle_cell.ledger import job_record
 from hornbeampaddle_cell.peers import PeerDirectory, peer_record
 from hornbeampaddle_cell.settings import InstanceSettings
 
 MIB = 2**20
+STEPS_MAX = 4000
 QUEUE = Queue("checks", "compute")
 CLOCK = SimpleNamespace(now_s=lambda: 0.0)
 
@@ -38,7 +39,7 @@
 def make_job(context, steps, tasks, occurrences, interval):
     context.job = _job(1, steps, tasks, occurrences, float(interval))
     settings = InstanceSettings(
-        "i-1", "i", "dc-1", 1.0, record_bytes=262_144, memory_bytes=160 * MIB
+        "i-1", "i", "dc-1", 1.0, record_bytes=262_144, memory_bytes=300 * MIB
     )
     context.excess = excess(context.job, job_record(context.job), settings)
 
@@ -68,7 +69,7 @@
     context.gate = CostGate(
         CLOCK,
         context.costs,
-        lambda: directory.least_jobs_memory_bytes(own * MIB),
+        lambda: Cost(directory.least_jobs_memory_bytes(own * MIB), STEPS_MAX),
         lambda: len(directory) + 1,
     )
     context.numbers = iter(range(1000))
@@ -85,6 +86,26 @@
             context.admitted.append(job)
 
 
+@when("callers hand in {count:d} jobs of {tasks:d} tasks in {steps:d} steps at once")
+def hand_in_steps(context, count, tasks, steps):
+    earlier = getattr(context, "admitted", [])
+    context.admitted = []
+    for _ in range(count):
+        job = _job(next(context.numbers), steps, tasks)
+        if context.gate.admits(job):
+            context.gate.storing(job)
+            context.admitted.append(job)
+    context.earlier = earlier
+
+
+@when("the log shows that all have ended, and {count:d} such jobs are handed in")
+def end_and_hand_in(context, count):
+    for job in [*context.earlier, *context.admitted]:
+        context.costs.add(job)
+        context.costs.end(job.job_id)
+    hand_in_steps(context, count, 1, 400)
+
+
 @then("{count:d} of them find room")
 def check_admitted(context, count):
     assert len(context.admitted) == count, len(context.admitted)
--- a/features/support/watched.py
+++ b/features/support/watched.py
@@ -14,9 +14,10 @@
 ROOT = Path(__file__).parent.parent.parent
 PLATFORM = ROOT / "platform"
 LOOPBACK = "127.0.0.1"
-# Apart from the addresses of other scenarios: each process serves its metrics and its
-# peers on fixed ports.
-HOST = "127.0.0.67"
+# Each process serves its metrics on this port, so processes of test runs beside one
+# another need addresses of their own.
+METRICS_PORT = 9464
+HOSTS = [f"127.1.{number}.67" for number in range(1, 250)]
 SAMPLE_INTERVAL_S = 0.01
 # The watch ends a process that grows beyond this many times its limit, so that a test
 # that fails does not exhaust the machine.
@@ -133,6 +134,20 @@
         process.wait()
 
 
+def free_host():
+    """Return a loopback address that no other test run uses now."""
+    first = os.getpid()
+    for offset in range(len(HOSTS)):
+        host = HOSTS[(first + offset) % len(HOSTS)]
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, METRICS_PORT))
+            except OSError:
+                continue
+            return host
+    raise AssertionError("every loopback address for entries is in use")
+
+
 def free_port(host):
     """Return a port of an address that is free now."""
     with socket.socket() as probe:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/instance.py
@@ -21,7 +21,7 @@
 from .follower import Follower, Handler
 from .group_commit import GroupCommit
 from .holder import Holder
-from .job_costs import CostGate
+from .job_costs import Cost, CostGate
 from .leadership import HOLDER_KEY, HolderRecord, Leadership, encode_holder
 from .ledger import Ledger
 from .load_gate import LoadGate
@@ -134,14 +134,15 @@
             CostGate(
                 clock,
                 self.ledger.costs,
-                self._jobs_memory_bytes,
+                self._jobs_limit,
                 lambda: len(self.peer_directory) + 1,
             ),
         )
 
-    def _jobs_memory_bytes(self) -> int:
+    def _jobs_limit(self) -> Cost:
         own_bytes = self.settings.jobs_memory_bytes
-        return self.peer_directory.least_jobs_memory_bytes(own_bytes)
+        memory_bytes = self.peer_directory.least_jobs_memory_bytes(own_bytes)
+        return Cost(memory_bytes, self.settings.decision_steps_max)
 
     def _follow(self, topic: Topic, handler: Handler) -> Follower:
         follower = Follower(self.store, topic, self.clock, handler)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/ledger.py
@@ -183,6 +183,8 @@
         else:
             self.statuses[record.key] = decode_status(value)
             self.progress[record.key] = value
+            if self.statuses[record.key].final:
+                self.costs.end(record.key)
 
     def _apply_learned(self, key: str, value: bytes | None) -> None:
         if value is None:
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/settings.py
@@ -45,6 +45,9 @@
     job_payload_bytes: int = 16_384
     # Number of steps of a job: more of them would not fit a record.
     job_steps_max: int = 1024
+    # What a decision may walk over, in steps of jobs that have not ended: it takes a
+    # fraction of the time after which a holder is replaced.
+    decision_steps_max: int = 24_000
     # Share of the memory for the jobs that are kept; the smallest instance's counts.
     jobs_memory_ratio: float = 0.4
     # Pause between the holder's reads of the list of workers: drains must take effect
