Let go of a request's body before its answer is read

What callers saw: nothing yet; found by reading the connection once more.

Evidence: the new scenario of features/account.feature: a third reference to the body while the answer waits.

Mend: the connection drops the request once it is handled.

--- a/features/account.feature
+++ b/features/account.feature
@@ -65,3 +65,10 @@
     Given 100 connections that each ask for 10 turns, of which 8 are given at a time
     When another task counts the iterations meanwhile
     Then it has counted 100 at least, and all have had their turns evenly
+
+  Scenario: An answer that nobody reads keeps no body
+    # Guards against bodies that are held, and not charged, for as long as their senders
+    # leave the answers unread.
+    Given a listener whose answers are larger than the buffers on the way
+    When a client sends a body and does not read the answer
+    Then only the answer is charged, and nothing holds the body
--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -6,10 +6,11 @@
 
 import structlog
 from behave import given, then, when
-from support.watched import PLATFORM
+from support.watched import LOOPBACK, PLATFORM
 
 sys.path.insert(0, str(PLATFORM))
 
+from hornbeampaddle.machines import Address
 from hornbeampaddle_cell.settings import InstanceSettings
 from hornbeampaddle_platform.main import client_account, descriptor_plan
 from hornbeampaddle_wire.account import (
@@ -20,9 +21,12 @@
     Holding,
 )
 from hornbeampaddle_wire.descriptors import FILE_DESCRIPTORS
+from hornbeampaddle_wire.http_messages import Response
+from hornbeampaddle_wire.http_server import HttpLimits, HttpServer
 from hornbeampaddle_wire.turns import Turns
 
 MIB = 2**20
+PATIENCE_S = 20.0
 LIMITS = AccountLimits(8, 1_000_000)
 
 
@@ -244,3 +248,39 @@
     first_rounds = context.taken[: connections * (turns - 1)]
     for number in range(connections):
         assert first_rounds.count(number) >= turns - 2, number
+
+
+@given("a listener whose answers are larger than the buffers on the way")
+def make_listener(context):
+    context.bodies = []
+
+    async def answer(request):
+        context.bodies.append(request.body)
+        return Response(200, 16 * MIB * b"x")
+
+    context.server = HttpServer("callers", HttpLimits(), answer)
+
+
+@when("a client sends a body and does not read the answer")
+def send_unread(context):
+    async def send():
+        address = await context.server.start(Address(LOOPBACK, 0))
+        _, writer = await asyncio.open_connection(address.host, address.port, limit=1)
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n")
+        writer.write(99_999 * b"x")
+        async with asyncio.timeout(PATIENCE_S):
+            while not context.server.account.held_bytes > MIB:
+                await asyncio.sleep(0)
+        context.charged_bytes = context.server.account.held_bytes
+        # One reference is the list's, one that of the call.
+        context.references = sys.getrefcount(context.bodies[0])
+        writer.transport.abort()
+        await context.server.close()
+
+    asyncio.run(send())
+
+
+@then("only the answer is charged, and nothing holds the body")
+def check_unread(context):
+    assert MIB < context.charged_bytes <= 16 * MIB + UNCHARGED_BYTES
+    assert context.references == 2, context.references
--- a/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_connection.py
+++ b/packages/hornbeampaddle-wire/hornbeampaddle_wire/http_connection.py
@@ -109,6 +109,8 @@
             return False
         self.account.serving(self.holding)
         response = await self._handle(request)
+        # Its body is not charged any more while the client leaves the answer unread.
+        del request
         closing = self.server.stopping or self.server.close_after_response
         keep_alive = state.their_state is h11.DONE and not closing
         await self._write(state, response, keep_alive)
