--- a/review/standins3/bench3.py
+++ b/review/standins3/bench3.py
@@ -364,6 +364,8 @@
         self.cpu = cpu
         self.mem_mb = mem_mb
         self.labels = labels
+        # The Unix millisecond of its start, if this deployment's workers state it.
+        self.born: int | None = None
         self.server = HttpServer(self._handle)
         self.alive = True
         self.state = "ready"
@@ -380,13 +382,18 @@
         # Returns what to do with a call instead of serving it, or None.
         self.trouble: Callable[[Call], object] = lambda call: None
 
+    @property
+    def life(self) -> str:
+        """Return the worker's id, with its birth if it states that."""
+        return self.name if self.born is None else f"{self.name}@{self.born}"
+
     def clock_s(self) -> float:
         """Return the time of the worker's steady clock."""
         return now_s() + self.skew_s
 
-    async def start(self) -> None:
+    async def start(self, port: int = 0) -> None:
         """Listen, register, and live."""
-        await self.server.start("127.0.0.1")
+        await self.server.start("127.0.0.1", port)
         self.beat()
         self.tasks = [
             asyncio.create_task(self._beats()),
@@ -409,11 +416,15 @@
                 "coldRemainingMs": 0,
                 "capacity": {"cpu": self.cpu, "memMb": self.mem_mb, "gpu": 0},
                 "labels": self.labels,
+                **self._birth(),
                 "clockMs": round(self.clock_s() * 1000),
                 "seqNum": self.sequence,
             },
         )
 
+    def _birth(self) -> dict[str, int]:
+        return {} if self.born is None else {"born": self.born}
+
     async def _beats(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
@@ -428,9 +439,11 @@
         for run in self.runs.values():
             self.cell.record.run_ended(self, run, "lost")
         self.runs.clear()
-        asyncio.get_running_loop().call_later(
-            3 * HEARTBEAT_S, self.cell.store.write, "keyed.servers", self.name, None
-        )
+        asyncio.get_running_loop().call_later(3 * HEARTBEAT_S, self._remove_entry)
+
+    def _remove_entry(self) -> None:
+        if not any(w.alive and w.name == self.name for w in self.cell.workers):
+            self.cell.store.write("keyed.servers", self.name, None)
 
     def _end(self, run: Run, how: str) -> None:
         self.end_count += 1
@@ -547,7 +560,7 @@
             measure = run.spec.get("tail", run.spec.get("cpu", 0))
             running.append([run.task, run.number, run.checkpoint, percent, measure])
         ends = list(self.ends)[:500]
-        return self._json(200, running=running, endedRuns=ends)
+        return self._json(200, running=running, endedRuns=ends, **self._birth())
 
 
 # What was seen
@@ -585,15 +598,15 @@
 
     def run_begun(self, worker: Worker, run: Run) -> None:
         """Note that a worker has begun a run."""
-        seen = Seen(run.task, run.number, worker.name, now_s())
+        seen = Seen(run.task, run.number, worker.life, now_s())
         self.runs.setdefault(run.task, []).append(seen)
         if not self.quiet_runs:
-            self.add("begun", task=run.task, run=run.number, worker=worker.name)
+            self.add("begun", task=run.task, run=run.number, worker=worker.life)
 
     def run_ended(self, worker: Worker, run: Run, how: str) -> None:
         """Note that a run has ended."""
         for seen in self.runs.get(run.task, []):
-            if seen.number == run.number and seen.worker == worker.name:
+            if seen.number == run.number and seen.worker == worker.life:
                 seen.ended_s, seen.how = now_s(), how
         if not self.quiet_runs:
             self.add("ended", task=run.task, run=run.number, how=how)
@@ -601,7 +614,7 @@
     def end_noted(self, worker: Worker, end: list) -> None:
         """Note that an end was taken note of."""
         for seen in self.runs.get(end[1], []):
-            if seen.number == end[2] and seen.worker == worker.name:
+            if seen.number == end[2] and seen.worker == worker.life:
                 seen.noted_s = now_s()
 
     def of_job(self, job_id: str) -> list[Seen]:
@@ -703,7 +716,9 @@
 
 def _free_network(count: int) -> list[str]:
     """Return addresses in 127.0.0.0/8 on which the metrics port is free."""
-    for third in range(20, 250):
+    # Cases that start at the same moment begin their search at different addresses.
+    for step in range(220):
+        third = 20 + (os.getpid() * 7 + step) % 220
         hosts = [f"127.3.{third}.{number + 1}" for number in range(count)]
         try:
             for host in hosts:
@@ -783,8 +798,10 @@
             int(kind.get("mem_mb", 256000)),  # type: ignore[call-overload]
             list(kind.get("labels", ["a", "r1-1"])),  # type: ignore[call-overload]
         )
+        if kind.get("born"):
+            worker.born = round(time.time() * 1000)
         self.workers.append(worker)
-        await worker.start()
+        await worker.start(int(kind.get("port", 0)))  # type: ignore[call-overload]
         return worker
 
     async def start(self, entries: int) -> None:
