--- a/review/12/case.py
+++ b/review/12/case.py
@@ -9,7 +9,7 @@
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "standins3"))
 
-from bench3 import HANG, TROUBLE, Call, Cell, Entry, Seen, now_s, run_case  # noqa: E402
+from bench3 import HANG, TROUBLE, Call, Cell, Entry, Seen, now_s, require, run_case  # noqa: E402
 
 JOB = "5c0e7a21d94b36f8"
 WORKERS = 6
@@ -86,7 +86,7 @@
     if await cell.submit(JOB, body) != 200:
         raise OSError("the job was not accepted")
     await asyncio.sleep(POWER_LOSS_AT_S)
-    await cell.state(JOB)
+    require(await cell.state(JOB) == "completed", "the job is not done in time")
     if TROUBLE:
         await lose_power(str(late["worker"]))
     await asyncio.sleep(10.0)
--- a/review/standins3/bench3.py
+++ b/review/standins3/bench3.py
@@ -18,6 +18,8 @@
 import tempfile
 import time
 import tomllib
+import traceback
+import zlib
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -36,8 +38,11 @@
 HEARTBEAT_S = 1.1
 MAX_HOLD_S = 10.0
 STOP_S = 0.3
-GANG_TIMEOUT_S = 3.0
 RESTORE_S = 0.6
+CHECKPOINT_S = 2.0
+# A longer lag of the stand-ins could pass for a slow store or for slow workers: entry
+# processes wait 0.6 s and more for an answer.
+LAG_MAX_S = 0.5
 REFUSE = object()
 HANG = object()
 
@@ -345,6 +350,8 @@
     begun_s: float
     checkpoint: str = ""
     stop_at_s: float = float("inf")
+    # The work that the checkpoint it was started from had saved.
+    resumed_s: float = 0.0
 
 
 class Worker:
@@ -455,8 +462,8 @@
         self.ended = asyncio.Event()
 
     def worked_s(self, run: Run) -> float:
-        """Return how long a run has been at work."""
-        return max(0.0, now_s() - run.begun_s)
+        """Return the work of a run, with what its checkpoint had saved."""
+        return max(run.resumed_s, now_s() - run.begun_s + run.resumed_s)
 
     async def _live(self) -> None:
         while True:
@@ -526,7 +533,9 @@
         self._renew(order)
         spec = json.loads(order["spec"])
         saved = order.get("checkpoint", "")
-        run = Run(task, number, spec, now_s(), saved)
+        begun_s = now_s() + (RESTORE_S if saved else 0.0)
+        run = Run(task, number, spec, begun_s, saved)
+        run.resumed_s = CHECKPOINT_S * int(saved[:4], 16) if saved else 0.0
         self.runs[task] = run
         self.highest[task] = number
         self.cell.record.run_begun(self, run)
@@ -586,7 +595,9 @@
         """Begin an empty record."""
         self.file = (folder / "record.txt").open("w")
         self.begun_s = now_s()
+        self.lag_s = 0.0
         self.runs: dict[str, list[Seen]] = {}
+        self.runs_by_job: dict[str, list[Seen]] = {}
         # Whether each run is written, or only counted.
         self.quiet_runs = False
 
@@ -600,6 +611,7 @@
         """Note that a worker has begun a run."""
         seen = Seen(run.task, run.number, worker.life, now_s())
         self.runs.setdefault(run.task, []).append(seen)
+        self.runs_by_job.setdefault(run.task.partition(".")[0], []).append(seen)
         if not self.quiet_runs:
             self.add("begun", task=run.task, run=run.number, worker=worker.life)
 
@@ -619,12 +631,7 @@
 
     def of_job(self, job_id: str) -> list[Seen]:
         """Return all runs of a job's tasks."""
-        return [
-            seen
-            for task, runs in self.runs.items()
-            if task.startswith(job_id + ".")
-            for seen in runs
-        ]
+        return list(self.runs_by_job.get(job_id, ()))
 
 
 # The system
@@ -766,7 +773,8 @@
 
     def checkpoint(self, task: str, worked_s: float) -> str:
         """Return the checkpoint of a task after some work: 16 digits."""
-        return f"{int(worked_s // 2):04x}{task[:12]}" if worked_s >= 2 else ""
+        saved = int(worked_s // CHECKPOINT_S)
+        return f"{saved:04x}{task[:12]}" if saved else ""
 
     def configure(self) -> None:
         """Write the configuration as the operator."""
@@ -834,6 +842,24 @@
                 await asyncio.sleep(0.2)
         self.record.add("all entry processes are ready")
 
+    def require_room(self, cpu_of: Callable[[str], int], cpu: int) -> None:
+        """
+        Require what LOST asks for: room twice over, and under half of it in use.
+
+        ``cpu_of`` returns the cores of a job's task, in thousandths; ``cpu`` is what a
+        waiting job needs.
+        """
+        alive = [worker for worker in self.workers if worker.alive]
+        used = {
+            w.name: sum(cpu_of(run.task.partition(".")[0]) for run in w.runs.values())
+            for w in alive
+        }
+        whole = sum(worker.cpu for worker in alive)
+        free = max(worker.cpu - used[worker.name] for worker in alive)
+        self.record.add("cores", used=sum(used.values()), of=whole, widest_free=free)
+        require(2 * sum(used.values()) < whole, "half of the capacity is in use")
+        require(free >= 2 * cpu, "no room twice over")
+
     def record_memory(self) -> None:
         """Write the largest memory of each process, beside its limit."""
         for entry in self.entries:
@@ -884,7 +910,8 @@
         """Hand a job in, with a client's retries at other nodes; return the status."""
         status = 0
         for number in range(tries):
-            entry = self.entries[(hash(job_id) + number) % len(self.entries)]
+            first = zlib.crc32(job_id.encode())
+            entry = self.entries[(first + number) % len(self.entries)]
             status, answer = await self.call(entry, "POST", prefix + job_id, body)
             self.record.add(
                 "POST", job=job_id, at=entry.name, status=status, answer=answer
@@ -917,20 +944,44 @@
                 self.record.add(f"log of {entry.name}: {json.dumps(line)}")
 
 
+async def watch_lag(record: Record) -> None:
+    """Note the longest time for which the stand-ins could not answer."""
+    while True:
+        due_s = now_s() + 0.05
+        await asyncio.sleep(0.05)
+        record.lag_s = max(record.lag_s, now_s() - due_s)
+
+
+def require(holds: bool, what: str) -> None:
+    """End the case as one that could not run, unless a condition of it holds."""
+    if not holds:
+        raise CaseError(what)
+
+
 def run_case(main: Callable[[], Awaitable[bool]], cell: Cell, limit_s: float) -> None:
     """Run a case and exit with 1 if the rule was broken, 0 if it held, 2 otherwise."""
 
     async def bounded() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        lag = asyncio.create_task(watch_lag(cell.record))
         try:
             async with asyncio.timeout(limit_s):
-                return await main()
+                broken = await main()
+            cell.record.add("stand-ins", longest_lag_s=round(cell.record.lag_s, 3))
+            require(cell.record.lag_s < LAG_MAX_S, "the stand-ins were too slow")
+            return broken
         finally:
+            lag.cancel()
             await cell.stop()
 
     try:
         broken = asyncio.run(bounded())
-    except (CaseError, TimeoutError, OSError) as error:
-        cell.record.add("the case could not run", error=repr(error))
+    except (Exception, asyncio.CancelledError):
+        # Also an error of the script itself: it must not pass for a broken rule.
+        cell.record.add("the case could not run: " + traceback.format_exc(limit=-2))
         sys.exit(2)
     cell.record.add("rule broken" if broken else "rule held", trouble=TROUBLE)
     sys.exit(1 if broken else 0)
