Bound the numbers that other writers and workers may send

Other operators' report: "a number too large". A configuration's numbers had no bound. A report's percent and measure had none either: 1e300 was calculated with.

Whole and real numbers of the configuration, of reports and of advice are within 2**53 now, each way.

Tried and found without a fault: labels, zones and evacuations (no number in them), ports and births of entries (bounded already), addresses of peers, the page of newest records.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -25,6 +25,14 @@
       | no processors              |
       | an address without a port  |
       | an address of port 70000   |
+      | an address of port +80     |
+      | an address of port 8_0     |
+      | an address of port 080     |
+      | a port in another script   |
+      | a port with a space        |
+      | a port of 5,000 digits     |
+      | a birth of 4,000 digits    |
+      | 2**64 millicores           |
       | an address without a host  |
       | an address with a gap      |
       | an address that is a name  |
@@ -225,6 +233,42 @@
       | who watches the holder        |
       | pages of newest records       |
 
+  Scenario Outline: A configuration with <what> is not used
+    # Guards against jobs that no instance can store, and metrics that none can show:
+    # their formats hold numbers of 64 bits, the operator's is not limited.
+    Given the operator's configuration with <what>
+    Then it is not understood, which is logged
+
+    Examples:
+      | what                         |
+      | a version of 2**64           |
+      | a version of 4,000 digits    |
+      | a priority of 2**64          |
+      | a priority of -2**64         |
+      | a priority of 4,000 digits   |
+      | 2**64 attempts               |
+      | a latency target of 1e300 ms |
+      | a stretch factor of 1e300    |
+      | an advice time of 1e300 ms   |
+      | a body limit of 2**64        |
+      | an idle timeout of 1e300 ms  |
+
+  Scenario: Whatever numbers a configuration holds, its jobs are stored and decided on
+    # As above, for each number that is let pass.
+    Then arbitrary numbers in a configuration fail in no later place
+
+  Scenario Outline: A worker's report with <what> is not understood
+    # Guards against a leader that ends because a worker's measurement fits no number
+    # that it calculates with.
+    Given a worker that answers a report with <what>
+    When its report is requested
+    Then the worker counts as not answering, which is logged
+
+    Examples:
+      | what               |
+      | 1e300 percent      |
+      | a measure of 1e300 |
+
   Scenario: An unreadable configuration causes no permanent refusals
     # Guards against answering 404 for a queue that the unreadable configuration may
     # add.
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -488,10 +488,19 @@
 }
 
 
+STRANGE_ROWS = {
+    "1e300 percent": {"running": [["job.0.0.0", 1, "", 1e300]]},
+    "a measure of 1e300": {"running": [["job.0.0.0", 1, "", 1, 1e300]]},
+}
+
+
 @given("a worker that answers a report with {what}")
-def strange_birth(context, what):
+def strange_report(context, what):
+    strange = STRANGE_ROWS.get(what) or {"born": BIRTHS[what]}
+    body = json.dumps({"clockMs": 1} | strange).encode()
+
     async def handle(request):
-        return Response(200, json.dumps({"clockMs": 1, "born": BIRTHS[what]}).encode())
+        return Response(200, body)
 
     context.handle = handle
 
