Bound the wait for a worker that may carry out a late copy

It waits for 2 s after the worker was first seen now. - It waited as `stray_run`, which lets other runs make room although none is short: `late_start`. - Workers were compared field by field when it was looked up whether one may be used. - A new holder walked over all tasks of all jobs for those that records name; a record was written in one walk more than before.

--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -211,7 +211,7 @@
                 reason = WaitReason.APART
             continue
         if turn.awaits_late_worker(task):
-            reason = WaitReason.STRAY_RUN
+            reason = WaitReason.LATE_START
             continue
         worker = turn.late_worker(task, ranking) or ranking.choose(
             task.key, task.last_worker_id
--- a/packages/hornbeampaddle/hornbeampaddle/cell/late_starts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/late_starts.py
@@ -59,10 +59,10 @@
 
     def inherit(self, state: JobState, now_s: float) -> None:
         """Count the copies in a job's record as if they were sent now."""
-        for task in state.tasks():
-            if task.late_start_until_s == float("inf"):
-                task.late_start_until_s = now_s + LATE_ORDER_MAX_S
-                self._expiring.append((task.late_start_until_s, task))
+        for task in state.late_tasks:
+            task.late_start_until_s = now_s + LATE_ORDER_MAX_S
+            self._expiring.append((task.late_start_until_s, task))
+        state.late_tasks.clear()
 
     def expire(self, now_s: float) -> None:
         """Forget the copies that can no longer be carried out."""
--- a/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/progress.py
@@ -205,6 +205,8 @@
     waited_s: dict[str, float] = field(default_factory=dict)
     # What is known of its tasks' run times.
     times: TaskTimes = ESTIMATES
+    # The tasks of which its record says that a copy of a start may arrive late.
+    late_tasks: list[Task] = field(default_factory=list)
 
     def open_occurrence(self, number: int) -> list[StepState]:
         """Return the steps of one occurrence, creating them if necessary."""
@@ -296,12 +298,9 @@
     for number, steps in state.occurrences.items():
         tasks = [task for step in steps for task in step.tasks]
         rows.append((number, [_pack(task) for task in tasks]))
-        late_starts += [
-            (number, task_index, task.late_worker_name)
-            for task_index, task in enumerate(tasks)
-            if task.late_start_open
-        ]
         for task_index, task in enumerate(tasks):
+            if task.late_start_open:
+                late_starts.append((number, task_index, task.late_worker_name))
             if task.done or not task.crashed_runs:
                 continue
             names = {run: worker.name for run, worker in task.crashed_runs.items()}
@@ -376,6 +375,7 @@
         task = _task_at(state, number, task_index)
         task.late_start_until_s = float("inf")
         task.late_worker_name = worker_name
+        state.late_tasks.append(task)
     for number, task_index, crashed, prompt in record.crashes:
         task = _task_at(state, number, task_index)
         task.prompt_crashes = prompt
--- a/packages/hornbeampaddle/hornbeampaddle/cell/turns.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/turns.py
@@ -16,6 +16,10 @@
     from .scheduler import Scheduler
 
 
+# How long a task waits for the first report of a worker, and for its entry.
+FIRST_REPORT_MAX_S = 2.0
+
+
 @dataclass(slots=True)
 class Turn:
     """
@@ -63,21 +67,24 @@
         attempt before it carries out the copy, and until then it refuses the copy.
         """
         worker = self._worker_of_late_start(task)
-        if worker is None or worker not in self.workers:
+        if worker is None or not any(other is worker for other in self.workers):
             return None
         fits = can_place(self.step.step, worker, task.key, ranking.used)
         return worker if fits else None
 
     def awaits_late_worker(self, task: Task) -> bool:
         """
-        Return whether that worker runs the copy, or has yet to report whether it does.
+        Return whether that worker runs the copy, or is about to report whether it does.
 
         It has started again, or this holder has just begun.
         """
         worker = self._worker_of_late_start(task)
         if worker is None or worker.silent:
             return False
-        return not worker.reported or not worker.listed or task.key in worker.runs
+        if task.key in worker.runs:
+            return True
+        new = self.now_s - worker.listed_at_s < FIRST_REPORT_MAX_S
+        return new and not (worker.reported and worker.listed)
 
     def _worker_of_late_start(self, task: Task) -> WorkerState | None:
         if not task.late_worker_name or self.step.step.filler:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/waiting.py
@@ -46,6 +46,7 @@
     GANG_ENDING = "gang_ending"
     ROOM_RESERVED = "room_reserved"
     STRAY_RUN = "stray_run"
+    LATE_START = "late_start"
     APART = "apart"
     STARTS_PENDING = "starts_pending"
 
