--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -53,11 +53,11 @@
 # How often a start or a report checks whether the worker's lease, which must not be
 # extended for now, may be renewed: about the duration of one append to the store.
 LEASE_CHECK_INTERVAL_S = 0.02
+# How long a report waits for that: a few appends.
+RENEWAL_WAIT_MAX_S = 0.2
 # How often a start that is sent again checks whether the record of the copies before
 # it is stored.
 RECORD_CHECK_INTERVAL_S = 0.01
-# How long a report waits for that: a few appends.
-RENEWAL_WAIT_MAX_S = 0.2
 # Pause before an unsettled stop is sent again; it doubles up to the maximum. Including
 # the timeout of an answer, stops go out 0.8 s apart at first and 1.6 s apart later.
 STOP_RETRY_BASE_S = 0.2
@@ -332,6 +332,7 @@
                 run=run.number,
                 worker=self.worker_id,
                 outcome=repr(outcome),
+                copies_sent=run.copies_sent,
                 pause_s=pause_s,
             )
             await asyncio.sleep(pause_s)
--- a/packages/hornbeampaddle/hornbeampaddle/cell/late_starts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/late_starts.py
@@ -72,7 +72,7 @@
                 task.late_start_until_s = float("-inf")
                 task.late_worker_name = ""
 
-    def take_unrecorded(self) -> frozenset[RunName]:
+    def unrecorded_runs(self) -> frozenset[RunName]:
         """Return the runs whose open copies the records of this decision tell of."""
         return frozenset(self._unrecorded)
 
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -671,7 +671,7 @@
                 decision.records[job_id] = encode(state)
         self._newly_active -= self.dirty
         self.dirty.clear()
-        decision.late_starts = self.late_starts.take_unrecorded()
+        decision.late_starts = self.late_starts.unrecorded_runs()
         self._close_finished(now_s)
         decision.births_ms = self.incarnations.take_birth_changes()
         decision.lapses = self.lapses.due(self, now_s)
