Let a worker confirm an entry that says it has started again

An entry under its id with a birth that is not its own, 2**53 or a second later, was taken at its word: the incarnation at work was ended, its tasks ran twice, and the worker's own entry was taken for an outdated one, so that it got no task until the holder changed. With one such entry for each worker nothing in the cell was usable any more.

Now, while the earlier incarnation answers, the entry is kept apart and the worker is asked at once: a report of the new birth confirms it, with the entry's capacity and labels, and one of the old birth drops it (`listing_contradicted`); until its own entry is back nothing more starts there, as after any entry that names no worker. A silent worker can't be asked; then the entry counts as before.

The two scenarios fail before (no worker usable, 8 of 8 tasks twice in the first trial) and pass now.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -280,6 +280,28 @@
     When the operator stores a readable configuration
     Then every instance answers 404 to a request for an unknown queue
 
+  Scenario Outline: An entry under a sound worker's id with <birth> ends none of its runs
+    # Guards against tasks that run twice, and a worker that is used no more: the entry
+    # says that the worker has started again, which it has not.
+    Given a cell of 3 instances and 4 workers
+    And tasks take 6 s
+    When a job "ef0d" of 1 steps of 8 tasks is handed in
+    And 2 s pass in the cell
+    And another writer overwrites the entries of all workers with <birth>
+    And 2 s pass in the cell
+    Then the holder may use 0 workers
+    When all workers write their entries again
+    And 1 s pass in the cell
+    Then the holder may use 4 workers
+    And the job "ef0d" is shown as completed within 12 s
+    And no promise of the cell was broken
+    And no task was started more often than needed
+
+    Examples:
+      | birth              |
+      | the largest birth  |
+      | a birth 1 s later  |
+
   Scenario: An entry without a birth does not replace a worker that states one
     # Guards against runs that are released although their worker goes on.
     Given a cell of 3 instances and 4 workers
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from pathlib import Path
 from random import Random
+from types import SimpleNamespace
 
 import msgspec
 import structlog
@@ -231,6 +232,23 @@
     write_without_birth(context.world, context.world.workers[name])
 
 
+@when("another writer overwrites the entries of all workers with {birth}")
+def overwrite_births(context, birth):
+    world = context.world
+    for name, worker in world.workers.items():
+        born_ms = worker.listing.worker_id.born_ms + 1000
+        if birth == "the largest birth":
+            born_ms = 2**53
+        listing = replace(worker.listing, worker_id=WorkerId(name, born_ms))
+        act(context, world.list_worker, SimpleNamespace(listing=listing))
+
+
+@when("all workers write their entries again")
+def list_all_again(context):
+    for worker in context.world.workers.values():
+        act(context, context.world.list_worker, worker)
+
+
 @when('a worker "{name}" starts whose entry states no birth')
 def start_without_birth(context, name):
     world = context.world
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/holder.py
@@ -198,13 +198,20 @@
         """Apply changes of the list of workers; ``gone`` are the names to remove."""
         now_s = self.clock.now_s()
         for listing in listed:
-            worker = self.cell.list_worker(listing, now_s)
-            if worker is not None and listing.worker_id not in self._sessions:
-                self._open_session(listing)
+            self._list_worker(listing, now_s)
         for name in gone:
             self.cell.unlist_worker(name)
+        unconfirmed = self.cell.unconfirmed.names()
+        for worker_id, session in self._sessions.items():
+            if worker_id.name in unconfirmed:
+                session.report_soon()
         self.wake()
 
+    def _list_worker(self, listing: WorkerListing, now_s: float) -> None:
+        worker = self.cell.list_worker(listing, now_s)
+        if worker is not None and listing.worker_id not in self._sessions:
+            self._open_session(listing)
+
     def worker_restarted(self, earlier_id: WorkerId, report: Report) -> None:
         """Apply the first report of a worker that has started again under its id."""
         now_s = self.clock.now_s()
@@ -320,6 +327,8 @@
         self._woken.clear()
         now_s = self.clock.now_s()
         self._update_view_ages(now_s)
+        for listing in self.cell.unconfirmed.of_silent_workers():
+            self._list_worker(listing, now_s)
         decision = self.cell.decide(now_s, self.clock.wall_s())
         took_s = self.clock.now_s() - now_s
         self.load.decided(took_s)
--- a/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
+++ b/packages/hornbeampaddle-cell/hornbeampaddle_cell/session.py
@@ -194,6 +194,10 @@
         except TimeoutError:
             pass
 
+    def report_soon(self) -> None:
+        """End the pause before the next report."""
+        self._report_due.set()
+
     async def _handle_outcome(self, outcome: object) -> bool:
         match outcome:
             case Report() as report:
--- a/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/intake.py
@@ -45,6 +45,7 @@
         now_s = report.received_at_s
         worker.clock.observe(report.clock_s, now_s)
         worker.last_report_at_s = now_s
+        self.cell.unconfirmed.reported(worker_id, report)
         left_out_ends.note_report(worker, report)
         stuck = left_out_ends.are_stuck(worker, now_s)
         first = not worker.reported and not stuck
--- a/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/restarts.py
@@ -50,13 +50,17 @@
     Replace an incarnation by its successor, which has answered in its place.
 
     Returns a listing of the successor, whose capacity and labels may differ: nothing is
-    placed there until the list of workers tells them. Returns None if the incarnation
-    was not known or had been replaced.
+    placed there until the list of workers tells them, unless it has. Returns None if
+    the incarnation was not known or had been replaced.
     """
     earlier = cell.workers.get(earlier_id)
     if earlier is None:
         return None
     worker_id = WorkerId(earlier_id.name, born_ms)
+    confirmed = cell.unconfirmed.confirmed(worker_id)
+    if confirmed is not None:
+        cell.begin_incarnation(confirmed, now_s)
+        return confirmed
     listing = replace(earlier.listing, worker_id=worker_id, draining=False)
     worker = cell.begin_incarnation(listing, now_s)
     worker.listed = False
--- a/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/scheduler.py
@@ -48,6 +48,7 @@
 from .sampling import Sampler
 from .separating import Separator
 from .settings import CellSettings
+from .unconfirmed import UnconfirmedEntries
 from .urgency import MeanWork
 from .urgent_demand import UrgentDemand
 from .waiting import WaitReason, WaitTracker
@@ -117,6 +118,7 @@
         self.backlog = BacklogMeter(settings)
         self.lapses = LeaseLapses()
         self.late_starts = LateStarts(self)
+        self.unconfirmed = UnconfirmedEntries(self)
         self._outlook: Outlook | None = None
         self._outlook_until_s = float("-inf")
         # Cache for one decision: each of hundreds of waiting jobs reads these.
@@ -220,12 +222,15 @@
         """
         Add or update one worker from the list of workers.
 
-        Returns None if the entry was written by an earlier incarnation.
+        Returns None if the entry was written by an earlier incarnation, or states a
+        birth that the worker has to confirm.
         """
         worker_id = listing.worker_id
         if self.incarnations.outdated(worker_id):
             self.log(LogEntry("listing_outdated", "", {"worker": worker_id}))
             return None
+        if self.unconfirmed.put_off(listing, now_s):
+            return None
         worker = self.workers.get(worker_id)
         if worker is None:
             worker = self.begin_incarnation(listing, now_s)
@@ -295,6 +300,7 @@
 
     def unlist_worker(self, name: str) -> None:
         """Mark a worker as absent from the list of workers."""
+        self.unconfirmed.forget(name)
         worker_id = self.incarnations.current(name)
         worker = self.workers.get(worker_id) if worker_id is not None else None
         if worker is not None and worker.listed:
