--- a/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
+++ b/packages/hornbeampaddle/hornbeampaddle/cell/dispatch.py
@@ -206,13 +206,13 @@
             else:
                 reason = WaitReason.ROOM_RESERVED
             continue
+        if turn.awaits_late_worker(task):
+            reason = WaitReason.LATE_START
+            continue
         if suspected(task):
             if not _start_isolated(turn, task, ranking):
                 reason = WaitReason.APART
             continue
-        if turn.awaits_late_worker(task):
-            reason = WaitReason.LATE_START
-            continue
         worker = turn.late_worker(task, ranking) or ranking.choose(
             task.key, task.last_worker_id
         )
@@ -251,7 +251,11 @@
         if can_place(step, worker, task.key, ranking.used)
         and (not step.filler or has_spare_cpu(step, worker))
     ]
-    worker = choose_isolated_worker(fitting, task, turn.now_s)
+    late_worker = turn.late_worker(task, ranking)
+    preferred = [worker for worker in fitting if worker is late_worker]
+    worker = choose_isolated_worker(preferred, task, turn.now_s)
+    if worker is None:
+        worker = choose_isolated_worker(fitting, task, turn.now_s)
     if worker is None:
         return False
     turn.start(task, worker)
